--- /dev/null
+++ b/src/libhemlock/httpclient.cpp
@@ -0,0 +1,356 @@
+#include "httpclient.h"
+
+#include <asio.hpp>
+#include <curl/curl.h>
+
+#include <unordered_map>
+
+namespace hemlock {
+
+namespace {
+
+struct Transfer
+{
+    HttpClient::CallId id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headerList = nullptr;
+    HttpCall call;
+    HttpCallHooks hooks;
+    HttpOutcome outcome;
+    int sendAttempts = 0;
+    bool headReported = false;
+    bool cancelled = false;
+
+    ~Transfer()
+    {
+        if (this->easy)
+            curl_easy_cleanup(this->easy);
+        curl_slist_free_all(this->headerList);
+    }
+
+    void reportHead()
+    {
+        if (this->headReported)
+            return;
+        this->headReported = true;
+        if (this->hooks.head && !this->cancelled)
+            this->hooks.head(this->outcome.status, this->outcome.headers);
+    }
+};
+
+/// Runs after the connection is made and before the first byte of the request is written.
+int beforeRequest(void *context, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    ++transfer->sendAttempts;
+    // libcurl resends by itself when a reused connection turns out to be closed, which could run a call twice.
+    return transfer->sendAttempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+std::size_t headerReceived(char *bytes, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    const std::string_view line(bytes, size * count);
+    if (line.substr(0, 5) == "HTTP/") {
+        transfer->outcome.headers = {};
+        long status = 0;
+        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+        transfer->outcome.status = static_cast<int>(status);
+        return line.size();
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return line.size();
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+        value.remove_prefix(1);
+    while (!value.empty() && (value.back() == '\r' || value.back() == '\n' || value.back() == ' '))
+        value.remove_suffix(1);
+    transfer->outcome.headers.add(std::string(line.substr(0, colon)), std::string(value));
+    return line.size();
+}
+
+std::size_t dataReceived(char *bytes, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    const std::size_t length = size * count;
+    if (transfer->cancelled)
+        return 0;
+    transfer->reportHead();
+    if (transfer->hooks.data)
+        transfer->hooks.data(std::string_view(bytes, length));
+    else
+        transfer->outcome.body.append(bytes, length);
+    return length;
+}
+
+/// A socket of libcurl, watched through a descriptor that does not own it.
+struct WatchedSocket
+{
+    explicit WatchedSocket(asio::io_context &loop, curl_socket_t socket)
+        : descriptor(loop, socket)
+    {
+    }
+
+    ~WatchedSocket()
+    {
+        this->descriptor.release();
+    }
+
+    asio::posix::stream_descriptor descriptor;
+    int wanted = CURL_POLL_NONE;
+    bool readPending = false;
+    bool writePending = false;
+};
+
+} // namespace
+
+class HttpClient::Private : public std::enable_shared_from_this<HttpClient::Private>
+{
+public:
+    explicit Private(asio::io_context &loop)
+        : loop(loop)
+        , timer(loop)
+        , multi(curl_multi_init())
+    {
+        // Enough idle connections for one per upstream that a node knows.
+        constexpr long idleConnections = 1024;
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, idleConnections);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Private::socketChanged);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Private::timerChanged);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    }
+
+    ~Private()
+    {
+        for (auto &[id, transfer] : this->transfers) {
+            transfer->cancelled = true;
+            curl_multi_remove_handle(this->multi, transfer->easy);
+        }
+        this->transfers.clear();
+        curl_multi_cleanup(this->multi);
+    }
+
+    void add(const std::shared_ptr<Transfer> &transfer)
+    {
+        if (transfer->cancelled)
+            return;
+        this->transfers[transfer->id] = transfer;
+        curl_multi_add_handle(this->multi, transfer->easy);
+    }
+
+    void remove(CallId id)
+    {
+        const auto found = this->transfers.find(id);
+        if (found == this->transfers.end())
+            return;
+        curl_multi_remove_handle(this->multi, found->second->easy);
+        this->transfers.erase(found);
+    }
+
+    void prepare(Transfer &transfer) const;
+
+    asio::io_context &loop;
+    asio::steady_timer timer;
+    CURLM *multi;
+    CallId nextId = 1;
+    std::unordered_map<CallId, std::shared_ptr<Transfer>> transfers;
+    std::unordered_map<CallId, std::weak_ptr<Transfer>> starting;
+
+private:
+    static int socketChanged(CURL *, curl_socket_t socket, int what, void *context, void *)
+    {
+        auto *self = static_cast<Private *>(context);
+        if (what == CURL_POLL_REMOVE) {
+            self->sockets.erase(socket);
+            return 0;
+        }
+        auto &watched = self->sockets[socket];
+        if (!watched)
+            watched = std::make_shared<WatchedSocket>(self->loop, socket);
+        watched->wanted = what;
+        self->watch(socket, watched);
+        return 0;
+    }
+
+    static int timerChanged(CURLM *, long timeoutMs, void *context)
+    {
+        auto *self = static_cast<Private *>(context);
+        self->timer.cancel();
+        if (timeoutMs < 0)
+            return 0;
+        self->timer.expires_after(std::chrono::milliseconds(timeoutMs));
+        self->timer.async_wait([weak = self->weak_from_this()](const asio::error_code &error) {
+            const auto client = weak.lock();
+            if (!error && client)
+                client->act(CURL_SOCKET_TIMEOUT, 0);
+        });
+        return 0;
+    }
+
+    void watch(curl_socket_t socket, const std::shared_ptr<WatchedSocket> &watched)
+    {
+        if ((watched->wanted & CURL_POLL_IN) && !watched->readPending) {
+            watched->readPending = true;
+            this->await(socket, watched, asio::posix::descriptor_base::wait_read);
+        }
+        if ((watched->wanted & CURL_POLL_OUT) && !watched->writePending) {
+            watched->writePending = true;
+            this->await(socket, watched, asio::posix::descriptor_base::wait_write);
+        }
+    }
+
+    void await(curl_socket_t socket,
+               const std::shared_ptr<WatchedSocket> &watched,
+               asio::posix::descriptor_base::wait_type direction)
+    {
+        const bool isRead = direction == asio::posix::descriptor_base::wait_read;
+        watched->descriptor.async_wait(
+            direction,
+            [weak = this->weak_from_this(), socket, weakWatched = std::weak_ptr(watched), isRead](
+                const asio::error_code &error) {
+                const auto client = weak.lock();
+                const auto watched = weakWatched.lock();
+                if (!client || !watched)
+                    return;
+                (isRead ? watched->readPending : watched->writePending) = false;
+                const int flag = isRead ? CURL_POLL_IN : CURL_POLL_OUT;
+                if (error || !(watched->wanted & flag))
+                    return;
+                client->act(socket, isRead ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
+                const auto current = client->sockets.find(socket);
+                if (current != client->sockets.end() && current->second == watched)
+                    client->watch(socket, watched);
+            });
+    }
+
+    void act(curl_socket_t socket, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(this->multi, socket, events, &running);
+        this->reportFinished();
+    }
+
+    void reportFinished()
+    {
+        std::vector<std::shared_ptr<Transfer>> finished;
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            Transfer *transfer = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+            const CURLcode code = message->data.result;
+            const auto found = this->transfers.find(transfer->id);
+            if (found == this->transfers.end())
+                continue;
+            conclude(*transfer, code);
+            finished.push_back(found->second);
+            curl_multi_remove_handle(this->multi, transfer->easy);
+            this->transfers.erase(found);
+        }
+        for (const auto &transfer : finished) {
+            if (transfer->cancelled)
+                continue;
+            if (transfer->outcome.isComplete())
+                transfer->reportHead();
+            if (!transfer->cancelled)
+                transfer->hooks.done(transfer->outcome);
+        }
+    }
+
+    static void conclude(Transfer &transfer, CURLcode code)
+    {
+        if (code == CURLE_OK) {
+            transfer.outcome.verdict = Verdict::Ran;
+            return;
+        }
+        transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
+        transfer.outcome.error = curl_easy_strerror(code);
+    }
+
+    std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> sockets;
+};
+
+void HttpClient::Private::prepare(Transfer &transfer) const
+{
+    transfer.easy = curl_easy_init();
+    CURL *easy = transfer.easy;
+    const HttpCall &call = transfer.call;
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+    }
+    // libcurl waits a second for "100 Continue" on large bodies unless the field is removed.
+    transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+    for (const HttpHeader &field : call.headers) {
+        // An empty value needs a semicolon, since libcurl takes "Name:" as the order to leave the field out.
+        const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
+        transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    if (call.closesConnection)
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &headerReceived);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &dataReceived);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+}
+
+HttpClient::HttpClient(asio::io_context &loop)
+    : d(std::make_shared<Private>(loop))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::start(HttpCall call, HttpCallHooks hooks)
+{
+    auto transfer = std::make_shared<Transfer>();
+    transfer->id = this->d->nextId++;
+    transfer->call = std::move(call);
+    transfer->hooks = std::move(hooks);
+    this->d->prepare(*transfer);
+    this->d->starting[transfer->id] = transfer;
+    // libcurl refuses calls of its multi interface from within its own callbacks, where hooks run.
+    asio::post(this->d->loop, [weak = std::weak_ptr(this->d), transfer] {
+        const auto client = weak.lock();
+        if (!client)
+            return;
+        client->starting.erase(transfer->id);
+        client->add(transfer);
+    });
+    return transfer->id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    if (const auto found = this->d->starting.find(id); found != this->d->starting.end()) {
+        if (const auto transfer = found->second.lock())
+            transfer->cancelled = true;
+        return;
+    }
+    const auto found = this->d->transfers.find(id);
+    if (found == this->d->transfers.end())
+        return;
+    found->second->cancelled = true;
+    asio::post(this->d->loop, [weak = std::weak_ptr(this->d), id] {
+        if (const auto client = weak.lock())
+            client->remove(id);
+    });
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/httpclient.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "httpmessage.h"
+#include "verdict.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace asio {
+class io_context;
+}
+
+namespace hemlock {
+
+/// One request to an HTTP server.
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    HttpHeaders headers;
+    std::string body;
+    std::chrono::milliseconds connectTimeout{2000};
+    std::chrono::milliseconds timeout{0}; ///< For the whole exchange; 0 means no limit.
+    bool closesConnection = false; ///< The connection is not kept for later calls.
+};
+
+/// How an exchange ended.
+struct HttpOutcome
+{
+    /// NotRun: no byte of the request was sent. Ran: a whole response arrived. MayHaveRun: anything else.
+    Verdict verdict = Verdict::NotRun;
+    int status = 0; ///< HTTP status, 0 when no response head arrived.
+    HttpHeaders headers;
+    std::string body; ///< Empty when the call has a data hook.
+    std::string error; ///< Empty when a whole response arrived.
+
+    bool isComplete() const
+    {
+        return this->verdict == Verdict::Ran;
+    }
+};
+
+/// Called on the client's Asio loop; only done is required.
+struct HttpCallHooks
+{
+    std::function<void(int status, const HttpHeaders &headers)> head;
+    std::function<void(std::string_view bytes)> data;
+    std::function<void(const HttpOutcome &outcome)> done;
+};
+
+/// HTTP/1.1 client on an Asio loop, by libcurl's multi interface.
+class HttpClient
+{
+public:
+    using CallId = std::uint64_t;
+
+    explicit HttpClient(asio::io_context &loop);
+    ~HttpClient();
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// Starts an exchange; its hooks run later, never from within this function.
+    CallId start(HttpCall call, HttpCallHooks hooks);
+
+    /// Ends an exchange and closes its connection; none of its hooks is called any more.
+    void cancel(CallId id);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/httpserver.cpp
@@ -0,0 +1,265 @@
+#include "httpserver.h"
+
+#include <restinio/all.hpp>
+
+#include <unordered_map>
+
+namespace hemlock {
+
+namespace {
+
+class Responder;
+
+/// Open responders by connection, so that a closed connection is reported to them.
+class ConnectionTable
+{
+public:
+    void add(restinio::connection_id_t connection, const std::weak_ptr<Responder> &responder)
+    {
+        this->responders[connection] = responder;
+    }
+
+    void remove(restinio::connection_id_t connection)
+    {
+        this->responders.erase(connection);
+    }
+
+    std::shared_ptr<Responder> take(restinio::connection_id_t connection)
+    {
+        const auto found = this->responders.find(connection);
+        if (found == this->responders.end())
+            return nullptr;
+        auto responder = found->second.lock();
+        this->responders.erase(found);
+        return responder;
+    }
+
+    bool draining = false;
+
+private:
+    std::unordered_map<restinio::connection_id_t, std::weak_ptr<Responder>> responders;
+};
+
+class ConnectionListener
+{
+public:
+    explicit ConnectionListener(std::shared_ptr<ConnectionTable> table)
+        : table(std::move(table))
+    {
+    }
+
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept;
+
+private:
+    std::shared_ptr<ConnectionTable> table;
+};
+
+struct ServerTraits : public restinio::default_single_thread_traits_t
+{
+    using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    using connection_state_listener_t = ConnectionListener;
+    using logger_t = restinio::null_logger_t;
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
+{
+public:
+    Responder(restinio::request_handle_t request, std::shared_ptr<ConnectionTable> table)
+        : request(std::move(request))
+        , table(std::move(table))
+        , keepAlive(this->request->header().should_keep_alive())
+    {
+    }
+
+    void reply(int status, const HttpHeaders &headers, std::string body) override
+    {
+        if (!this->request)
+            return;
+        auto response = this->request->create_response(statusLine(status));
+        this->fillHeaders(response, headers);
+        response.set_body(std::move(body));
+        response.done();
+        this->finish();
+    }
+
+    void beginStream(int status, const HttpHeaders &headers) override
+    {
+        if (!this->request)
+            return;
+        this->stream = std::make_unique<ChunkedBuilder>(
+            this->request->create_response<restinio::chunked_output_t>(statusLine(status)));
+        this->fillHeaders(*this->stream, headers);
+        this->stream->flush();
+    }
+
+    void write(std::string chunk) override
+    {
+        if (!this->stream || chunk.empty())
+            return;
+        const std::size_t size = chunk.size();
+        this->pending += size;
+        this->stream->append_chunk(std::move(chunk));
+        this->stream->flush([self = this->weak_from_this(), size](const asio::error_code &) {
+            if (const auto responder = self.lock())
+                responder->pending -= size;
+        });
+    }
+
+    void endStream() override
+    {
+        if (!this->stream)
+            return;
+        this->stream->done();
+        this->stream.reset();
+        this->finish();
+    }
+
+    std::size_t pendingBytes() const override
+    {
+        return this->pending;
+    }
+
+    bool isConnected() const override
+    {
+        return this->request != nullptr;
+    }
+
+    void setDisconnected(std::function<void()> hook) override
+    {
+        this->disconnected = std::move(hook);
+    }
+
+    void connectionClosed()
+    {
+        this->stream.reset();
+        this->request.reset();
+        if (const auto hook = std::exchange(this->disconnected, nullptr))
+            hook();
+    }
+
+private:
+    static restinio::http_status_line_t statusLine(int status)
+    {
+        return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, status < 400 ? "OK" : "Error"};
+    }
+
+    template <class Builder>
+    void fillHeaders(Builder &response, const HttpHeaders &headers) const
+    {
+        for (const HttpHeader &field : headers)
+            response.append_header(field.name, field.value);
+        if (!this->keepAlive || this->table->draining)
+            response.connection_close();
+    }
+
+    void finish()
+    {
+        this->table->remove(this->request->connection_id());
+        this->request.reset();
+        this->disconnected = nullptr;
+    }
+
+    restinio::request_handle_t request;
+    std::shared_ptr<ConnectionTable> table;
+    bool keepAlive;
+    std::unique_ptr<ChunkedBuilder> stream;
+    std::size_t pending = 0;
+    std::function<void()> disconnected;
+};
+
+void ConnectionListener::state_changed(const restinio::connection_state::notice_t &notice) noexcept
+{
+    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+        return;
+    if (const auto responder = this->table->take(notice.connection_id()))
+        responder->connectionClosed();
+}
+
+HttpRequest convertRequest(const restinio::request_t &request)
+{
+    HttpRequest converted;
+    const auto &header = request.header();
+    converted.method = header.method().c_str();
+    converted.path = std::string(header.path());
+    converted.query = std::string(header.query());
+    header.for_each_field([&converted](const auto &field) { converted.headers.add(field.name(), field.value()); });
+    converted.body = request.body();
+    const auto &endpoint = request.remote_endpoint();
+    converted.remoteAddress = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    return converted;
+}
+
+} // namespace
+
+class HttpServer::Private
+{
+public:
+    asio::io_context &loop;
+    HttpServerSettings settings;
+    HttpHandler handler;
+    std::shared_ptr<ConnectionTable> table = std::make_shared<ConnectionTable>();
+    std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+    std::uint16_t boundPort = 0;
+
+    restinio::request_handling_status_t handle(const restinio::request_handle_t &request) const
+    {
+        auto responder = std::make_shared<Responder>(request, this->table);
+        this->table->add(request->connection_id(), responder);
+        this->handler(convertRequest(*request), std::move(responder));
+        return restinio::request_accepted();
+    }
+};
+
+HttpServer::HttpServer(asio::io_context &loop, HttpServerSettings settings, HttpHandler handler)
+    : d(new Private{loop, std::move(settings), std::move(handler)})
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopAccepting();
+}
+
+std::string HttpServer::start()
+{
+    const HttpServerSettings &limits = this->d->settings;
+    // Two pipelined requests keep RESTinio reading during an answer, which is how a disconnect is noticed.
+    constexpr std::size_t pipelinedRequests = 2;
+    restinio::server_settings_t<ServerTraits> settings;
+    settings.address(limits.address)
+        .port(limits.port)
+        .max_pipelined_requests(pipelinedRequests)
+        .read_next_http_message_timelimit(limits.readTimeout)
+        .write_http_response_timelimit(limits.handleTimeout)
+        .handle_request_timeout(limits.handleTimeout)
+        .max_parallel_connections(limits.maxConnections)
+        .concurrent_accepts_count(8)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(limits.maxBodyBytes))
+        .acceptor_options_setter(
+            [](auto &options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+        .acceptor_post_bind_hook(
+            [this](asio::ip::tcp::acceptor &acceptor) { this->d->boundPort = acceptor.local_endpoint().port(); })
+        .socket_options_setter([](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
+        .connection_state_listener(std::make_shared<ConnectionListener>(this->d->table))
+        .request_handler([this](restinio::request_handle_t request) { return this->d->handle(request); });
+    this->d->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
+        restinio::external_io_context(this->d->loop), std::move(settings));
+    this->d->server->open_sync();
+    return limits.address + ":" + std::to_string(this->d->boundPort);
+}
+
+void HttpServer::stopAccepting()
+{
+    if (this->d->server)
+        this->d->server->close_sync();
+}
+
+void HttpServer::setDraining(bool draining)
+{
+    this->d->table->draining = draining;
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/kvclient.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "httpclient.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// One key of the store with its value.
+struct KvEntry
+{
+    std::string key;
+    std::string value;
+    std::int64_t createRevision = 0;
+    std::int64_t modRevision = 0;
+    std::int64_t version = 0;
+    std::int64_t lease = 0;
+};
+
+/// What is known about a call to the store.
+enum class KvStatus {
+    Ok,
+    NotApplied, ///< Refused, or never sent; a write has had no effect.
+    Unknown, ///< Sent without an answer; a write may have taken effect.
+};
+
+/// Condition of a transaction: the key was last changed at this revision; 0 means that the key is absent.
+struct KvCompare
+{
+    std::string key;
+    std::int64_t modRevision = 0;
+};
+
+struct KvPut
+{
+    std::string key;
+    std::string value;
+    std::int64_t lease = 0; ///< 0 for no lease.
+};
+
+/// Transaction: when all compares hold, the puts and deletes are applied at once, otherwise nothing is.
+struct KvTxn
+{
+    std::vector<KvCompare> compares;
+    std::vector<KvPut> puts;
+    std::vector<std::string> deletes;
+    std::vector<std::string> readsOnFailure; ///< Keys returned when a compare fails.
+};
+
+struct KvRangeResult
+{
+    KvStatus status = KvStatus::Unknown;
+    std::int64_t revision = 0; ///< Revision of the store.
+    std::vector<KvEntry> entries;
+    std::string error;
+};
+
+struct KvTxnResult
+{
+    KvStatus status = KvStatus::Unknown;
+    bool succeeded = false; ///< Whether the compares held; valid with Ok.
+    std::int64_t revision = 0; ///< Revision after the transaction: the mod revision of each key that it put.
+    std::vector<KvEntry> entries; ///< Of readsOnFailure, when the compares failed.
+    std::string error;
+};
+
+struct KvLeaseResult
+{
+    KvStatus status = KvStatus::Unknown;
+    std::int64_t lease = 0;
+    std::chrono::seconds ttl{0}; ///< 0 after keepLeaseAlive when the lease is gone.
+    std::string error;
+};
+
+struct KvEvent
+{
+    bool isDelete = false;
+    KvEntry entry;
+};
+
+/// Client of a key-value store that speaks the JSON gateway of the etcd v3 API.
+class KvClient
+{
+public:
+    using WatchId = HttpClient::CallId;
+
+    struct WatchHooks
+    {
+        std::function<void(const std::vector<KvEvent> &events, std::int64_t revision)> changed;
+        std::function<void(const std::string &error)> ended; ///< The watch is over; start a new one.
+    };
+
+    /// @p endpoint is "http://ADDRESS:PORT"; @p timeout limits each call but watches.
+    KvClient(HttpClient &http, std::string endpoint, std::chrono::milliseconds timeout);
+
+    /// Reads one key, or with @p prefix all keys that begin with it.
+    void range(const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done);
+
+    void txn(const KvTxn &txn, std::function<void(const KvTxnResult &)> done);
+
+    void grantLease(std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done);
+    void keepLeaseAlive(std::int64_t lease, std::function<void(const KvLeaseResult &)> done);
+    void revokeLease(std::int64_t lease, std::function<void(const KvLeaseResult &)> done);
+
+    /// Reports changes from @p startRevision on of a key, or with @p prefix of all keys that begin with it.
+    WatchId watch(const std::string &key, bool prefix, std::int64_t startRevision, WatchHooks hooks);
+    void cancelWatch(WatchId id);
+
+private:
+    struct Answer;
+
+    void post(const std::string &path, const nlohmann::json &body, std::function<void(const Answer &)> done);
+    void
+    postLease(const std::string &path, const nlohmann::json &body, std::function<void(const KvLeaseResult &)> done);
+
+    HttpClient &http;
+    std::string endpoint;
+    std::chrono::milliseconds timeout;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/snapshot.cpp
@@ -0,0 +1,62 @@
+#include "snapshot.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace hemlock {
+
+const Service *Snapshot::findService(const std::string &id) const
+{
+    const auto match = std::find_if(
+        this->services.begin(), this->services.end(), [&id](const Service &service) { return service.id == id; });
+    return match == this->services.end() ? nullptr : &*match;
+}
+
+const AccessRule *Snapshot::findRule(const std::string &clientAccount, const std::string &service) const
+{
+    const auto match = std::find_if(this->rules.begin(), this->rules.end(), [&](const AccessRule &rule) {
+        return rule.clientAccount == clientAccount && rule.service == service;
+    });
+    return match == this->rules.end() ? nullptr : &*match;
+}
+
+void to_json(nlohmann::json &json, const Peer &peer)
+{
+    json = {{"id", peer.id},
+            {"zone", peer.zone.name},
+            {"entryControlAddress", peer.entryControlAddress},
+            {"controlAddress", peer.controlAddress}};
+}
+
+void from_json(const nlohmann::json &json, Peer &peer)
+{
+    json.at("id").get_to(peer.id);
+    json.at("zone").get_to(peer.zone.name);
+    json.at("entryControlAddress").get_to(peer.entryControlAddress);
+    json.at("controlAddress").get_to(peer.controlAddress);
+}
+
+void to_json(nlohmann::json &json, const Snapshot &snapshot)
+{
+    json = {{"manifestVersion", snapshot.manifestVersion},
+            {"sequence", snapshot.sequence},
+            {"services", snapshot.services},
+            {"clientAccounts", snapshot.clientAccounts},
+            {"rules", snapshot.rules},
+            {"upstreams", snapshot.upstreams},
+            {"peers", snapshot.peers}};
+}
+
+void from_json(const nlohmann::json &json, Snapshot &snapshot)
+{
+    json.at("manifestVersion").get_to(snapshot.manifestVersion);
+    json.at("sequence").get_to(snapshot.sequence);
+    json.at("services").get_to(snapshot.services);
+    json.at("clientAccounts").get_to(snapshot.clientAccounts);
+    json.at("rules").get_to(snapshot.rules);
+    json.at("upstreams").get_to(snapshot.upstreams);
+    json.at("peers").get_to(snapshot.peers);
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/upstream.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace hemlock {
+
+struct AvailabilityZone
+{
+    std::string name;
+
+    auto operator<=>(const AvailabilityZone &) const = default;
+};
+
+/// Life cycle of an upstream, as in charts/upstream.json.
+enum class UpstreamState {
+    Joining,
+    Serving,
+    Suspected,
+    Leaving,
+    Gone,
+};
+
+/// "joining", "serving", "suspected", "leaving" or "gone".
+std::string_view upstreamStateName(UpstreamState state);
+
+/// Throws std::invalid_argument for an unknown name.
+UpstreamState parseUpstreamState(std::string_view name);
+
+/// A back end of a service on one VM.
+struct Upstream
+{
+    std::string id; ///< Identifier of its VM.
+    std::string service;
+    std::string address; ///< "IP:PORT".
+    AvailabilityZone zone;
+    UpstreamState state = UpstreamState::Joining;
+};
+
+/// Fields: id, service, address, zone, state.
+void to_json(nlohmann::json &json, const Upstream &upstream);
+void from_json(const nlohmann::json &json, Upstream &upstream);
+
+} // namespace hemlock
