Test that the HTTP client sends a request once

Cause: libcurl resends a request when a reused connection closes before an answer, so a call that may not be repeated could run twice without any retry of ours. Change: tests with a scripted server for the resend, for broken connections, a refused one and a cancelled call.

--- /dev/null
+++ b/tests/unit/httpclienttest.cpp
@@ -0,0 +1,155 @@
+#include "httpclient.h"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace hemlock;
+using asio::ip::tcp;
+
+namespace {
+
+/// What the scripted server does with one request after it has read the head.
+enum class Behaviour {
+    Answer,
+    CloseWithoutAnswer,
+    AnswerHalf,
+};
+
+/// Server on a loopback port that handles requests by a script and counts them.
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(asio::io_context &loop)
+        : acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        this->accept();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
+    }
+
+    std::deque<Behaviour> script;
+    int requests = 0;
+    int connections = 0;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code &error, tcp::socket socket) {
+            if (error)
+                return;
+            ++this->connections;
+            this->read(std::make_shared<tcp::socket>(std::move(socket)));
+            this->accept();
+        });
+    }
+
+    void read(const std::shared_ptr<tcp::socket> &socket)
+    {
+        const auto buffer = std::make_shared<std::string>();
+        asio::async_read_until(*socket,
+                               asio::dynamic_buffer(*buffer),
+                               "\r\n\r\n",
+                               [this, socket, buffer](const asio::error_code &error, std::size_t) {
+                                   if (error)
+                                       return;
+                                   ++this->requests;
+                                   this->act(socket);
+                               });
+    }
+
+    void act(const std::shared_ptr<tcp::socket> &socket)
+    {
+        const Behaviour behaviour = this->script.empty() ? Behaviour::Answer : this->script.front();
+        if (!this->script.empty())
+            this->script.pop_front();
+        if (behaviour == Behaviour::CloseWithoutAnswer)
+            return socket->close();
+        const bool whole = behaviour == Behaviour::Answer;
+        asio::write(*socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")));
+        asio::write(*socket, asio::buffer(std::string(whole ? "done" : "do")));
+        if (!whole)
+            return socket->close();
+        this->read(socket);
+    }
+
+    tcp::acceptor acceptor;
+};
+
+class HttpClientFixture
+{
+protected:
+    HttpOutcome post(const std::string &url)
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.url = url;
+        call.timeout = std::chrono::seconds(10);
+        std::optional<HttpOutcome> result;
+        this->client.start(call, {nullptr, nullptr, [&result](const HttpOutcome &outcome) { result = outcome; }});
+        while (!result)
+            this->loop.run_one();
+        return *result;
+    }
+
+    asio::io_context loop;
+    ScriptedServer server{loop};
+    HttpClient client{loop};
+};
+
+} // namespace
+
+// Guards against a hidden second run of a call: libcurl resends when a reused connection closes without an answer.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: reused connection closes after the request: sends it once only")
+{
+    this->server.script = {Behaviour::Answer, Behaviour::CloseWithoutAnswer, Behaviour::Answer};
+    REQUIRE(this->post(this->server.url()).isComplete());
+
+    const HttpOutcome outcome = this->post(this->server.url());
+
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(this->server.requests == 2);
+}
+
+// Guards against "not run" being reported for a request that reached the upstream.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: connection closes before an answer: verdict is may-have-run")
+{
+    this->server.script = {Behaviour::CloseWithoutAnswer};
+    CHECK(this->post(this->server.url()).verdict == Verdict::MayHaveRun);
+}
+
+// Guards against half an answer being taken for a whole one.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: connection closes within the answer: verdict is may-have-run")
+{
+    this->server.script = {Behaviour::AnswerHalf};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(outcome.status == 200);
+}
+
+// Guards against giving up a retry that is safe: nothing was written to a refused connection.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: connection is refused: verdict is not-run")
+{
+    tcp::acceptor closed(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const std::string url = "http://127.0.0.1:" + std::to_string(closed.local_endpoint().port()) + "/";
+    closed.close();
+    CHECK(this->post(url).verdict == Verdict::NotRun);
+}
+
+// Guards against answers that reach a caller who has cancelled.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: call is cancelled at once: no hook runs and nothing is sent")
+{
+    bool finished = false;
+    HttpCall call;
+    call.url = this->server.url();
+    const auto id = this->client.start(call, {nullptr, nullptr, [&finished](const HttpOutcome &) { finished = true; }});
+    this->client.cancel(id);
+    REQUIRE(this->post(this->server.url()).isComplete());
+    CHECK_FALSE(finished);
+    CHECK(this->server.requests == 1);
+}
