Answer a request whose responder is dropped

Cause: RESTinio keeps a connection open until the handle timeout (an hour) when a request handle is dropped without a response; an early return in a handler would leave its caller waiting. Change: the responder's destructor ends an open stream or answers 500; tests of disconnects, draining and dropping.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -74,6 +74,23 @@
     {
     }
 
+    ~Responder() override
+    {
+        // RESTinio keeps a connection whose request is dropped until the handle timeout.
+        try {
+            if (this->stream)
+                this->endStream();
+            else if (this->request)
+                this->reply(500, {}, R"({"error":{"code":"internal-error","message":"the request was dropped"}})");
+        } catch (const std::exception &) {
+            // The server itself is gone, and the connection with it.
+            return;
+        }
+    }
+
+    Responder(const Responder &) = delete;
+    Responder &operator=(const Responder &) = delete;
+
     void reply(int status, const HttpHeaders &headers, std::string body) override
     {
         if (!this->request)
--- /dev/null
+++ b/tests/unit/httpservertest.cpp
@@ -0,0 +1,112 @@
+#include "httpserver.h"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+using asio::ip::tcp;
+
+namespace {
+
+/// A server on a loopback port and a raw connection to it, on one loop.
+class HttpServerFixture
+{
+protected:
+    void startServer(HttpHandler handler)
+    {
+        this->server = std::make_unique<HttpServer>(this->loop, HttpServerSettings{}, std::move(handler));
+        const std::string address = this->server->start();
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        this->connection.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    void send(const std::string &text)
+    {
+        asio::write(this->connection, asio::buffer(text));
+    }
+
+    template <class Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition())
+            this->loop.run_one();
+    }
+
+    /// Reads until the server closes the connection.
+    std::string readToEnd()
+    {
+        std::string received;
+        bool ended = false;
+        asio::async_read(this->connection,
+                         asio::dynamic_buffer(received),
+                         [&ended](const asio::error_code &, std::size_t) { ended = true; });
+        this->runUntil([&ended] { return ended; });
+        return received;
+    }
+
+    asio::io_context loop;
+    std::unique_ptr<HttpServer> server;
+    tcp::socket connection{this->loop};
+};
+
+const std::string plainRequest = "GET /path?a=1&b=2 HTTP/1.1\r\nHost: test\r\nX-Field: value\r\n\r\n";
+
+} // namespace
+
+// Guards against work that goes on for a caller who has left.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: caller closes within a stream: the disconnected hook runs once")
+{
+    int disconnects = 0;
+    HttpResponderPtr open;
+    this->startServer([&](const HttpRequest &, HttpResponderPtr responder) {
+        responder->setDisconnected([&disconnects] { ++disconnects; });
+        responder->beginStream(200, {});
+        responder->write("first");
+        open = std::move(responder);
+    });
+    this->send(plainRequest);
+    this->runUntil([&open] { return open != nullptr; });
+    this->connection.close();
+    this->runUntil([&disconnects] { return disconnects > 0; });
+    CHECK(disconnects == 1);
+    CHECK_FALSE(open->isConnected());
+    open->write("late");
+    open->endStream();
+    CHECK(disconnects == 1);
+}
+
+// Guards against a shutdown that leaves callers on connections of a process that is about to end.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: draining: the answer is whole and closes the connection")
+{
+    this->startServer(
+        [](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, "whole answer"); });
+    this->server->setDraining(true);
+    this->send(plainRequest);
+    const std::string received = this->readToEnd();
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.find("whole answer") != std::string::npos);
+}
+
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: request with query and fields: passes them to the handler")
+{
+    HttpRequest seen;
+    this->startServer([&seen](HttpRequest request, const HttpResponderPtr &responder) {
+        seen = std::move(request);
+        responder->reply(200, {}, "");
+    });
+    this->send(plainRequest);
+    this->runUntil([&seen] { return !seen.method.empty(); });
+    CHECK(seen.method == "GET");
+    CHECK(seen.path == "/path");
+    CHECK(seen.queryValue("b") == "2");
+    CHECK(seen.headers.value("x-field") == "value");
+}
+
+// Guards against a responder that ends without an answer and leaves its caller waiting for the whole handle timeout.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: handler drops the responder: the caller gets an answer")
+{
+    this->startServer([](const HttpRequest &, const HttpResponderPtr &) {});
+    this->send("GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+    CHECK(this->readToEnd().find("HTTP/1.1 500") == 0);
+}
