Add the entry process with its thin path

Cause: callers had no process that takes their requests. Calls that may not repeat go through the hooks SubmitIntent and CompleteIntent; without an intent log they are refused unless "unsafeIntents" is set.

--- /dev/null
+++ b/src/entry/entryprocess.cpp
@@ -0,0 +1,167 @@
+#include "entryprocess.h"
+
+#include "logger.h"
+#include "refusal.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hemlock {
+
+namespace {
+
+// The last answers are still on their way to the sockets when the last call has ended.
+constexpr std::chrono::milliseconds flushTime{200};
+
+HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t maxBodyBytes)
+{
+    HttpServerSettings settings;
+    settings.address = endpoint.address;
+    settings.port = endpoint.port;
+    settings.maxBodyBytes = maxBodyBytes;
+    return settings;
+}
+
+// A snapshot of 12,000 upstreams has about 2 MB.
+constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+EntryProcess::EntryProcess(asio::io_context &loop, const EntrySettings &settings)
+    : loop(loop)
+    , context(loop, settings)
+    , gateway(this->context)
+    , rpc(ControlAuth(settings.controlKey))
+    , callers(loop,
+              serverSettings(settings.listen, settings.maxBodyBytes),
+              [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                  this->gateway.handle(request, responder);
+              })
+    , control(loop,
+              serverSettings(settings.control, maxControlBodyBytes),
+              [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                  this->handleControl(request, responder);
+              })
+    , signals(loop, SIGTERM, SIGINT)
+    , drainTimer(loop)
+{
+    this->addMethods();
+    this->useDefaultIntents();
+    this->context.calls.setEmptied([this] { this->stopWhenIdle(); });
+}
+
+void EntryProcess::start()
+{
+    this->awaitSignal();
+    announceAddress("listen", this->callers.start());
+    announceAddress("control", this->control.start());
+}
+
+void EntryProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    if (request.path == rpcPath) {
+        this->rpc.handle(request, responder);
+        return;
+    }
+    replyRefusal(*responder,
+                 {Verdict::NotRun, 404, "unknown-path", "nothing is served at this path", {}},
+                 requestIdOf(request.headers));
+}
+
+void EntryProcess::addMethods()
+{
+    this->rpc.addMethod("applySnapshot", [this](const nlohmann::json &params) { return this->applySnapshot(params); });
+    this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
+    this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
+}
+
+nlohmann::json EntryProcess::applySnapshot(const nlohmann::json &params)
+{
+    this->context.configuration.apply(params.get<Snapshot>());
+    const Snapshot &snapshot = this->context.configuration.snapshot();
+    this->context.upstreams.apply(snapshot.upstreams);
+    logEvent(LogLevel::Info,
+             "snapshot-applied",
+             {{"manifestVersion", snapshot.manifestVersion},
+              {"sequence", snapshot.sequence},
+              {"services", snapshot.services.size()},
+              {"upstreams", snapshot.upstreams.size()},
+              {"peers", snapshot.peers.size()}});
+    return {{"manifestVersion", snapshot.manifestVersion}, {"sequence", snapshot.sequence}};
+}
+
+nlohmann::json EntryProcess::report()
+{
+    return {{"inFlight", this->context.upstreams.inFlight()},
+            {"failures", this->context.upstreams.takeFailures()},
+            {"openCalls", this->context.calls.size()},
+            {"draining", this->isDraining}};
+}
+
+nlohmann::json EntryProcess::explain(const nlohmann::json &params) const
+{
+    return {{"decisions", this->context.decisions.find(params.at("request").get<std::string>())}};
+}
+
+void EntryProcess::useDefaultIntents()
+{
+    this->context.submitIntent = [this](const IntentRequest &,
+                                        const std::function<void(const IntentDecision &)> &decided) {
+        IntentDecision decision;
+        if (this->context.settings.unsafeIntents)
+            decision.action = IntentAction::Dispatch;
+        decision.refusal = {Verdict::NotRun,
+                            503,
+                            "intent-log-unavailable",
+                            "the call may not be repeated and its intent cannot be recorded",
+                            std::chrono::seconds(1)};
+        decided(decision);
+    };
+    this->context.completeIntent = [](const IntentRequest &, Verdict, const StoredAnswer &) {};
+    this->context.forwardCall = [](const std::string &, const HttpRequest &request, const HttpResponderPtr &responder) {
+        replyRefusal(*responder,
+                     {Verdict::NotRun, 503, "owner-unreachable", "the key's owner cannot be reached", {}},
+                     requestIdOf(request.headers));
+    };
+}
+
+void EntryProcess::awaitSignal()
+{
+    this->signals.async_wait([this](const asio::error_code &error, int) {
+        if (error)
+            return;
+        this->drain();
+        this->awaitSignal();
+    });
+}
+
+void EntryProcess::drain()
+{
+    if (std::exchange(this->isDraining, true))
+        return;
+    logEvent(LogLevel::Info, "draining", {{"openCalls", this->context.calls.size()}});
+    this->gateway.setDraining(true);
+    this->callers.setDraining(true);
+    this->drainTimer.expires_after(this->context.settings.drainNotice);
+    this->drainTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        this->hasNoticePassed = true;
+        this->callers.stopAccepting();
+        this->stopWhenIdle();
+    });
+}
+
+void EntryProcess::stopWhenIdle()
+{
+    if (!this->hasNoticePassed || this->context.calls.size() > 0)
+        return;
+    this->drainTimer.expires_after(flushTime);
+    this->drainTimer.async_wait([this](const asio::error_code &error) {
+        if (error || this->context.calls.size() > 0)
+            return;
+        logEvent(LogLevel::Info, "stopped", nlohmann::json::object());
+        this->loop.stop();
+    });
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/entryprocess.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "entrycontext.h"
+#include "gateway.h"
+#include "httpserver.h"
+#include "rpc.h"
+
+#include <asio.hpp>
+
+namespace hemlock {
+
+/// The entry process: callers' server, control server and shutdown on one Asio loop.
+class EntryProcess
+{
+public:
+    EntryProcess(asio::io_context &loop, const EntrySettings &settings);
+
+    /// Starts both servers and announces their addresses.
+    void start();
+
+    /// Stops taking part in new work; the loop ends after the last open call.
+    void drain();
+
+private:
+    void handleControl(const HttpRequest &request, const HttpResponderPtr &responder);
+    void addMethods();
+    nlohmann::json applySnapshot(const nlohmann::json &params);
+    nlohmann::json report();
+    nlohmann::json explain(const nlohmann::json &params) const;
+    void useDefaultIntents();
+    void awaitSignal();
+    void stopWhenIdle();
+
+    asio::io_context &loop;
+    EntryContext context;
+    Gateway gateway;
+    RpcServer rpc;
+    HttpServer callers;
+    HttpServer control;
+    asio::signal_set signals;
+    asio::steady_timer drainTimer;
+    bool isDraining = false;
+    bool hasNoticePassed = false; ///< The balancer had the time to see that this process drains.
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/gateway.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "callerrequest.h"
+#include "entrycontext.h"
+#include "httpserver.h"
+
+namespace hemlock {
+
+/// Serves callers: identifies the client account, checks the request and starts the call.
+class Gateway
+{
+public:
+    explicit Gateway(EntryContext &context);
+
+    void handle(const HttpRequest &request, const HttpResponderPtr &responder);
+
+    /// While draining, /healthz answers 503 so that the balancer leaves this process out.
+    void setDraining(bool draining);
+
+private:
+    Result<void> route(const HttpRequest &request, const HttpResponderPtr &responder);
+    Result<void> startCompletion(const HttpRequest &request,
+                                 const CallerFields &fields,
+                                 const ClientAccount &account,
+                                 const HttpResponderPtr &responder);
+    Result<void> startServiceCall(const HttpRequest &request,
+                                  const CallerFields &fields,
+                                  const ClientAccount &account,
+                                  const HttpResponderPtr &responder);
+    Result<CallInfo> admit(const CallerFields &fields,
+                           const ClientAccount &account,
+                           const std::string &service,
+                           ServiceKind kind,
+                           const std::string &requestId) const;
+    void replyHealth(HttpResponder &responder) const;
+
+    EntryContext &context;
+    bool draining = false;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/transactionalcall.cpp
@@ -0,0 +1,212 @@
+#include "transactionalcall.h"
+
+#include "encoding.h"
+#include "logger.h"
+#include "refusal.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace hemlock {
+
+namespace {
+
+constexpr int maxAttempts = 5;
+constexpr std::chrono::seconds retryLater{1};
+
+/// Fields that reach the upstream; all others concern the exchange with the entry process.
+constexpr std::array<std::string_view, 5> passedFields = {
+    "Content-Type", "Accept", "Accept-Language", "Idempotency-Key", requestIdField};
+
+std::string callDigest(const HttpRequest &request)
+{
+    // The lengths keep two different calls from joining to the same text.
+    std::string text;
+    for (const std::string *part : {&request.method, &request.path, &request.query, &request.body})
+        text += std::to_string(part->size()) + ":" + *part;
+    return sha256Hex(text);
+}
+
+} // namespace
+
+TransactionalCall::TransactionalCall(
+    EntryContext &context, CallInfo call, std::string path, HttpRequest request, HttpResponderPtr responder)
+    : context(context)
+    , call(std::move(call))
+    , path(std::move(path))
+    , request(std::move(request))
+    , responder(std::move(responder))
+    , isRepeatable(this->call.service.isRepeatable(this->request.method, this->path))
+{
+}
+
+void TransactionalCall::start()
+{
+    this->context.calls.add(this->shared_from_this());
+    this->responder->setDisconnected([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->disconnected();
+    });
+    if (this->isRepeatable) {
+        this->nextAttempt();
+        return;
+    }
+    this->intent.clientAccount = this->call.clientAccount;
+    this->intent.key = this->request.headers.value("Idempotency-Key");
+    this->intent.bodySha256 = callDigest(this->request);
+    this->intent.requestId = this->call.requestId;
+    this->intent.deadline = this->call.deadline;
+    this->context.submitIntent(this->intent, [self = this->shared_from_this()](const IntentDecision &decision) {
+        self->intentDecided(decision);
+    });
+}
+
+void TransactionalCall::intentDecided(const IntentDecision &decision)
+{
+    switch (decision.action) {
+    case IntentAction::Dispatch:
+        this->hasIntent = true;
+        this->nextAttempt();
+        return;
+    case IntentAction::Replay:
+        this->reply(decision.answer);
+        this->finish(Verdict::Ran, decision.answer);
+        return;
+    case IntentAction::Refuse:
+        this->refuse(decision.refusal);
+        return;
+    case IntentAction::Forward:
+        this->context.forwardCall(decision.ownerAddress, this->request, this->responder);
+        this->finish(Verdict::NotRun, {});
+        return;
+    }
+}
+
+void TransactionalCall::nextAttempt()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= this->call.deadline) {
+        this->refuse({this->worstVerdict, 504, "deadline-exceeded", "the deadline passed before an answer", {}});
+        return;
+    }
+    RouteQuery query;
+    query.requestId = this->call.requestId;
+    query.service = this->call.service.id;
+    query.zone = this->context.settings.zone;
+    query.priority = this->call.priority;
+    const auto candidates = this->context.upstreams.candidates(query.service, this->triedUpstreams, now);
+    RouteDecision decision = this->context.router.choose(query, candidates, this->context.random);
+    const auto upstream = this->context.upstreams.find(decision.upstream);
+    if (upstream && this->attempts < maxAttempts) {
+        this->attempt = std::make_shared<Attempt>(
+            this->context.loop, this->context.http, this->context.upstreams, *upstream, makeUniqueId());
+    }
+    this->context.decisions.add({this->call.requestId,
+                                 this->call.clientAccount,
+                                 this->call.service.id,
+                                 this->attempt ? this->attempt->id() : std::string(),
+                                 ++this->attempts,
+                                 std::move(decision)});
+    if (!this->attempt) {
+        this->refuse({this->worstVerdict, 503, "no-upstream", "no upstream takes the call", retryLater});
+        return;
+    }
+    this->triedUpstreams.insert(upstream->id);
+    AttemptHooks hooks;
+    hooks.done = [weak = this->weak_from_this()](const HttpOutcome &outcome) {
+        if (const auto self = weak.lock())
+            self->attemptDone(outcome);
+    };
+    const std::string queryString = this->request.query.empty() ? std::string() : "?" + this->request.query;
+    this->attempt->start(this->makeCall(), this->path + queryString, std::move(hooks));
+}
+
+HttpCall TransactionalCall::makeCall() const
+{
+    HttpCall call;
+    call.method = this->request.method;
+    call.body = this->request.body;
+    for (const std::string_view name : passedFields) {
+        if (this->request.headers.has(name))
+            call.headers.add(std::string(name), this->request.headers.value(name));
+    }
+    call.headers.add("X-Client-Account", this->call.clientAccount);
+    const auto left = this->call.deadline - std::chrono::steady_clock::now();
+    // Zero would mean no limit to the client.
+    call.timeout = std::max(std::chrono::milliseconds(1), std::chrono::ceil<std::chrono::milliseconds>(left));
+    return call;
+}
+
+void TransactionalCall::attemptDone(const HttpOutcome &outcome)
+{
+    const std::string upstream = this->attempt->upstream().id;
+    this->attempt.reset();
+    if (outcome.verdict == Verdict::Ran) {
+        const StoredAnswer answer{outcome.status, outcome.headers.value("Content-Type"), outcome.body};
+        this->reply(answer);
+        this->finish(Verdict::Ran, answer);
+        return;
+    }
+    logEvent(LogLevel::Warning,
+             "attempt-failed",
+             {{"request", this->call.requestId},
+              {"upstream", upstream},
+              {"verdict", verdictName(outcome.verdict)},
+              {"status", outcome.status},
+              {"error", outcome.error}});
+    this->worstVerdict = std::max(this->worstVerdict, outcome.verdict);
+    if (outcome.verdict == Verdict::NotRun || this->isRepeatable) {
+        this->nextAttempt();
+        return;
+    }
+    const bool isLate = std::chrono::steady_clock::now() >= this->call.deadline;
+    this->refuse({Verdict::MayHaveRun,
+                  isLate ? 504 : 502,
+                  isLate ? "deadline-exceeded" : "outcome-unknown",
+                  "the exchange with the upstream broke off: " + outcome.error,
+                  {}});
+}
+
+void TransactionalCall::disconnected()
+{
+    // An attempt that may not be repeated goes on, since its answer has to be recorded for the caller's next try.
+    if (!this->isRepeatable)
+        return;
+    this->attempt.reset();
+    logEvent(LogLevel::Info, "cancelled", {{"request", this->call.requestId}});
+    this->finish(this->worstVerdict, {});
+}
+
+void TransactionalCall::reply(const StoredAnswer &answer)
+{
+    HttpHeaders headers{{std::string(requestIdField), this->call.requestId}};
+    if (!answer.contentType.empty())
+        headers.add("Content-Type", answer.contentType);
+    this->responder->reply(answer.status, headers, answer.body);
+}
+
+void TransactionalCall::refuse(RequestError error)
+{
+    error.verdict = std::max(error.verdict, this->worstVerdict);
+    logEvent(LogLevel::Info,
+             "refused",
+             {{"request", this->call.requestId},
+              {"clientAccount", this->call.clientAccount},
+              {"service", this->call.service.id},
+              {"status", error.status},
+              {"code", error.code},
+              {"verdict", verdictName(error.verdict)}});
+    replyRefusal(*this->responder, error, this->call.requestId);
+    this->finish(error.verdict, {});
+}
+
+void TransactionalCall::finish(Verdict verdict, const StoredAnswer &answer)
+{
+    if (std::exchange(this->hasIntent, false))
+        this->context.completeIntent(this->intent, verdict, answer);
+    this->context.calls.remove(this->shared_from_this());
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/transactionalcall.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "attempt.h"
+#include "entrycontext.h"
+#include "httpserver.h"
+
+#include <memory>
+#include <set>
+
+namespace hemlock {
+
+/// A caller's call of a transactional service. A call that may not be repeated is sent only after its intent is
+/// durable, and again only after an attempt that is proven not to have run.
+class TransactionalCall : public OpenCall, public std::enable_shared_from_this<TransactionalCall>
+{
+public:
+    /// @p path is the path at the service, without /services/SERVICE.
+    TransactionalCall(
+        EntryContext &context, CallInfo call, std::string path, HttpRequest request, HttpResponderPtr responder);
+
+    void start();
+
+private:
+    void intentDecided(const IntentDecision &decision);
+    void nextAttempt();
+    void attemptDone(const HttpOutcome &outcome);
+    void disconnected();
+    HttpCall makeCall() const;
+    void reply(const StoredAnswer &answer);
+    void refuse(RequestError error);
+    void finish(Verdict verdict, const StoredAnswer &answer);
+
+    EntryContext &context;
+    CallInfo call;
+    std::string path;
+    HttpRequest request;
+    HttpResponderPtr responder;
+    bool isRepeatable;
+    bool hasIntent = false;
+    IntentRequest intent;
+    std::shared_ptr<Attempt> attempt;
+    int attempts = 0;
+    std::set<std::string> triedUpstreams;
+    Verdict worstVerdict = Verdict::NotRun;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/programoptions.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace hemlock {
+
+/// Command line of a program that reads its settings from one file.
+struct ProgramOptions
+{
+    std::filesystem::path settings;
+    bool checksOnly = false; ///< Validate the settings and exit.
+};
+
+/// Reads --settings FILE and --check. Returns nothing when the program is to end at once with @p exitCode, for example
+/// after --help or a wrong option.
+std::optional<ProgramOptions>
+parseProgramOptions(int argc, const char *const *argv, const std::string &description, int &exitCode);
+
+} // namespace hemlock
