Add the configuration document, its commit and thin control programs

Operators edit one section each, so two teams race on one manifest; a plain write of the manifest would drop the other team's section.

Document joins the sections and checks schema and cross references. ConfigStore commits sections by compare-and-swap of config/manifest, joins with commits that came first, and settles lost answers by the commit identifier.

--- /dev/null
+++ b/src/control/controlprocess.cpp
@@ -0,0 +1,128 @@
+#include "controlprocess.h"
+
+#include "logger.h"
+
+#include <csignal>
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{20};
+constexpr std::chrono::milliseconds storeTimeout{1000};
+constexpr std::chrono::milliseconds cloudTimeout{1000};
+/// Covers a round trip between zones several times; a slower peer is as good as unreachable for a control message.
+constexpr std::chrono::milliseconds rpcTimeout{1000};
+
+std::string endpointUrl(const std::string &endpoint)
+{
+    return endpoint.starts_with("http://") ? endpoint : "http://" + endpoint;
+}
+
+HttpServerSettings serverSettings(const json &settings)
+{
+    HttpServerSettings server;
+    server.address = settings.at("listen").at("address");
+    server.port = settings.at("listen").at("port");
+    return server;
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(const json &settings, json documentSchema)
+    : settings(settings)
+    , documentSchema(std::move(documentSchema))
+    , http(this->loop)
+    , kv(this->http, endpointUrl(settings.at("store")), storeTimeout)
+    , rpcServer(ControlAuth(settings.at("controlKey")))
+    , rpcClient(this->http, ControlAuth(settings.at("controlKey")))
+    , server(this->loop,
+             serverSettings(settings),
+             [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                 if (request.method == "POST" && request.path == rpcPath)
+                     return this->rpcServer.handle(request, responder);
+                 if (request.path == "/healthz")
+                     return responder->reply(200, {}, "ok\n");
+                 responder->reply(404, {}, json{{"error", "unknown path"}}.dump());
+             })
+    , engine(std::random_device()())
+    , timer(this->loop)
+    , signals(this->loop, SIGTERM, SIGINT)
+{
+}
+
+void ControlProcess::run()
+{
+    const std::string address = this->server.start();
+    ControlNodeSettings nodeSettings;
+    nodeSettings.self.id = this->settings.at("id");
+    nodeSettings.self.zone.name = this->settings.at("zone");
+    nodeSettings.self.entryControlAddress = this->settings.at("entryControlAddress");
+    nodeSettings.self.controlAddress = address;
+    nodeSettings.documentSchema = this->documentSchema;
+    this->node = std::make_unique<ControlNode>(std::move(nodeSettings), this->nodeIo());
+    announceAddress("control", address);
+    this->signals.async_wait([this](const std::error_code &error, int) {
+        if (!error)
+            this->stop();
+    });
+    this->tick();
+    this->loop.run();
+}
+
+ControlNodeIo ControlProcess::nodeIo()
+{
+    ControlNodeIo io;
+    io.kv = kvAccess(this->kv);
+    io.cloudGet = [this](const std::string &path, std::function<void(const json &, const std::string &)> done) {
+        this->cloudGet(path, std::move(done));
+    };
+    io.call = [this](const std::string &address,
+                     const std::string &method,
+                     const json &params,
+                     std::function<void(const RpcOutcome &)> done) {
+        this->rpcClient.call(address, method, params, rpcTimeout, std::move(done));
+    };
+    io.random = [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(this->engine); };
+    io.log = [](LogLevel level, std::string_view event, const json &fields) { logEvent(level, event, fields); };
+    return io;
+}
+
+void ControlProcess::cloudGet(const std::string &path, std::function<void(const json &, const std::string &)> done)
+{
+    HttpCall call;
+    call.url = endpointUrl(this->settings.at("cloud")) + path;
+    call.timeout = cloudTimeout;
+    HttpCallHooks hooks;
+    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
+        if (!outcome.isComplete())
+            return done({}, outcome.error);
+        if (outcome.status != 200)
+            return done({}, "cloud API answered " + std::to_string(outcome.status));
+        const json body = json::parse(outcome.body, nullptr, false);
+        done(body, body.is_object() ? "" : "cloud API's answer is not a JSON object");
+    };
+    this->http.start(std::move(call), std::move(hooks));
+}
+
+void ControlProcess::tick()
+{
+    this->node->tick(std::chrono::steady_clock::now());
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](const std::error_code &error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+void ControlProcess::stop()
+{
+    logEvent(LogLevel::Info, "stopping", json::object());
+    this->timer.cancel();
+    this->server.stopAccepting();
+    this->loop.stop();
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/control/controlprocess.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "controlnode.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "kvclient.h"
+#include "rpc.h"
+
+#include <nlohmann/json.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <random>
+
+namespace hemlock {
+
+/// Connects a ControlNode to the network, the clock and the signals of its process.
+class ControlProcess
+{
+public:
+    /// @p settings have been checked against schemas/control.json.
+    ControlProcess(const nlohmann::json &settings, nlohmann::json documentSchema);
+
+    /// Runs until SIGTERM or SIGINT.
+    void run();
+
+private:
+    ControlNodeIo nodeIo();
+    void cloudGet(const std::string &path, std::function<void(const nlohmann::json &, const std::string &)> done);
+    void tick();
+    void stop();
+
+    nlohmann::json settings;
+    nlohmann::json documentSchema;
+    asio::io_context loop;
+    HttpClient http;
+    KvClient kv;
+    RpcServer rpcServer;
+    RpcClient rpcClient;
+    HttpServer server;
+    std::mt19937_64 engine;
+    asio::steady_timer timer;
+    asio::signal_set signals;
+    std::unique_ptr<ControlNode> node;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/configkeeper.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "configstore.h"
+
+#include <optional>
+#include <string>
+
+namespace hemlock {
+
+/// Holds the configuration that is in force on one node; it never goes back to an older one.
+class ConfigKeeper
+{
+public:
+    enum class Offer {
+        Applied,
+        NotNewer,
+        Refused, ///< Faulty; the configuration in force stays.
+    };
+
+    explicit ConfigKeeper(nlohmann::json schema);
+
+    /// Offers a configuration that the store or a peer holds.
+    Offer offer(const ConfigRecords &records);
+
+    /// Version in force; 0 before the first configuration.
+    std::int64_t version() const;
+
+    /// The configuration in force, or nothing before the first one.
+    const std::optional<ConfigRecords> &records() const;
+    const Document &document() const;
+
+    /// Why the last offer was refused.
+    const std::string &error() const;
+
+private:
+    nlohmann::json schema;
+    std::optional<ConfigRecords> current;
+    Document joined;
+    std::string lastError;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/document.cpp
@@ -0,0 +1,323 @@
+#include "document.h"
+
+#include "settings.h"
+
+#include <set>
+#include <stdexcept>
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view sectionsPointer = "/sections/";
+
+/// Where an identifier was defined first.
+struct Definition
+{
+    std::string section;
+    std::string pointer;
+};
+
+using Definitions = std::map<std::string, Definition>;
+
+std::string entryPointer(std::string_view field, std::size_t index, std::string_view member)
+{
+    return "/" + std::string(field) + "/" + std::to_string(index) + "/" + std::string(member);
+}
+
+std::string quoted(const std::string &text)
+{
+    return "\"" + text + "\"";
+}
+
+std::string listNames(const Definitions &definitions)
+{
+    constexpr std::size_t shownNames = 12;
+    std::string text;
+    std::size_t shown = 0;
+    for (const auto &[name, definition] : definitions) {
+        if (shown++ == shownNames)
+            return text + ", ...";
+        text += (text.empty() ? "" : ", ") + quoted(name);
+    }
+    return text.empty() ? "none is defined" : text;
+}
+
+/// Follows "$ref" within the schema.
+const json &resolve(const json &schema, const json &node)
+{
+    const json *current = &node;
+    while (current->is_object() && current->contains("$ref"))
+        current = &schema.at(json::json_pointer(current->at("$ref").get<std::string>().substr(1)));
+    return *current;
+}
+
+/// The schema's part that applies to the value at the pointer, or nothing when the schema has no such place.
+const json *findSchema(const json &schema, const std::string &pointer)
+{
+    const json *node = &resolve(schema, schema);
+    json::json_pointer rest(pointer);
+    std::vector<std::string> steps;
+    for (; !rest.empty(); rest.pop_back())
+        steps.insert(steps.begin(), rest.back());
+    for (const std::string &step : steps) {
+        if (node->contains("properties") && node->at("properties").contains(step))
+            node = &node->at("properties").at(step);
+        else if (node->contains("items"))
+            node = &node->at("items");
+        else if (node->contains("additionalProperties") && node->at("additionalProperties").is_object())
+            node = &node->at("additionalProperties");
+        else
+            return nullptr;
+        node = &resolve(schema, *node);
+    }
+    return node;
+}
+
+std::string listKeys(const json &object)
+{
+    std::string text;
+    for (const auto &[name, value] : object.items())
+        text += (text.empty() ? "" : ", ") + name;
+    return text;
+}
+
+std::string join(const json &strings)
+{
+    std::string text;
+    for (const json &element : strings)
+        text += (text.empty() ? "" : ", ") + (element.is_string() ? element.get<std::string>() : element.dump());
+    return text;
+}
+
+/// What the schema allows in a place, in words; empty when it does not say.
+std::string describeAllowed(const json *node)
+{
+    if (node == nullptr || !node->is_object())
+        return {};
+    std::string text;
+    const auto add = [&text](const std::string &part) { text += (text.empty() ? "" : "; ") + part; };
+    if (node->contains("enum"))
+        add("one of " + node->at("enum").dump());
+    else if (node->contains("type"))
+        add(node->at("type").is_string() ? node->at("type").get<std::string>() : node->at("type").dump());
+    for (const char *limit : {"minimum", "exclusiveMinimum", "maximum", "minLength", "maxLength", "pattern"}) {
+        if (node->contains(limit))
+            add(std::string(limit) + " " + node->at(limit).dump());
+    }
+    if (node->contains("properties"))
+        add("fields " + listKeys(node->at("properties")));
+    if (node->contains("required"))
+        add("required " + join(node->at("required")));
+    return text;
+}
+
+/// Splits "/sections/NAME/services/0" into the section's name and the pointer within it.
+DocumentProblem toDocumentProblem(const SettingsProblem &problem, const json &schema)
+{
+    DocumentProblem converted{"", problem.pointer, problem.found, problem.allowed};
+    const std::string allowed = describeAllowed(findSchema(schema, problem.pointer));
+    if (!allowed.empty())
+        converted.allowed = problem.allowed + " Allowed: " + allowed;
+    if (!problem.pointer.starts_with(sectionsPointer))
+        return converted;
+    const std::string rest = problem.pointer.substr(sectionsPointer.size());
+    const std::size_t slash = rest.find('/');
+    converted.section = rest.substr(0, slash);
+    converted.pointer = slash == std::string::npos ? "" : rest.substr(slash);
+    return converted;
+}
+
+/// Drops faults of a value when a part of that value has a fault of its own, which says more.
+std::vector<SettingsProblem> keepInnermost(const std::vector<SettingsProblem> &problems)
+{
+    std::vector<SettingsProblem> kept;
+    for (const SettingsProblem &problem : problems) {
+        bool hasInner = false;
+        for (const SettingsProblem &other : problems)
+            hasInner = hasInner || other.pointer.starts_with(problem.pointer + "/");
+        if (!hasInner)
+            kept.push_back(problem);
+    }
+    return kept;
+}
+
+/// Calls visit(section, index, entry) for each entry of a field of all sections.
+template <class Visit>
+void forEachEntry(const Document::Sections &sections, std::string_view field, Visit visit)
+{
+    for (const auto &[name, section] : sections) {
+        const auto entries = section.find(std::string(field));
+        if (entries == section.end())
+            continue;
+        for (std::size_t index = 0; index < entries->size(); ++index)
+            visit(name, index, (*entries)[index]);
+    }
+}
+
+Definitions
+collectDefinitions(const Document::Sections &sections, std::string_view field, std::vector<DocumentProblem> &problems)
+{
+    Definitions definitions;
+    forEachEntry(sections, field, [&](const std::string &section, std::size_t index, const json &entry) {
+        const std::string id = entry.at("id");
+        const std::string pointer = entryPointer(field, index, "id");
+        const auto [known, isNew] = definitions.insert({id, {section, pointer}});
+        if (!isNew)
+            problems.push_back({section,
+                                pointer,
+                                quoted(id),
+                                "an identifier that no other entry has; section " + known->second.section
+                                    + " defines it at " + known->second.pointer});
+    });
+    return definitions;
+}
+
+void checkReferences(const Document::Sections &sections,
+                     std::string_view field,
+                     std::string_view member,
+                     const Definitions &definitions,
+                     std::vector<DocumentProblem> &problems)
+{
+    forEachEntry(sections, field, [&](const std::string &section, std::size_t index, const json &entry) {
+        const std::string id = entry.at(std::string(member));
+        if (!definitions.contains(id))
+            problems.push_back({section,
+                                entryPointer(field, index, member),
+                                quoted(id),
+                                "an identifier that some section defines: " + listNames(definitions)});
+    });
+}
+
+/// A second rule for the same pair would make the priority depend on the order of the sections.
+void checkRulePairs(const Document::Sections &sections, std::vector<DocumentProblem> &problems)
+{
+    Definitions pairs;
+    forEachEntry(sections, "rules", [&](const std::string &section, std::size_t index, const json &entry) {
+        const std::string pair =
+            entry.at("clientAccount").get<std::string>() + " to " + entry.at("service").get<std::string>();
+        const std::string pointer = "/rules/" + std::to_string(index);
+        const auto [known, isNew] = pairs.insert({pair, {section, pointer}});
+        if (!isNew)
+            problems.push_back({section,
+                                pointer,
+                                "a second rule from " + pair,
+                                "one rule for each account and service; section " + known->second.section
+                                    + " has one at " + known->second.pointer});
+    });
+}
+
+void checkPlacement(const Document::Sections &sections, std::vector<DocumentProblem> &problems)
+{
+    forEachEntry(sections, "placement", [&](const std::string &section, std::size_t index, const json &entry) {
+        const int minimum = entry.value("minimum", 0);
+        if (entry.contains("maximum") && entry.at("maximum").get<int>() < minimum)
+            problems.push_back({section,
+                                entryPointer("placement", index, "maximum"),
+                                entry.at("maximum").dump(),
+                                "at least the minimum, " + std::to_string(minimum)});
+    });
+}
+
+template <class Entry>
+std::vector<Entry> collect(const Document::Sections &sections, std::string_view field)
+{
+    std::vector<Entry> entries;
+    forEachEntry(sections, field, [&entries](const std::string &, std::size_t, const json &entry) {
+        entries.push_back(entry.get<Entry>());
+    });
+    return entries;
+}
+
+} // namespace
+
+Document::Document(Sections sections)
+    : parts(std::move(sections))
+{
+}
+
+Document Document::fromJson(const json &json)
+{
+    if (!json.is_object() || !json.contains("sections") || !json.at("sections").is_object())
+        throw std::invalid_argument("the document is not an object with an object \"sections\"");
+    return Document(json.at("sections").get<Sections>());
+}
+
+json Document::toJson() const
+{
+    return {{"sections", this->parts}};
+}
+
+const Document::Sections &Document::sections() const
+{
+    return this->parts;
+}
+
+void Document::setSection(const std::string &name, json section)
+{
+    this->parts[name] = std::move(section);
+}
+
+std::vector<DocumentProblem> Document::check(const json &schema) const
+{
+    std::vector<DocumentProblem> problems;
+    for (const SettingsProblem &problem : keepInnermost(checkSchema(this->toJson(), schema)))
+        problems.push_back(toDocumentProblem(problem, schema));
+    // The checks below rely on the shape that the schema guarantees.
+    if (!problems.empty())
+        return problems;
+    const Definitions services = collectDefinitions(this->parts, "services", problems);
+    const Definitions accounts = collectDefinitions(this->parts, "clientAccounts", problems);
+    checkReferences(this->parts, "rules", "service", services, problems);
+    checkReferences(this->parts, "rules", "clientAccount", accounts, problems);
+    checkReferences(this->parts, "placement", "service", services, problems);
+    checkRulePairs(this->parts, problems);
+    checkPlacement(this->parts, problems);
+    return problems;
+}
+
+std::vector<Service> Document::services() const
+{
+    return collect<Service>(this->parts, "services");
+}
+
+std::vector<ClientAccount> Document::clientAccounts() const
+{
+    return collect<ClientAccount>(this->parts, "clientAccounts");
+}
+
+std::vector<AccessRule> Document::rules() const
+{
+    return collect<AccessRule>(this->parts, "rules");
+}
+
+std::vector<json> Document::placement() const
+{
+    return collect<json>(this->parts, "placement");
+}
+
+std::string formatProblems(const std::vector<DocumentProblem> &problems)
+{
+    std::string text;
+    for (const DocumentProblem &problem : problems) {
+        if (!text.empty())
+            text += "\n";
+        if (!problem.section.empty())
+            text += "section " + problem.section + ", ";
+        text += (problem.pointer.empty() ? "/" : problem.pointer) + ": found " + problem.found
+            + "; allowed: " + problem.allowed;
+    }
+    return text;
+}
+
+void to_json(json &json, const DocumentProblem &problem)
+{
+    json = {{"section", problem.section},
+            {"pointer", problem.pointer},
+            {"found", problem.found},
+            {"allowed", problem.allowed}};
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/document.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "clientaccount.h"
+#include "service.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// One fault of the operators' document.
+struct DocumentProblem
+{
+    std::string section; ///< Empty for a fault outside of all sections.
+    std::string pointer; ///< JSON pointer within the section.
+    std::string found;
+    std::string allowed;
+};
+
+/// The operators' document: sections that belong to different teams and are in force as one.
+class Document
+{
+public:
+    using Sections = std::map<std::string, nlohmann::json>;
+
+    Document() = default;
+    explicit Document(Sections sections);
+
+    /// Reads {"sections": {NAME: SECTION}}. Throws std::invalid_argument when that is not its shape.
+    static Document fromJson(const nlohmann::json &json);
+    nlohmann::json toJson() const;
+
+    const Sections &sections() const;
+    void setSection(const std::string &name, nlohmann::json section);
+
+    /// All faults by schemas/document.json and by cross references between the joined sections; empty when valid.
+    std::vector<DocumentProblem> check(const nlohmann::json &schema) const;
+
+    /// Entries of all sections together; call them on a valid document only.
+    std::vector<Service> services() const;
+    std::vector<ClientAccount> clientAccounts() const;
+    std::vector<AccessRule> rules() const;
+
+    /// Entries of the field "placement" of all sections.
+    std::vector<nlohmann::json> placement() const;
+
+private:
+    Sections parts;
+};
+
+/// Lists problems one a line: section, JSON pointer, what was found, what is allowed.
+std::string formatProblems(const std::vector<DocumentProblem> &problems);
+
+void to_json(nlohmann::json &json, const DocumentProblem &problem);
+
+} // namespace hemlock
--- /dev/null
+++ b/tests/unit/configstoretest.cpp
@@ -0,0 +1,210 @@
+#include "configstore.h"
+#include "configkeeper.h"
+#include "memorystore.h"
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+using nlohmann::json;
+
+namespace {
+
+class ConfigStoreFixture
+{
+protected:
+    ConfigStoreFixture()
+    {
+        this->init({{"access", this->section("access", "desk")}, {"models", this->section("models", "chat")}});
+    }
+
+    static json section(const std::string &team, const std::string &service)
+    {
+        return {{"team", team}, {"services", {{{"id", service}, {"kind", "model"}}}}};
+    }
+
+    ConfigStore client()
+    {
+        ConfigStore::Hooks hooks;
+        hooks.wait = [this](std::chrono::milliseconds, std::function<void()> next) {
+            this->store.queue.push_back(std::move(next));
+        };
+        hooks.random = [] { return 0.5; };
+        return ConfigStore(this->store.access(), hooks);
+    }
+
+    void init(const Document::Sections &sections)
+    {
+        SectionCommit commit{{}, "init", "test", "", true};
+        for (const auto &[name, section] : sections)
+            commit.edits.push_back({name, section, 0});
+        this->start(commit);
+        this->store.runAll();
+    }
+
+    void start(const SectionCommit &commit)
+    {
+        this->client().commit(commit, this->schema, [this, id = commit.commitId](const CommitOutcome &outcome) {
+            this->outcomes[id] = outcome;
+        });
+    }
+
+    void startEdit(const std::string &commitId, const std::string &name, const json &section, std::int64_t expected)
+    {
+        this->start({{{name, section, expected}}, commitId, "test", "", false});
+    }
+
+    ConfigRead read()
+    {
+        ConfigRead answer;
+        this->client().read({}, [&answer](const ConfigRead &read) { answer = read; });
+        this->store.runAll();
+        return answer;
+    }
+
+    std::string serviceOf(const std::string &name)
+    {
+        return this->read().records->document().sections().at(name).at("services").at(0).at("id");
+    }
+
+    MemoryStore store;
+    std::deque<std::function<void()>> held;
+    json schema = readJsonFile(HEMLOCK_SOURCE_DIR "/schemas/document.json");
+    std::map<std::string, CommitOutcome> outcomes;
+};
+
+} // namespace
+
+// Guards against a commit that drops the section of another team that committed between its read and its write.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: two teams race on different sections: both changes are kept")
+{
+    this->startEdit("first", "access", section("access", "front"), 1);
+    this->startEdit("second", "models", section("models", "draft"), 1);
+    this->store.runAll();
+    CHECK(this->outcomes.at("first").result == CommitResult::Committed);
+    CHECK(this->outcomes.at("second").result == CommitResult::Committed);
+    CHECK(this->read().records->manifest.version == 3);
+    CHECK(this->serviceOf("access") == "front");
+    CHECK(this->serviceOf("models") == "draft");
+}
+
+// Guards against the second of two edits of one section silently undoing the first.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: two edits of one section race: one gets a conflict")
+{
+    this->startEdit("first", "access", section("access", "front"), 1);
+    this->startEdit("second", "access", section("access", "back"), 1);
+    this->store.runAll();
+    CHECK(this->outcomes.at("first").result == CommitResult::Committed);
+    CHECK(this->outcomes.at("second").result == CommitResult::Conflict);
+    CHECK(this->outcomes.at("second").error
+          == "section access is at revision 2 in the store; this edit started from it being at revision 1");
+    CHECK(this->serviceOf("access") == "front");
+}
+
+// Guards against reporting a conflict with oneself, or committing twice, when the answer to the write is lost.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: answer of the commit is lost: is settled by the commit identifier")
+{
+    this->store.lostAnswers = 1;
+    this->startEdit("lost", "access", section("access", "front"), 1);
+    this->store.runAll();
+    CHECK(this->outcomes.at("lost").result == CommitResult::Committed);
+    CHECK(this->read().records->manifest.version == 2);
+    CHECK(this->read().records->manifest.sections.at("access").revision == 2);
+}
+
+// Guards against a false conflict when another editor builds on the commit before its author can read it back.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: answer lost and section changed again: is reported as committed")
+{
+    this->store.lostAnswers = 1;
+    this->startEdit("lost", "access", section("access", "front"), 1);
+    while (this->store.lostAnswers > 0)
+        this->store.runOne();
+    std::swap(this->store.queue, this->held);
+    this->startEdit("next", "access", section("access", "back"), 2);
+    this->store.runAll();
+    std::swap(this->store.queue, this->held);
+    this->store.runAll();
+    CHECK(this->outcomes.at("next").result == CommitResult::Committed);
+    CHECK(this->outcomes.at("lost").result == CommitResult::Committed);
+    CHECK(this->serviceOf("access") == "back");
+}
+
+// Guards against sections that are valid alone and break the joined document.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: section defines another section's service: is refused")
+{
+    this->startEdit("twice", "access", section("access", "chat"), 1);
+    this->store.runAll();
+    const CommitOutcome &outcome = this->outcomes.at("twice");
+    CHECK(outcome.result == CommitResult::Invalid);
+    REQUIRE(outcome.problems.size() == 1);
+    CHECK(outcome.problems[0].section == "models");
+    CHECK(outcome.problems[0].pointer == "/services/0/id");
+    CHECK(outcome.problems[0].allowed
+          == "an identifier that no other entry has; section access defines it at /services/0/id");
+    CHECK(this->read().records->manifest.version == 1);
+}
+
+// Guards against a commit reported as certain while the store is out.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: store out: reports that nothing was committed")
+{
+    this->store.isOut = true;
+    this->startEdit("out", "access", section("access", "front"), 1);
+    this->store.runAll();
+    CHECK(this->outcomes.at("out").result == CommitResult::NotCommitted);
+}
+
+// Guards against old revisions that fill the store.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigStore: many commits of a section: the latest 20 revisions are kept")
+{
+    for (int revision = 1; revision <= 30; ++revision) {
+        this->startEdit("edit" + std::to_string(revision),
+                        "access",
+                        section("access", "desk" + std::to_string(revision)),
+                        revision);
+        this->store.runAll();
+    }
+    std::vector<SectionRevision> kept;
+    this->client().history(
+        "access", [&kept](KvStatus, const std::vector<SectionRevision> &revisions, const auto &) { kept = revisions; });
+    this->store.runAll();
+    REQUIRE(kept.size() == 20);
+    CHECK(kept.front().revision == 12);
+    CHECK(kept.back().revision == 31);
+}
+
+// Guards against serving a configuration whose record in the store was cut short.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigKeeper: truncated record: is refused and the last good one stays")
+{
+    ConfigKeeper keeper(this->schema);
+    REQUIRE(keeper.offer(*this->read().records) == ConfigKeeper::Offer::Applied);
+    this->startEdit("cut", "access", section("access", "front"), 1);
+    this->store.runAll();
+    this->store.entries.at("config/sections/access/2").value.pop_back();
+    CHECK(keeper.offer(*this->read().records) == ConfigKeeper::Offer::Refused);
+    CHECK_THAT(keeper.error(), Catch::Contains("configuration version 2, section access, revision 2: found a record"));
+    CHECK(keeper.version() == 1);
+    CHECK(keeper.document().sections().at("access").at("services").at(0).at("id") == "desk");
+}
+
+// Guards against serving a part of the document when a manifest names a section that the store lacks.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigKeeper: manifest names a missing section: is refused with its key")
+{
+    ConfigKeeper keeper(this->schema);
+    this->store.entries.erase("config/sections/models/1");
+    CHECK(keeper.offer(*this->read().records) == ConfigKeeper::Offer::Refused);
+    CHECK(keeper.error()
+          == "configuration version 1, section models, revision 1: found no record at config/sections/models/1");
+    CHECK(keeper.version() == 0);
+}
+
+// Guards against a node that goes back when a slow answer arrives after a newer one.
+TEST_CASE_METHOD(ConfigStoreFixture, "ConfigKeeper: older manifest arrives late: is not applied")
+{
+    ConfigKeeper keeper(this->schema);
+    const ConfigRecords older = *this->read().records;
+    this->startEdit("newer", "access", section("access", "front"), 1);
+    this->store.runAll();
+    REQUIRE(keeper.offer(*this->read().records) == ConfigKeeper::Offer::Applied);
+    CHECK(keeper.offer(older) == ConfigKeeper::Offer::NotNewer);
+    CHECK(keeper.version() == 2);
+}
--- /dev/null
+++ b/tests/unit/memorystore.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "kvaccess.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// Key-value store in memory. Calls are queued, so that a test decides how those of several clients interleave.
+class MemoryStore
+{
+public:
+    KvAccess access()
+    {
+        KvAccess access;
+        access.range = [this](const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done) {
+            this->queue.push_back([this, key, prefix, done] { done(this->answerRange(key, prefix)); });
+        };
+        access.txn = [this](const KvTxn &txn, std::function<void(const KvTxnResult &)> done) {
+            this->queue.push_back([this, txn, done] { done(this->answerTxn(txn)); });
+        };
+        access.grantLease = [this](std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done) {
+            this->queue.push_back([this, ttl, done] { done(this->answerLease(++this->lastLease, ttl)); });
+        };
+        access.keepLeaseAlive = [this](std::int64_t lease, std::function<void(const KvLeaseResult &)> done) {
+            this->queue.push_back([this, lease, done] { done(this->answerLease(lease, std::chrono::seconds(10))); });
+        };
+        return access;
+    }
+
+    /// Runs one queued call; false when there is none.
+    bool runOne()
+    {
+        if (this->queue.empty())
+            return false;
+        const auto call = std::move(this->queue.front());
+        this->queue.pop_front();
+        ++this->calls;
+        call();
+        return true;
+    }
+
+    void runAll()
+    {
+        while (this->runOne())
+            continue;
+    }
+
+    KvRangeResult answerRange(const std::string &key, bool prefix) const
+    {
+        KvRangeResult result;
+        result.status = this->isOut ? KvStatus::Unknown : KvStatus::Ok;
+        result.revision = this->revision;
+        for (const auto &[name, entry] : this->entries) {
+            if (!this->isOut && (name == key || (prefix && name.starts_with(key))))
+                result.entries.push_back(entry);
+        }
+        return result;
+    }
+
+    KvTxnResult answerTxn(const KvTxn &txn)
+    {
+        if (this->isOut)
+            return {KvStatus::NotApplied, false, 0, {}, "outage"};
+        KvTxnResult result;
+        result.status = KvStatus::Ok;
+        result.succeeded = std::all_of(txn.compares.begin(), txn.compares.end(), [this](const KvCompare &compare) {
+            const auto match = this->entries.find(compare.key);
+            return (match == this->entries.end() ? 0 : match->second.modRevision) == compare.modRevision;
+        });
+        if (result.succeeded) {
+            ++this->revision;
+            for (const KvPut &put : txn.puts)
+                this->entries[put.key] = {put.key, put.value, 0, this->revision, 0, put.lease};
+            for (const std::string &key : txn.deletes)
+                this->entries.erase(key);
+        }
+        result.revision = this->revision;
+        if (this->lostAnswers > 0 && result.succeeded) {
+            --this->lostAnswers;
+            return {KvStatus::Unknown, false, 0, {}, "answer lost"};
+        }
+        return result;
+    }
+
+    KvLeaseResult answerLease(std::int64_t lease, std::chrono::seconds ttl) const
+    {
+        if (this->isOut)
+            return {KvStatus::NotApplied, 0, std::chrono::seconds(0), "outage"};
+        return {KvStatus::Ok, lease, ttl, {}};
+    }
+
+    std::map<std::string, KvEntry> entries;
+    std::deque<std::function<void()>> queue;
+    std::int64_t revision = 0;
+    std::int64_t lastLease = 0;
+    int lostAnswers = 0; ///< The next applied transactions are answered with Unknown.
+    bool isOut = false;
+    int calls = 0;
+};
+
+} // namespace hemlock
