Add the fair queue, limit shares and prefix-affinity routing

Entry VMs need decisions for floods by one account, for limits that hold over all entry VMs, and for prompts whose beginning an upstream has cached.

FairQueue is start-time fair queueing by token cost with two flows (long, short) per account. LimitShare moves parts of a limit by loans that lapse at the borrower first, so rates never sum to more than the limit. The policy prefix-affinity weighs a handful of upstreams from a prefix index, a hash ring with bounded load and random choices; CandidateSet keeps the upstreams so that no decision passes over all of them. RoutePolicy becomes an interface because a policy also learns of departures and cache events; Router::choose with a vector is unchanged. least-in-flight breaks ties at random: with the lowest index all entry VMs chose the same upstream.

--- /dev/null
+++ b/src/libhemlock/candidateset.cpp
@@ -0,0 +1,178 @@
+#include "candidateset.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace hemlock {
+
+namespace {
+
+// More points spread upstreams more evenly over the ring; bounded load corrects what is left.
+constexpr std::uint64_t pointsPerUpstream = 8;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+} // namespace
+
+double UpstreamView::load() const
+{
+    // An old report says little about the requests of others; after a few seconds it counts half.
+    constexpr double halfLifeMs = 4000.0;
+    const double others = std::max(0.0, this->reportedLoad - this->inFlightAtReport);
+    return this->inFlight + others * halfLifeMs / (halfLifeMs + static_cast<double>(this->reportAge.count()));
+}
+
+CandidateSet::CandidateSet(const std::vector<UpstreamView> &views)
+{
+    for (const UpstreamView &view : views)
+        this->set(view);
+}
+
+void CandidateSet::set(const UpstreamView &view)
+{
+    const auto found = this->slotById.find(view.id);
+    if (found != this->slotById.end()) {
+        Slot &slot = this->slots[found->second];
+        if (slot.view.zone == view.zone) {
+            this->totalLoad += view.load() - slot.view.load();
+            slot.view = view;
+            return;
+        }
+        this->remove(view.id);
+    }
+    std::uint32_t number = 0;
+    if (this->freeSlots.empty()) {
+        number = static_cast<std::uint32_t>(this->slots.size());
+        this->slots.emplace_back();
+    } else {
+        number = this->freeSlots.back();
+        this->freeSlots.pop_back();
+    }
+    Slot &slot = this->slots[number];
+    slot.view = view;
+    slot.denseIndex = static_cast<std::uint32_t>(this->dense.size());
+    this->dense.push_back(number);
+    auto &zone = this->zones[view.zone.name];
+    slot.zoneIndex = static_cast<std::uint32_t>(zone.size());
+    zone.push_back(number);
+    this->slotById[view.id] = number;
+    this->totalLoad += view.load();
+    const std::uint64_t idHash = std::hash<std::string>{}(view.id);
+    for (std::uint64_t point = 0; point < pointsPerUpstream; ++point)
+        this->newPoints.push_back({mix(idHash + point * 0x9e3779b97f4a7c15ULL), number, slot.generation});
+}
+
+void CandidateSet::remove(const std::string &id)
+{
+    const auto found = this->slotById.find(id);
+    if (found == this->slotById.end())
+        return;
+    const std::uint32_t number = found->second;
+    Slot &slot = this->slots[number];
+    this->totalLoad -= slot.view.load();
+    auto &zone = this->zones[slot.view.zone.name];
+    zone[slot.zoneIndex] = zone.back();
+    this->slots[zone[slot.zoneIndex]].zoneIndex = slot.zoneIndex;
+    zone.pop_back();
+    this->dense[slot.denseIndex] = this->dense.back();
+    this->slots[this->dense[slot.denseIndex]].denseIndex = slot.denseIndex;
+    this->dense.pop_back();
+    ++slot.generation;
+    this->freeSlots.push_back(number);
+    this->slotById.erase(found);
+    this->stalePoints += pointsPerUpstream;
+    // Sums of doubles drift; an empty set starts again from zero.
+    if (this->dense.empty())
+        this->totalLoad = 0.0;
+}
+
+void CandidateSet::addInFlight(const std::string &id, int change)
+{
+    const auto found = this->slotById.find(id);
+    if (found == this->slotById.end())
+        return;
+    this->slots[found->second].view.inFlight += change;
+    this->totalLoad += change;
+}
+
+std::size_t CandidateSet::size() const
+{
+    return this->dense.size();
+}
+
+const UpstreamView &CandidateSet::at(std::size_t index) const
+{
+    return this->slots[this->dense[index]].view;
+}
+
+const UpstreamView *CandidateSet::find(const std::string &id) const
+{
+    const auto found = this->slotById.find(id);
+    return found == this->slotById.end() ? nullptr : &this->slots[found->second].view;
+}
+
+double CandidateSet::meanLoad() const
+{
+    return this->dense.empty() ? 0.0 : std::max(0.0, this->totalLoad) / static_cast<double>(this->dense.size());
+}
+
+const UpstreamView &CandidateSet::randomChoice(RandomEngine &random) const
+{
+    std::uniform_int_distribution<std::size_t> index(0, this->dense.size() - 1);
+    return this->at(index(random));
+}
+
+const UpstreamView *CandidateSet::randomChoiceIn(const AvailabilityZone &zone, RandomEngine &random) const
+{
+    const auto found = this->zones.find(zone.name);
+    if (found == this->zones.end() || found->second.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> index(0, found->second.size() - 1);
+    return &this->slots[found->second[index(random)]].view;
+}
+
+std::vector<const UpstreamView *> CandidateSet::ringFrom(std::uint64_t hash, std::size_t count) const
+{
+    std::vector<const UpstreamView *> result;
+    this->mergeRing();
+    count = std::min(count, this->dense.size());
+    auto point = std::lower_bound(
+        this->ring.begin(), this->ring.end(), hash, [](const RingPoint &a, std::uint64_t b) { return a.hash < b; });
+    for (std::size_t steps = 0; steps < this->ring.size() && result.size() < count; ++steps, ++point) {
+        if (point == this->ring.end())
+            point = this->ring.begin();
+        if (!this->isCurrent(*point))
+            continue;
+        const UpstreamView *view = &this->slots[point->slot].view;
+        if (std::find(result.begin(), result.end(), view) == result.end())
+            result.push_back(view);
+    }
+    return result;
+}
+
+bool CandidateSet::isCurrent(const RingPoint &point) const
+{
+    return this->slots[point.slot].generation == point.generation;
+}
+
+void CandidateSet::mergeRing() const
+{
+    if (this->newPoints.empty() && this->stalePoints * 2 <= this->ring.size())
+        return;
+    const auto byHash = [](const RingPoint &a, const RingPoint &b) { return a.hash < b.hash; };
+    std::erase_if(this->ring, [this](const RingPoint &point) { return !this->isCurrent(point); });
+    std::erase_if(this->newPoints, [this](const RingPoint &point) { return !this->isCurrent(point); });
+    this->stalePoints = 0;
+    std::sort(this->newPoints.begin(), this->newPoints.end(), byHash);
+    const auto middle = static_cast<std::ptrdiff_t>(this->ring.size());
+    this->ring.insert(this->ring.end(), this->newPoints.begin(), this->newPoints.end());
+    std::inplace_merge(this->ring.begin(), this->ring.begin() + middle, this->ring.end(), byHash);
+    this->newPoints.clear();
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/prefixaffinity.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "prefixindex.h"
+#include "router.h"
+
+namespace hemlock {
+
+/// What the policy "prefix-affinity" weighs; everything is expressed in recomputed tokens.
+struct PrefixAffinitySettings
+{
+    double bytesPerToken = 4.0;
+    /// Recomputed tokens that one more request in progress is worth at the mean priority.
+    double tokensPerRequest = 60.0;
+    double crossZoneTokens = 40.0; ///< Price of the link to another zone.
+    /// No upstream gets more than this multiple of the mean load, plus boundSlack requests.
+    double loadBound = 1.5;
+    double boundSlack = 2.0;
+    std::size_t homeBlocks = 4; ///< Blocks of the prompt that decide its place on the hash ring.
+    std::size_t maxBlocks = 100'000; ///< Size of the prefix index.
+};
+
+/// Prefix affinity with bounded load.
+///
+/// Weighs a handful of upstreams, whatever their number: the longest holders of the prompt's beginning, the upstreams
+/// at its place on the hash ring (so that entry VMs agree on a place without telling each other), two random ones of
+/// the own zone and two of all. The one with the lowest sum of recomputed tokens, load and link price wins. Urgent
+/// requests give load more weight.
+class PrefixAffinityPolicy : public RoutePolicy
+{
+public:
+    explicit PrefixAffinityPolicy(PrefixAffinitySettings settings = {});
+
+    RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) override;
+    void removeUpstream(const std::string &upstream) override;
+    void noteCached(const std::string &upstream, const std::string &prefix) override;
+    void noteEvicted(const std::string &upstream, const std::string &prefix) override;
+
+private:
+    PrefixAffinitySettings settings;
+    PrefixIndex index;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/ratelimit.cpp
@@ -0,0 +1,295 @@
+#include "ratelimit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+// Demand is averaged over this time: long against the gaps between requests, short against a flood.
+constexpr Seconds demandWindow{1.0};
+
+double secondsBetween(TimePoint from, TimePoint to)
+{
+    return std::max(0.0, Seconds(to - from).count());
+}
+
+} // namespace
+
+TokenBucket::TokenBucket(double tokensPerSecond, std::chrono::milliseconds burst, TimePoint now)
+    : rate(tokensPerSecond)
+    , burst(burst)
+    , level(tokensPerSecond * Seconds(burst).count())
+    , updated(now)
+{
+}
+
+void TokenBucket::setRate(double tokensPerSecond, TimePoint now)
+{
+    this->level = this->levelAt(now);
+    this->updated = now;
+    this->rate = tokensPerSecond;
+    this->level = std::min(this->level, this->rate * Seconds(this->burst).count());
+}
+
+bool TokenBucket::tryTake(double tokens, TimePoint now)
+{
+    this->level = this->levelAt(now);
+    this->updated = now;
+    if (this->level <= 0.0)
+        return false;
+    this->level -= tokens;
+    return true;
+}
+
+void TokenBucket::settle(double tokens, TimePoint now)
+{
+    this->level = std::min(this->levelAt(now) - tokens, this->rate * Seconds(this->burst).count());
+    this->updated = now;
+}
+
+std::chrono::milliseconds TokenBucket::waitTime(TimePoint now) const
+{
+    const double level = this->levelAt(now);
+    if (level > 0.0)
+        return std::chrono::milliseconds(0);
+    constexpr double longestWait = 60.0;
+    const double seconds = this->rate > 0.0 ? std::min(-level / this->rate, longestWait) : longestWait;
+    return std::chrono::milliseconds(1 + static_cast<std::int64_t>(seconds * 1000.0));
+}
+
+double TokenBucket::levelAt(TimePoint now) const
+{
+    return std::min(this->level + this->rate * secondsBetween(this->updated, now),
+                    this->rate * Seconds(this->burst).count());
+}
+
+LimitShare::LimitShare(std::string clientAccount, std::string self, double limit, ShareSettings settings, TimePoint now)
+    : clientAccount(std::move(clientAccount))
+    , self(std::move(self))
+    , limit(limit)
+    , settings(settings)
+    , nextPartFrom(now)
+    , demandUpdated(now)
+    , bucket(0.0, settings.burst, now)
+{
+}
+
+void LimitShare::setMembers(std::size_t members, double limit, TimePoint now)
+{
+    const bool isFirst = this->members == 0;
+    const double current = isFirst ? this->settings.joiningShare * limit : this->ownPart(now);
+    const double wanted = limit / static_cast<double>(std::max<std::size_t>(members, 1));
+    const bool limitChanged = limit != this->limit;
+    if (!isFirst && members == this->members && !limitChanged)
+        return;
+    this->members = std::max<std::size_t>(members, 1);
+    this->limit = limit;
+    if (this->members == 1 || wanted <= current || (limitChanged && !isFirst)) {
+        this->part = wanted;
+        this->nextPart = wanted;
+        this->nextPartFrom = now;
+    } else {
+        this->part = current;
+        this->nextPart = wanted;
+        this->nextPartFrom = now + this->settings.lease;
+    }
+    this->bucket.setRate(this->rate(now), now);
+    if (isFirst)
+        this->bucket = TokenBucket(this->rate(now), this->settings.burst, now);
+}
+
+bool LimitShare::tryTake(double tokens, TimePoint now)
+{
+    this->demandTokens =
+        this->demandTokens * std::exp(-secondsBetween(this->demandUpdated, now) / demandWindow.count()) + tokens;
+    this->demandUpdated = now;
+    this->bucket.setRate(this->rate(now), now);
+    return this->bucket.tryTake(tokens, now);
+}
+
+void LimitShare::settle(double tokens, TimePoint now)
+{
+    this->bucket.setRate(this->rate(now), now);
+    this->bucket.settle(tokens, now);
+}
+
+std::chrono::milliseconds LimitShare::waitTime(TimePoint now) const
+{
+    return this->bucket.waitTime(now);
+}
+
+std::optional<ShareRequest> LimitShare::request(TimePoint now)
+{
+    this->dropLapsed(now);
+    // The request states the demand beyond the own part, loans included: a grant replaces the lender's earlier one.
+    const double shortage = this->demand(now) * this->settings.demandHeadroom - (this->ownPart(now) - this->lent(now));
+    if (shortage <= 0.0)
+        return std::nullopt;
+    this->requestTimes[++this->sequence] = now;
+    return ShareRequest{this->clientAccount, this->self, this->sequence, shortage};
+}
+
+std::optional<ShareGrant> LimitShare::answer(const ShareRequest &request, TimePoint now)
+{
+    this->dropLapsed(now);
+    std::vector<Loan> &given = this->loansGiven[request.from];
+    double toOthers = this->lent(now);
+    double toBorrower = 0.0;
+    for (const Loan &loan : given)
+        toBorrower = std::max(toBorrower, loan.rate);
+    toOthers -= toBorrower;
+    const double spare = this->ownPart(now) - toOthers - this->demand(now) * this->settings.demandHeadroom;
+    const double rate = std::min(request.shortage, spare);
+    if (rate <= 0.0) {
+        if (given.empty())
+            this->loansGiven.erase(request.from);
+        return std::nullopt;
+    }
+    const auto lease = this->settings.lease
+        + std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.lease * this->settings.leaseMargin);
+    given.push_back({rate, now + lease, request.sequence});
+    this->bucket.setRate(this->rate(now), now);
+    return ShareGrant{this->clientAccount, this->self, request.sequence, rate};
+}
+
+void LimitShare::accept(const ShareGrant &grant, TimePoint now)
+{
+    const auto asked = this->requestTimes.find(grant.requestSequence);
+    if (asked == this->requestTimes.end())
+        return;
+    const TimePoint until = asked->second + this->settings.lease;
+    Loan &loan = this->loansTaken[grant.from];
+    if (until <= now || grant.requestSequence < loan.sequence)
+        return;
+    loan = {grant.tokensPerSecond, until, grant.requestSequence};
+    this->bucket.setRate(this->rate(now), now);
+}
+
+double LimitShare::rate(TimePoint now) const
+{
+    return std::max(0.0, this->ownPart(now) - this->lent(now)) + this->borrowed(now);
+}
+
+double LimitShare::demand(TimePoint now) const
+{
+    return this->demandTokens * std::exp(-secondsBetween(this->demandUpdated, now) / demandWindow.count())
+        / demandWindow.count();
+}
+
+double LimitShare::ownPart(TimePoint now) const
+{
+    return now >= this->nextPartFrom ? this->nextPart : this->part;
+}
+
+double LimitShare::lent(TimePoint now) const
+{
+    double sum = 0.0;
+    for (const auto &[borrower, loans] : this->loansGiven) {
+        double largest = 0.0;
+        for (const Loan &loan : loans) {
+            if (loan.until > now)
+                largest = std::max(largest, loan.rate);
+        }
+        sum += largest;
+    }
+    return sum;
+}
+
+double LimitShare::borrowed(TimePoint now) const
+{
+    double sum = 0.0;
+    for (const auto &[lender, loan] : this->loansTaken) {
+        if (loan.until > now)
+            sum += loan.rate;
+    }
+    return sum;
+}
+
+void LimitShare::dropLapsed(TimePoint now)
+{
+    std::erase_if(this->loansTaken, [now](const auto &entry) { return entry.second.until <= now; });
+    for (auto &[borrower, loans] : this->loansGiven)
+        std::erase_if(loans, [now](const Loan &loan) { return loan.until <= now; });
+    std::erase_if(this->loansGiven, [](const auto &entry) { return entry.second.empty(); });
+    std::erase_if(this->requestTimes,
+                  [this, now](const auto &entry) { return entry.second + this->settings.lease <= now; });
+}
+
+RateLimiter::RateLimiter(std::string self, ShareSettings settings)
+    : self(std::move(self))
+    , settings(settings)
+{
+}
+
+void RateLimiter::setMembers(std::size_t members, TimePoint now)
+{
+    this->members = std::max<std::size_t>(members, 1);
+    for (auto &[id, share] : this->shares)
+        share.setMembers(this->members, share.limitOverAll(), now);
+}
+
+void RateLimiter::setLimit(const std::string &clientAccount, double tokensPerSecond, TimePoint now)
+{
+    if (tokensPerSecond <= 0.0) {
+        this->shares.erase(clientAccount);
+        return;
+    }
+    auto found = this->shares.find(clientAccount);
+    if (found == this->shares.end()) {
+        LimitShare share(clientAccount, this->self, tokensPerSecond, this->settings, now);
+        found = this->shares.emplace(clientAccount, std::move(share)).first;
+    }
+    found->second.setMembers(this->members, tokensPerSecond, now);
+}
+
+std::chrono::milliseconds RateLimiter::take(const std::string &clientAccount, double tokens, TimePoint now)
+{
+    const auto found = this->shares.find(clientAccount);
+    if (found == this->shares.end() || found->second.tryTake(tokens, now))
+        return std::chrono::milliseconds(0);
+    return std::max(found->second.waitTime(now), std::chrono::milliseconds(1));
+}
+
+void RateLimiter::settle(const std::string &clientAccount, double tokens, TimePoint now)
+{
+    const auto found = this->shares.find(clientAccount);
+    if (found != this->shares.end())
+        found->second.settle(tokens, now);
+}
+
+std::vector<ShareRequest> RateLimiter::requests(TimePoint now)
+{
+    std::vector<ShareRequest> result;
+    for (auto &[id, share] : this->shares) {
+        if (auto request = share.request(now))
+            result.push_back(std::move(*request));
+    }
+    return result;
+}
+
+std::optional<ShareGrant> RateLimiter::answer(const ShareRequest &request, TimePoint now)
+{
+    const auto found = this->shares.find(request.clientAccount);
+    return found == this->shares.end() ? std::nullopt : found->second.answer(request, now);
+}
+
+void RateLimiter::accept(const ShareGrant &grant, TimePoint now)
+{
+    const auto found = this->shares.find(grant.clientAccount);
+    if (found != this->shares.end())
+        found->second.accept(grant, now);
+}
+
+const LimitShare *RateLimiter::find(const std::string &clientAccount) const
+{
+    const auto found = this->shares.find(clientAccount);
+    return found == this->shares.end() ? nullptr : &found->second;
+}
+
+} // namespace hemlock
--- a/src/libhemlock/router.cpp
+++ b/src/libhemlock/router.cpp
@@ -1,67 +1,99 @@
 #include "router.h"
 
-#include <algorithm>
+#include "prefixaffinity.h"
+
+#include <map>
 #include <stdexcept>
 
 namespace hemlock {
 
 namespace {
 
-RouteDecision decide(const std::vector<UpstreamView> &candidates, std::size_t chosen, std::string reason)
+RouteDecision decide(const CandidateSet &candidates, std::size_t chosen, std::string reason)
 {
     // A log line with every upstream of a large service would cost more than the decision.
     constexpr std::size_t listedAlternatives = 4;
     RouteDecision decision;
-    decision.upstream = candidates[chosen].id;
+    decision.upstream = candidates.at(chosen).id;
     decision.reason = std::move(reason);
     for (std::size_t i = 0; i < candidates.size() && decision.alternatives.size() < listedAlternatives; ++i) {
         if (i != chosen)
-            decision.alternatives.push_back(candidates[i].id);
+            decision.alternatives.push_back(candidates.at(i).id);
     }
     return decision;
 }
 
-RoutePolicy makeRandomPolicy()
+class RandomPolicy : public RoutePolicy
 {
-    return [](const RouteQuery &, const std::vector<UpstreamView> &candidates, RandomEngine &random) {
+public:
+    RouteDecision choose(const RouteQuery &, const CandidateSet &candidates, RandomEngine &random) override
+    {
         std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
         return decide(candidates, index(random), "random choice");
-    };
-}
+    }
+};
 
-RoutePolicy makeRoundRobinPolicy()
+class RoundRobinPolicy : public RoutePolicy
 {
-    return [next = std::size_t{0}](
-               const RouteQuery &, const std::vector<UpstreamView> &candidates, RandomEngine &) mutable {
-        return decide(candidates, next++ % candidates.size(), "next in turn");
-    };
-}
+public:
+    RouteDecision choose(const RouteQuery &, const CandidateSet &candidates, RandomEngine &) override
+    {
+        return decide(candidates, this->next++ % candidates.size(), "next in turn");
+    }
 
-RoutePolicy makeLeastInFlightPolicy()
-{
-    return [](const RouteQuery &, const std::vector<UpstreamView> &candidates, RandomEngine &) {
-        const auto least =
-            std::min_element(candidates.begin(), candidates.end(), [](const UpstreamView &a, const UpstreamView &b) {
-                return a.inFlight < b.inFlight;
-            });
-        return decide(candidates,
-                      static_cast<std::size_t>(least - candidates.begin()),
-                      "least in flight: " + std::to_string(least->inFlight));
-    };
+private:
+    std::size_t next = 0;
+};
+
+class LeastInFlightPolicy : public RoutePolicy
+{
+public:
+    RouteDecision choose(const RouteQuery &, const CandidateSet &candidates, RandomEngine &random) override
+    {
+        // Starts at a random place, so that entry VMs with equal counts do not all choose the first upstream.
+        std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
+        const std::size_t first = index(random);
+        std::size_t least = first;
+        for (std::size_t step = 1; step < candidates.size(); ++step) {
+            const std::size_t i = (first + step) % candidates.size();
+            if (candidates.at(i).inFlight < candidates.at(least).inFlight)
+                least = i;
+        }
+        return decide(candidates, least, "least in flight: " + std::to_string(candidates.at(least).inFlight));
+    }
+};
+
+template <class Policy>
+std::unique_ptr<RoutePolicy> makePolicy()
+{
+    return std::make_unique<Policy>();
 }
 
-using PolicyRegistry = std::map<std::string, std::function<RoutePolicy()>>;
+using PolicyRegistry = std::map<std::string, std::function<std::unique_ptr<RoutePolicy>()>>;
 
 PolicyRegistry &policyRegistry()
 {
-    static PolicyRegistry registry = {{"random", makeRandomPolicy},
-                                      {"round-robin", makeRoundRobinPolicy},
-                                      {"least-in-flight", makeLeastInFlightPolicy}};
+    static PolicyRegistry registry = {{"random", makePolicy<RandomPolicy>},
+                                      {"round-robin", makePolicy<RoundRobinPolicy>},
+                                      {"least-in-flight", makePolicy<LeastInFlightPolicy>},
+                                      {"prefix-affinity", makePolicy<PrefixAffinityPolicy>}};
     return registry;
 }
 
 } // namespace
 
+void RoutePolicy::removeUpstream(const std::string &)
+{
+}
+
+void RoutePolicy::noteCached(const std::string &, const std::string &)
+{
+}
+
+void RoutePolicy::noteEvicted(const std::string &, const std::string &)
+{
+}
+
 Router::Router(const std::string &policyName)
 {
     const auto found = policyRegistry().find(policyName);
@@ -75,10 +107,32 @@
 {
     if (candidates.empty())
         return {{}, "no upstream of the service takes requests", {}};
-    return this->policy(query, candidates, random);
+    return this->policy->choose(query, CandidateSet(candidates), random);
+}
+
+RouteDecision Router::choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) const
+{
+    if (candidates.size() == 0)
+        return {{}, "no upstream of the service takes requests", {}};
+    return this->policy->choose(query, candidates, random);
+}
+
+void Router::removeUpstream(const std::string &upstream) const
+{
+    this->policy->removeUpstream(upstream);
+}
+
+void Router::noteCached(const std::string &upstream, const std::string &prefix) const
+{
+    this->policy->noteCached(upstream, prefix);
+}
+
+void Router::noteEvicted(const std::string &upstream, const std::string &prefix) const
+{
+    this->policy->noteEvicted(upstream, prefix);
 }
 
-void Router::registerPolicy(const std::string &name, std::function<RoutePolicy()> factory)
+void Router::registerPolicy(const std::string &name, std::function<std::unique_ptr<RoutePolicy>()> factory)
 {
     policyRegistry()[name] = std::move(factory);
 }
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -1,28 +1,16 @@
 #pragma once
 
+#include "candidateset.h"
 #include "upstream.h"
 
-#include <chrono>
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <random>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace hemlock {
 
-/// What the router knows of one upstream that may take a request.
-struct UpstreamView
-{
-    std::string id;
-    AvailabilityZone zone;
-    int inFlight = 0; ///< Requests of this process that the upstream works on.
-    double reportedLoad = 0.0; ///< Requests in progress by the upstream's own, lagging report.
-    std::chrono::milliseconds reportAge{0};
-};
-
 /// One request as the router sees it.
 struct RouteQuery
 {
@@ -41,11 +29,20 @@
     std::vector<std::string> alternatives; ///< Identifiers of the other upstreams that were weighed.
 };
 
-using RandomEngine = std::mt19937_64;
+/// Chooses one of several upstreams and learns from what happens to them.
+class RoutePolicy
+{
+public:
+    virtual ~RoutePolicy() = default;
 
-/// Chooses one of several upstreams; the candidates are never empty.
-using RoutePolicy = std::function<RouteDecision(
-    const RouteQuery &query, const std::vector<UpstreamView> &candidates, RandomEngine &random)>;
+    /// The candidates are never empty.
+    virtual RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) = 0;
+    /// An upstream left or lost its cache.
+    virtual void removeUpstream(const std::string &upstream);
+    /// A cache event: the upstream now holds this beginning of a prompt, or dropped the last block of it.
+    virtual void noteCached(const std::string &upstream, const std::string &prefix);
+    virtual void noteEvicted(const std::string &upstream, const std::string &prefix);
+};
 
 /// Chooses upstreams by a policy that is registered under a name.
 class Router
@@ -54,17 +51,27 @@
     /// Throws std::invalid_argument when no policy has this name.
     explicit Router(const std::string &policyName);
 
+    /// For few upstreams: costs a pass over all of them.
     RouteDecision
     choose(const RouteQuery &query, const std::vector<UpstreamView> &candidates, RandomEngine &random) const;
 
+    /// For any number of upstreams: the policy "prefix-affinity" makes no pass over them.
+    RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) const;
+
+    /// Tells the policy that an upstream left or lost its cache.
+    void removeUpstream(const std::string &upstream) const;
+    /// Tells the policy of a cache event, which may be late.
+    void noteCached(const std::string &upstream, const std::string &prefix) const;
+    void noteEvicted(const std::string &upstream, const std::string &prefix) const;
+
     /// Makes a policy available under a name; the factory runs once for each router.
-    static void registerPolicy(const std::string &name, std::function<RoutePolicy()> factory);
+    static void registerPolicy(const std::string &name, std::function<std::unique_ptr<RoutePolicy>()> factory);
 
-    /// Names of all policies: at least "random", "round-robin" and "least-in-flight".
+    /// Names of all policies: at least "random", "round-robin", "least-in-flight" and "prefix-affinity".
     static std::vector<std::string> policyNames();
 
 private:
-    RoutePolicy policy;
+    std::shared_ptr<RoutePolicy> policy;
 };
 
 } // namespace hemlock
