Add the stand-ins of the platform, the engine, the service and the balancer

Cause: the entry and control processes need something to talk to in tests. Change: src/standins with one library of classes, which tests can link, and four thin programs; schemas of their settings. A fault that ends a connection without an answer shuts down the socket, since HttpServer offers answers only.

--- /dev/null
+++ b/src/standins/balancer/relay.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <asio.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace hemlock {
+
+/// Copies bytes between a caller's connection and a target in both directions until both have closed.
+class Relay : public std::enable_shared_from_this<Relay>
+{
+public:
+    Relay(asio::ip::tcp::socket caller, asio::io_context &loop);
+
+    /// Connects to the target; @p failed runs when that fails, before any byte was read from the caller.
+    void start(const asio::ip::tcp::endpoint &target, std::function<void(std::shared_ptr<Relay>)> failed);
+
+    /// Closes both connections.
+    void close();
+
+private:
+    static constexpr std::size_t bufferBytes = std::size_t{16} * 1024;
+    using Buffer = std::array<char, bufferBytes>;
+
+    void copy(asio::ip::tcp::socket &from, asio::ip::tcp::socket &to, Buffer &buffer);
+
+    asio::ip::tcp::socket caller;
+    asio::ip::tcp::socket target;
+    Buffer upward{};
+    Buffer downward{};
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/platform/kvgateway.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "httpserver.h"
+#include "kvstore.h"
+#include "tokenbucket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <asio.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace hemlock {
+
+struct KvLimits
+{
+    double writesPerSecond = 500.0;
+    double readsPerSecond = 2000.0;
+    std::size_t maxValueBytes = std::size_t{1024} * 1024;
+};
+
+/// Faults of the key-value store that POST /faults switches.
+struct KvFaults
+{
+    bool outage = false; ///< Connections close without an answer and without an effect.
+    std::chrono::milliseconds delay{0}; ///< Before each call takes effect.
+    int loseAnswers = 0; ///< So many next writes take effect and get no answer.
+};
+
+/// Serves a KvStore by the JSON gateway of the etcd v3 API, with rate limits, call counts and faults.
+class KvGateway
+{
+public:
+    KvGateway(asio::io_context &loop, const KvLimits &limits);
+
+    /// Whether the path belongs to the gateway.
+    static bool serves(const std::string &path);
+
+    void handle(const HttpRequest &request, const HttpResponderPtr &responder);
+
+    /// An outage also ends the waiting watches.
+    void setFaults(const KvFaults &faults);
+    const KvFaults &faults() const;
+
+    /// Calls by path, refused calls, reads, writes and waiting watches.
+    nlohmann::json stats() const;
+
+private:
+    struct OpenWatch
+    {
+        KvStore::WatchId id = 0;
+        HttpResponderPtr responder;
+        std::string remoteAddress;
+    };
+
+    void perform(const HttpRequest &request, const HttpResponderPtr &responder);
+    nlohmann::json call(const std::string &path, const nlohmann::json &body);
+    nlohmann::json transact(const nlohmann::json &body);
+    nlohmann::json callLease(const std::string &path, const nlohmann::json &body);
+    void openWatch(const HttpRequest &request, const nlohmann::json &body, const HttpResponderPtr &responder);
+    void endWatches();
+    void scheduleExpiry();
+    nlohmann::json header() const;
+
+    asio::io_context &loop;
+    asio::steady_timer expiryTimer;
+    KvLimits limits;
+    TokenBucket writes;
+    TokenBucket reads;
+    KvFaults currentFaults;
+    KvStore store;
+    std::map<std::string, std::uint64_t> callsByPath;
+    std::uint64_t readCount = 0;
+    std::uint64_t writeCount = 0;
+    std::uint64_t refusedCount = 0;
+    std::uint64_t nextWatch = 1;
+    std::map<std::uint64_t, OpenWatch> openWatches;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/platform/kvstore.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "kvclient.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// Keys from begin up to but without end. An empty end means the one key; "\0" means all keys from begin on.
+struct KvInterval
+{
+    std::string begin;
+    std::string end;
+
+    bool contains(const std::string &key) const;
+};
+
+/// Condition of a transaction of KvStore.
+struct KvCondition
+{
+    enum class Target {
+        ModRevision,
+        CreateRevision,
+        Version,
+        Value,
+    };
+    enum class Relation {
+        Equal,
+        NotEqual,
+        Greater,
+        Less,
+    };
+
+    std::string key;
+    Target target = Target::ModRevision;
+    Relation relation = Relation::Equal;
+    std::int64_t number = 0;
+    std::string value;
+};
+
+/// One operation within a transaction of KvStore.
+struct KvOperation
+{
+    enum class Kind {
+        Range,
+        Put,
+        Delete,
+    };
+
+    Kind kind = Kind::Range;
+    KvInterval interval;
+    std::string value;
+    std::int64_t lease = 0;
+};
+
+/// Result of one operation: the entries of a range, or the number of deleted keys.
+struct KvOperationResult
+{
+    KvOperation::Kind kind = KvOperation::Kind::Range;
+    std::vector<KvEntry> entries;
+    std::size_t deleted = 0;
+};
+
+/// Key-value store with revisions, compare-and-swap, leases and watches, in memory. Time is passed in.
+class KvStore
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+    using WatchId = std::uint64_t;
+    using WatchHook = std::function<void(const std::vector<KvEvent> &events, std::int64_t revision)>;
+
+    std::int64_t revision() const;
+
+    std::vector<KvEntry> range(const KvInterval &interval) const;
+
+    bool holds(const KvCondition &condition) const;
+
+    /// Applies all operations at one revision. Throws std::invalid_argument for an unknown lease or a key put twice,
+    /// in which case nothing is applied.
+    std::vector<KvOperationResult> apply(const std::vector<KvOperation> &operations);
+
+    std::int64_t grantLease(std::chrono::seconds ttl, Time now);
+    /// Time to live after the renewal, or 0 when the lease is gone.
+    std::chrono::seconds keepLeaseAlive(std::int64_t lease, Time now);
+    /// Deletes the keys of the lease; false when it is gone.
+    bool revokeLease(std::int64_t lease);
+    /// Revokes each lease whose time to live has passed; returns their identifiers.
+    std::vector<std::int64_t> expireLeases(Time now);
+
+    /// Reports events from @p startRevision on (0: from now on), past ones at once, from within this function.
+    WatchId watch(const KvInterval &interval, std::int64_t startRevision, WatchHook hook);
+    void cancelWatch(WatchId id);
+    std::size_t watchCount() const;
+
+private:
+    struct Lease
+    {
+        std::chrono::seconds ttl{0};
+        Time expiry;
+    };
+    struct Watch
+    {
+        KvInterval interval;
+        WatchHook hook;
+    };
+    struct PastEvent
+    {
+        std::int64_t revision = 0;
+        KvEvent event;
+    };
+
+    void checkOperations(const std::vector<KvOperation> &operations) const;
+    void put(const KvOperation &operation, std::int64_t revision, std::vector<KvEvent> &events);
+    std::size_t erase(const KvInterval &interval, std::int64_t revision, std::vector<KvEvent> &events);
+    void publish(const std::vector<KvEvent> &events, std::int64_t revision);
+
+    std::int64_t currentRevision = 1;
+    std::int64_t nextLease = 1000;
+    WatchId nextWatch = 1;
+    std::map<std::string, KvEntry> entries;
+    std::map<std::int64_t, Lease> leases;
+    std::map<WatchId, Watch> watches;
+    std::vector<PastEvent> history;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/platform/platformstandin.cpp
@@ -0,0 +1,218 @@
+#include "platformstandin.h"
+
+#include "jsonreply.h"
+#include "logger.h"
+#include "standinprogram.h"
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds endInterval{20};
+constexpr std::string_view vmsPath = "/cloud/v1/vms";
+constexpr std::string_view weightsPath = "/weights/";
+
+KvLimits parseLimits(const json &settings)
+{
+    KvLimits limits;
+    const json found = settings.value("limits", json::object());
+    limits.writesPerSecond = found.value("writesPerSecond", limits.writesPerSecond);
+    limits.readsPerSecond = found.value("readsPerSecond", limits.readsPerSecond);
+    limits.maxValueBytes = found.value("maxValueBytes", limits.maxValueBytes);
+    return limits;
+}
+
+std::int64_t unixMilliseconds(std::chrono::steady_clock::time_point time)
+{
+    const auto ahead = time - std::chrono::steady_clock::now();
+    const auto wall = std::chrono::system_clock::now().time_since_epoch() + ahead;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin(asio::io_context &loop, const json &settings)
+    : loop(loop)
+    , http(loop)
+    , store(loop, parseLimits(settings))
+    , vms(std::chrono::milliseconds(settings.value("listLagMs", 0)))
+    , weights(loop, settings.value("weights", json::object()))
+    , endTimer(loop)
+    , endsProcesses(settings.value("endsProcesses", false))
+    , listLagMs(settings.value("listLagMs", 0))
+{
+    this->loadVms(settings);
+    this->server = std::make_unique<HttpServer>(
+        loop, listenSettings(settings), [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+            this->handle(request, responder);
+        });
+    this->scheduleEnds();
+}
+
+std::string PlatformStandin::start()
+{
+    return this->server->start();
+}
+
+void PlatformStandin::loadVms(const json &settings)
+{
+    for (const json &price : settings.value("prices", json::array()))
+        this->vms.setPrice(price.at("zone"), price.at("class"), price.at("reclaimable"), price.at("pricePerHour"));
+    for (const json &vm : settings.value("vms", json::array()))
+        this->vms.addLive(vm.get<CloudVm>());
+    for (const json &vm : settings.value("spares", json::array()))
+        this->vms.addSpare(vm.get<CloudVm>());
+}
+
+void PlatformStandin::handle(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    if (KvGateway::serves(request.path)) {
+        this->store.handle(request, responder);
+        return;
+    }
+    try {
+        this->route(request, responder);
+    } catch (const std::exception &error) {
+        replyError(*responder, 400, error.what());
+    }
+}
+
+void PlatformStandin::route(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    const std::string &path = request.path;
+    if (path.starts_with(vmsPath))
+        this->handleVms(request, *responder);
+    else if (path.starts_with(weightsPath))
+        this->weights.handle(path.substr(weightsPath.size()), responder);
+    else if (path == "/cloud/v1/prices")
+        replyJson(*responder, 200, {{"prices", this->vms.prices()}});
+    else if (path == "/cloud/v1/notices")
+        replyJson(*responder, 200, this->notices(std::atoll(request.queryValue("after").c_str())));
+    else if (path == "/cloud/v1/reclaims" && request.method == "POST")
+        this->handleReclaim(parseBody(request), *responder);
+    else if (path == "/stats")
+        replyJson(*responder, 200, this->store.stats());
+    else if (path == "/healthz")
+        replyJson(*responder, 200, json::object());
+    else if (path == "/faults") {
+        if (request.method == "POST")
+            this->switchFaults(parseBody(request));
+        replyJson(*responder, 200, this->faults());
+    } else
+        replyError(*responder, 404, "unknown path " + path);
+}
+
+void PlatformStandin::handleVms(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.method == "GET")
+        replyJson(responder, 200, {{"vms", this->vms.list(std::chrono::steady_clock::now())}});
+    else if (request.method == "POST")
+        this->startVm(parseBody(request), responder);
+    else if (request.method == "DELETE" && request.path.size() > vmsPath.size() + 1)
+        this->endVm(request.path.substr(vmsPath.size() + 1), responder);
+    else
+        replyError(responder, 405, "method not allowed");
+}
+
+void PlatformStandin::startVm(const json &body, HttpResponder &responder)
+{
+    const auto vm =
+        this->refusesStarts ? std::nullopt : this->vms.start(body.get<CloudVm>(), std::chrono::steady_clock::now());
+    if (!vm) {
+        replyError(responder, 409, "no capacity");
+        return;
+    }
+    logEvent(LogLevel::Info, "vm started", *vm);
+    replyJson(responder, 201, *vm);
+}
+
+void PlatformStandin::endVm(const std::string &id, HttpResponder &responder)
+{
+    const auto vm = this->vms.find(id);
+    if (!this->vms.end(id, std::chrono::steady_clock::now())) {
+        replyError(responder, 404, "unknown VM " + id);
+        return;
+    }
+    this->endProcess(*vm);
+    replyJson(responder, 200, json::object());
+}
+
+void PlatformStandin::handleReclaim(const json &body, HttpResponder &responder)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds notice(body.at("noticeMs").get<std::int64_t>());
+    std::vector<std::string> reclaimed;
+    if (body.contains("zone"))
+        reclaimed = this->vms.reclaimZone(body.at("zone"), body.value("onDemand", false), notice, now);
+    else if (const std::string id = body.at("vm"); this->vms.reclaim(id, notice, now))
+        reclaimed.push_back(id);
+    logEvent(LogLevel::Info, "reclaim announced", {{"vms", reclaimed}, {"noticeMs", notice.count()}});
+    replyJson(responder, 200, {{"vms", reclaimed}});
+}
+
+json PlatformStandin::notices(std::int64_t after) const
+{
+    json list = json::array();
+    const auto now = std::chrono::steady_clock::now();
+    for (const ReclaimNotice &notice : this->vms.noticesAfter(after)) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(notice.deadline - now);
+        list.push_back({{"seq", notice.seq},
+                        {"vm", notice.vm},
+                        {"deadlineMs", unixMilliseconds(notice.deadline)},
+                        {"leftMs", std::max<std::int64_t>(0, left.count())}});
+    }
+    return {{"notices", list}};
+}
+
+void PlatformStandin::switchFaults(const json &body)
+{
+    KvFaults faults = this->store.faults();
+    faults.outage = body.value("outage", faults.outage);
+    faults.delay = std::chrono::milliseconds(body.value("delayMs", faults.delay.count()));
+    faults.loseAnswers = body.value("loseAnswers", faults.loseAnswers);
+    this->store.setFaults(faults);
+    this->refusesStarts = body.value("refuseStarts", this->refusesStarts);
+    this->listLagMs = body.value("listLagMs", this->listLagMs);
+    this->vms.setLag(std::chrono::milliseconds(this->listLagMs));
+}
+
+json PlatformStandin::faults() const
+{
+    const KvFaults &faults = this->store.faults();
+    return {{"outage", faults.outage},
+            {"delayMs", faults.delay.count()},
+            {"loseAnswers", faults.loseAnswers},
+            {"refuseStarts", this->refusesStarts},
+            {"listLagMs", this->listLagMs}};
+}
+
+void PlatformStandin::scheduleEnds()
+{
+    this->endTimer.expires_after(endInterval);
+    this->endTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        for (const CloudVm &vm : this->vms.endOverdue(std::chrono::steady_clock::now())) {
+            logEvent(LogLevel::Info, "vm reclaimed", vm);
+            this->endProcess(vm);
+        }
+        this->scheduleEnds();
+    });
+}
+
+void PlatformStandin::endProcess(const CloudVm &vm)
+{
+    if (!this->endsProcesses)
+        return;
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + vm.address + "/faults";
+    call.body = json{{"exit", true}}.dump();
+    HttpCallHooks hooks;
+    hooks.done = [](const HttpOutcome &) {};
+    this->http.start(std::move(call), std::move(hooks));
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/platform/platformstandin.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "cloudvms.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "kvgateway.h"
+#include "weightstore.h"
+
+#include <nlohmann/json.hpp>
+
+#include <asio.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hemlock {
+
+/// Key-value store, cloud API, VM list and weight store in one process.
+class PlatformStandin
+{
+public:
+    PlatformStandin(asio::io_context &loop, const nlohmann::json &settings);
+
+    /// Starts to listen and returns "ADDRESS:PORT".
+    std::string start();
+
+private:
+    void handle(const HttpRequest &request, const HttpResponderPtr &responder);
+    void route(const HttpRequest &request, const HttpResponderPtr &responder);
+    void handleVms(const HttpRequest &request, HttpResponder &responder);
+    void handleReclaim(const nlohmann::json &body, HttpResponder &responder);
+    void startVm(const nlohmann::json &body, HttpResponder &responder);
+    void endVm(const std::string &id, HttpResponder &responder);
+    void switchFaults(const nlohmann::json &body);
+    nlohmann::json faults() const;
+    nlohmann::json notices(std::int64_t after) const;
+    void loadVms(const nlohmann::json &settings);
+    void scheduleEnds();
+    void endProcess(const CloudVm &vm);
+
+    asio::io_context &loop;
+    HttpClient http;
+    KvGateway store;
+    CloudVms vms;
+    WeightStore weights;
+    asio::steady_timer endTimer;
+    bool endsProcesses;
+    bool refusesStarts = false;
+    std::int64_t listLagMs;
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/service/servicestandin.cpp
@@ -0,0 +1,154 @@
+#include "servicestandin.h"
+
+#include "connectionabort.h"
+#include "encoding.h"
+#include "jsonreply.h"
+#include "standinprogram.h"
+
+#include <cstdlib>
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t referenceLength = 8;
+
+/// Takes one of the calls that a fault still applies to.
+bool takeFault(int &count)
+{
+    if (count <= 0)
+        return false;
+    --count;
+    return true;
+}
+
+/// A body as JSON where it is JSON, as text otherwise.
+json bodyJson(const std::string &body)
+{
+    json parsed = json::parse(body, nullptr, false);
+    return parsed.is_discarded() ? json(body) : parsed;
+}
+
+} // namespace
+
+ServiceStandin::ServiceStandin(asio::io_context &loop, const json &settings)
+    : loop(loop)
+{
+    this->switchFaults(settings.value("faults", json::object()));
+    this->server = std::make_unique<HttpServer>(
+        loop, listenSettings(settings), [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+            this->handle(request, responder);
+        });
+}
+
+std::string ServiceStandin::start()
+{
+    return this->server->start();
+}
+
+void ServiceStandin::handle(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    try {
+        this->serve(request, responder);
+    } catch (const std::exception &error) {
+        replyError(*responder, 400, error.what());
+    }
+}
+
+void ServiceStandin::serve(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    if (request.path == "/ledger") {
+        replyJson(*responder, 200, {{"entries", this->ledger.entries(request.queryValue("key"))}});
+    } else if (request.path == "/load") {
+        replyJson(*responder, 200, {{"inFlight", this->inFlight}});
+    } else if (request.path == "/healthz") {
+        replyJson(*responder, 200, json::object());
+    } else if (request.path == "/faults") {
+        if (request.method == "POST")
+            this->switchFaults(parseBody(request));
+        replyJson(*responder, 200, this->faultsJson());
+    } else {
+        ++this->inFlight;
+        this->after(this->faults.delay, [this, request, responder] { this->run(request, responder); });
+    }
+}
+
+void ServiceStandin::run(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    --this->inFlight;
+    if (takeFault(this->faults.refuse)) {
+        replyJson(*responder, 503, {{"verdict", "not-run"}, {"error", "refused"}});
+        return;
+    }
+    if (takeFault(this->faults.closeBefore)) {
+        abortConnection(request.remoteAddress);
+        return;
+    }
+    const json answer = request.method == "GET" ? this->read(request.path) : this->execute(request);
+    if (takeFault(this->faults.closeAfter)) {
+        abortConnection(request.remoteAddress);
+        return;
+    }
+    HttpHeaders headers{{"Content-Type", "application/json"}};
+    if (request.headers.has("X-Attempt-Id"))
+        headers.add("X-Attempt-Id", request.headers.value("X-Attempt-Id"));
+    this->after(this->faults.answerDelay,
+                [responder, headers, answer] { responder->reply(200, headers, answer.dump()); });
+}
+
+json ServiceStandin::execute(const HttpRequest &request)
+{
+    const std::string key = request.headers.value("Idempotency-Key");
+    this->ledger.append(request.path, key, request.headers.value("X-Attempt-Id"), request.body);
+    // The reference depends on the call only, so that golden files hold whichever worker runs it.
+    const std::string reference = sha256Hex(request.path + "\n" + key + "\n" + request.body);
+    return {{"path", request.path},
+            {"reference", reference.substr(0, referenceLength)},
+            {"accepted", bodyJson(request.body)}};
+}
+
+json ServiceStandin::read(const std::string &path) const
+{
+    const LedgerEntry *latest = this->ledger.latest(path);
+    return {{"path", path},
+            {"state", latest == nullptr ? json() : bodyJson(latest->body)},
+            {"changes", this->ledger.count(path)}};
+}
+
+void ServiceStandin::switchFaults(const json &body)
+{
+    if (body.value("exit", false))
+        std::_Exit(1);
+    ServiceFaults &current = this->faults;
+    current.delay = std::chrono::milliseconds(body.value("delayMs", current.delay.count()));
+    current.answerDelay = std::chrono::milliseconds(body.value("answerDelayMs", current.answerDelay.count()));
+    current.closeBefore = body.value("closeBefore", current.closeBefore);
+    current.closeAfter = body.value("closeAfter", current.closeAfter);
+    current.refuse = body.value("refuse", current.refuse);
+}
+
+json ServiceStandin::faultsJson() const
+{
+    return {{"delayMs", this->faults.delay.count()},
+            {"answerDelayMs", this->faults.answerDelay.count()},
+            {"closeBefore", this->faults.closeBefore},
+            {"closeAfter", this->faults.closeAfter},
+            {"refuse", this->faults.refuse}};
+}
+
+void ServiceStandin::after(std::chrono::milliseconds delay, std::function<void()> action)
+{
+    if (delay.count() == 0) {
+        action();
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(this->loop, delay);
+    timer->async_wait([timer, action = std::move(action)](const asio::error_code &error) {
+        if (!error)
+            action();
+    });
+}
+
+} // namespace hemlock
