Admit model requests by fair queue, account limit and adaptive concurrency

Cause: the entry process dispatches each model request at once, so excess demand waits in the engines, where client accounts do not share by weight and deadlines are not looked at. Change: Admission joins RateLimiter and FairQueue with a concurrency limit per service that adapts to the time to the first token; refusals carry the verdict not-run and Retry-After.

--- /dev/null
+++ b/src/libhemlock/admission.cpp
@@ -0,0 +1,202 @@
+#include "admission.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+constexpr std::chrono::milliseconds drainRateInterval{1000};
+/// Weight of the newest second in the smoothed drain rate.
+constexpr double drainRateSmoothing = 0.3;
+
+std::chrono::seconds roundUp(std::chrono::milliseconds time)
+{
+    return std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(time));
+}
+
+} // namespace
+
+Admission::Admission(std::string self, FairQueueSettings settings)
+    : settings(settings)
+    , limiter(std::move(self))
+{
+}
+
+void Admission::applySnapshot(const Snapshot &snapshot, TimePoint now)
+{
+    const std::size_t members = snapshot.peers.size() + 1;
+    this->limiter.setMembers(members, now);
+    std::map<std::string, double> accounts;
+    for (const ClientAccount &account : snapshot.clientAccounts) {
+        accounts[account.id] = account.weight;
+        this->limiter.setLimit(account.id, account.tokensPerSecond, now);
+    }
+    for (const auto &[id, weight] : this->weights) {
+        if (!accounts.contains(id))
+            this->limiter.setLimit(id, 0.0, now);
+    }
+    this->weights = std::move(accounts);
+    for (const Service &service : snapshot.services) {
+        const auto serving =
+            std::count_if(snapshot.upstreams.begin(), snapshot.upstreams.end(), [&service](const Upstream &upstream) {
+                return upstream.service == service.id && upstream.state == UpstreamState::Serving;
+            });
+        Lane &lane = this->lane(service.id);
+        lane.limit.setLatencyTarget(service.latencyTarget.firstToken);
+        lane.limit.setCapacity(static_cast<std::size_t>(serving), members);
+    }
+    this->tick(now);
+}
+
+void Admission::submit(const AdmissionRequest &request, AdmissionHooks hooks, TimePoint now)
+{
+    const auto wait = this->limiter.take(request.clientAccount, request.tokens, now);
+    if (wait > std::chrono::milliseconds(0)) {
+        hooks.refuse({Verdict::NotRun,
+                      429,
+                      "rate-limited",
+                      "the client account has used up its tokens per second",
+                      roundUp(wait)});
+        return;
+    }
+    QueuedRequest queued;
+    queued.requestId = request.requestId;
+    queued.clientAccount = request.clientAccount;
+    queued.weight = this->weight(request.clientAccount);
+    queued.cost = request.tokens;
+    queued.priority = request.priority;
+    queued.latestStart = request.deadline;
+    this->waiting[request.requestId] = {request, std::move(hooks)};
+    Lane &lane = this->lane(request.service);
+    this->refuse(lane.queue.push(std::move(queued), now));
+    this->dispatch(lane, now);
+}
+
+void Admission::firstTokenArrived(const std::string &requestId, TimePoint now)
+{
+    const auto found = this->started.find(requestId);
+    if (found == this->started.end())
+        return;
+    const Started &request = found->second;
+    const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.since);
+    this->lane(request.service).limit.observe(latency, request.limitWasReached, now);
+}
+
+void Admission::finished(const std::string &requestId, double tokens, TimePoint now)
+{
+    const auto found = this->started.find(requestId);
+    if (found == this->started.end())
+        return;
+    const Started request = found->second;
+    this->started.erase(found);
+    this->limiter.settle(request.clientAccount, tokens - request.expectedTokens, now);
+    Lane &lane = this->lane(request.service);
+    --lane.inProgress;
+    lane.finishedTokens += tokens;
+    this->dispatch(lane, now);
+}
+
+void Admission::cancel(const std::string &requestId, TimePoint now)
+{
+    const auto found = this->waiting.find(requestId);
+    if (found == this->waiting.end())
+        return this->finished(requestId, 0.0, now);
+    const AdmissionRequest request = found->second.request;
+    this->waiting.erase(found);
+    this->lane(request.service).queue.cancel(requestId);
+    this->limiter.settle(request.clientAccount, -request.tokens, now);
+}
+
+void Admission::tick(TimePoint now)
+{
+    for (auto &[service, lane] : this->lanes) {
+        this->measureDrainRate(lane, now);
+        this->dispatch(lane, now);
+    }
+}
+
+std::size_t Admission::queued(const std::string &service) const
+{
+    const auto found = this->lanes.find(service);
+    return found == this->lanes.end() ? 0 : found->second.queue.size();
+}
+
+std::size_t Admission::inProgress(const std::string &service) const
+{
+    const auto found = this->lanes.find(service);
+    return found == this->lanes.end() ? 0 : found->second.inProgress;
+}
+
+RateLimiter &Admission::rateLimiter()
+{
+    return this->limiter;
+}
+
+Admission::Lane &Admission::lane(const std::string &service)
+{
+    return this->lanes.try_emplace(service, LatencyTarget{}.firstToken, this->settings).first->second;
+}
+
+void Admission::dispatch(Lane &lane, TimePoint now)
+{
+    std::vector<QueueRefusal> refused;
+    while (lane.inProgress < lane.limit.value()) {
+        const auto next = lane.queue.pop(now, refused);
+        if (!next)
+            break;
+        this->start(lane, next->requestId, now);
+    }
+    this->refuse(refused);
+}
+
+void Admission::start(Lane &lane, const std::string &requestId, TimePoint now)
+{
+    const auto found = this->waiting.find(requestId);
+    if (found == this->waiting.end())
+        return;
+    const Waiting request = std::move(found->second);
+    this->waiting.erase(found);
+    ++lane.inProgress;
+    this->started[requestId] = {request.request.service,
+                                request.request.clientAccount,
+                                request.request.tokens,
+                                now,
+                                lane.inProgress >= lane.limit.value()};
+    request.hooks.start();
+}
+
+void Admission::refuse(const std::vector<QueueRefusal> &refusals)
+{
+    for (const QueueRefusal &refusal : refusals) {
+        const auto found = this->waiting.find(refusal.request.requestId);
+        if (found == this->waiting.end())
+            continue;
+        const Waiting request = std::move(found->second);
+        this->waiting.erase(found);
+        const auto retryAfter = roundUp(refusal.retryAfter);
+        request.hooks.refuse({Verdict::NotRun, 503, refusal.code, refusal.message, retryAfter});
+    }
+}
+
+void Admission::measureDrainRate(Lane &lane, TimePoint now)
+{
+    const auto elapsed = now - lane.measured;
+    if (elapsed < drainRateInterval)
+        return;
+    const double rate = lane.finishedTokens / std::chrono::duration<double>(elapsed).count();
+    // An idle or starting service says nothing about how fast it would work.
+    if (lane.inProgress >= lane.limit.value())
+        lane.drainRate = lane.drainRate == 0.0 ? rate : lane.drainRate + drainRateSmoothing * (rate - lane.drainRate);
+    lane.finishedTokens = 0.0;
+    lane.measured = now;
+    lane.queue.setDrainRate(lane.drainRate);
+}
+
+double Admission::weight(const std::string &clientAccount) const
+{
+    const auto found = this->weights.find(clientAccount);
+    return found == this->weights.end() ? 1.0 : found->second;
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/concurrencylimit.cpp
@@ -0,0 +1,74 @@
+#include "concurrencylimit.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+constexpr double initialPerUpstream = 8.0;
+constexpr double highestPerUpstream = 64.0;
+constexpr double decreaseFactor = 0.85;
+/// One overload shows in many requests at once; it is answered by one decrease.
+constexpr std::chrono::milliseconds decreaseInterval{500};
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::chrono::milliseconds latencyTarget)
+    : latencyTarget(latencyTarget)
+{
+}
+
+void ConcurrencyLimit::setLatencyTarget(std::chrono::milliseconds target)
+{
+    this->latencyTarget = target;
+}
+
+void ConcurrencyLimit::setCapacity(std::size_t upstreams, std::size_t entryProcesses)
+{
+    const std::size_t known = std::max<std::size_t>(upstreams, 1);
+    // When a zone is lost the engines that remain take no more each than before, so the limit shrinks with them.
+    this->limit = this->limit == 0.0 ? initialPerUpstream * static_cast<double>(known)
+            / static_cast<double>(std::max<std::size_t>(entryProcesses, 1))
+                                     : this->limit * static_cast<double>(known) / static_cast<double>(this->upstreams)
+            * static_cast<double>(this->entryProcesses) / static_cast<double>(std::max<std::size_t>(entryProcesses, 1));
+    this->upstreams = known;
+    this->entryProcesses = std::max<std::size_t>(entryProcesses, 1);
+    this->clamp();
+}
+
+void ConcurrencyLimit::observe(std::chrono::milliseconds firstToken, bool limitWasReached, TimePoint now)
+{
+    if (firstToken > this->latencyTarget) {
+        if (now - this->lastDecrease < decreaseInterval)
+            return;
+        this->lastDecrease = now;
+        this->limit *= decreaseFactor;
+    } else if (limitWasReached) {
+        this->limit += 1.0 / std::max(this->limit, 1.0);
+    }
+    this->clamp();
+}
+
+std::size_t ConcurrencyLimit::value() const
+{
+    return static_cast<std::size_t>(std::max(this->limit, 1.0));
+}
+
+double ConcurrencyLimit::lowest() const
+{
+    // Each engine is to have at least one request in progress over all entry processes.
+    return std::max(1.0, static_cast<double>(this->upstreams) / static_cast<double>(this->entryProcesses));
+}
+
+double ConcurrencyLimit::highest() const
+{
+    return highestPerUpstream * static_cast<double>(this->upstreams);
+}
+
+void ConcurrencyLimit::clamp()
+{
+    this->limit = std::clamp(this->limit, this->lowest(), this->highest());
+}
+
+} // namespace hemlock
