Add placement and the plan for announced reclaims

Placement::plan turns demand, offers, refusals and VMs into start, warm, activate and stop orders with reasons and fencing numbers. It covers the loss of any one zone, keeps an on-demand share, bounds loads by the weight store's rate and holds back stops by a margin and a time. planReclaim orders streams and prefixes for export by saved tokens per byte within the notice.

--- /dev/null
+++ b/src/libhemlock/placement.cpp
@@ -0,0 +1,338 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+bool isSameKind(const VmOffer &a, const VmOffer &b)
+{
+    return a.zone.name == b.zone.name && a.vmClass == b.vmClass && a.reclaimable == b.reclaimable;
+}
+
+std::string percent(double part)
+{
+    return std::to_string(std::lround(part * 100.0)) + " %";
+}
+
+std::string describe(const VmOffer &offer)
+{
+    return (offer.reclaimable ? "reclaimable " : "on-demand ") + offer.vmClass + " in " + offer.zone.name;
+}
+
+/// Capacity by zone, and of VMs that cannot be reclaimed.
+struct Capacity
+{
+    std::map<std::string, double> byZone;
+    double total = 0.0;
+    double onDemand = 0.0;
+
+    void add(const VmOffer &offer, int sign = 1)
+    {
+        this->byZone[offer.zone.name] += sign * offer.capacity;
+        this->total += sign * offer.capacity;
+        if (!offer.reclaimable)
+            this->onDemand += sign * offer.capacity;
+    }
+
+    std::string largestZone() const
+    {
+        const auto largest = std::max_element(
+            this->byZone.begin(), this->byZone.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+        return largest == this->byZone.end() ? std::string() : largest->first;
+    }
+
+    double afterZoneLoss() const
+    {
+        const auto largest = this->byZone.find(this->largestZone());
+        return largest == this->byZone.end() ? 0.0 : this->total - largest->second;
+    }
+};
+
+} // namespace
+
+std::string_view orderKindName(OrderKind kind)
+{
+    switch (kind) {
+    case OrderKind::Start:
+        return "start";
+    case OrderKind::Warm:
+        return "warm";
+    case OrderKind::Activate:
+        return "activate";
+    case OrderKind::Stop:
+        return "stop";
+    }
+    return "stop";
+}
+
+/// Works out the orders of one call of plan.
+class Placement::Planner
+{
+public:
+    Planner(Placement &placement, const PlacementInput &input, TimePoint now)
+        : placement(placement)
+        , settings(placement.settings)
+        , input(input)
+        , now(now)
+    {
+        for (const VmOffer &offer : input.offers) {
+            if (!this->isPaused(offer))
+                this->offers.push_back(offer);
+            this->zones[offer.zone.name] = true;
+        }
+        for (const PlacedVm &vm : input.vms) {
+            const bool isSpare = vm.role == VmRole::Warm || (vm.role == VmRole::Starting && vm.isSpare);
+            if (vm.role == VmRole::Leaving)
+                continue;
+            if (vm.role == VmRole::Starting)
+                ++this->loading;
+            if (isSpare)
+                ++this->spares;
+            else
+                this->capacity.add(vm.offer);
+            if (vm.role == VmRole::Warm)
+                this->warm.push_back(&vm);
+        }
+        this->loadSlots = 1 << 20;
+        if (input.weightStoreBytesPerSecond > 0.0 && input.modelBytes > 0.0) {
+            const double loads = input.weightStoreBytesPerSecond * static_cast<double>(this->settings.loadTime.count())
+                / input.modelBytes;
+            this->loadSlots = std::max(1, static_cast<int>(loads));
+        }
+    }
+
+    std::vector<PlacementOrder> run()
+    {
+        this->cover();
+        const bool covered = this->shortage(this->capacity, 1.0).empty();
+        while (covered && this->spares < this->settings.warmSpares) {
+            const VmOffer *offer = this->cheapest(this->capacity.largestZone(), false);
+            if (offer == nullptr || this->loading >= this->loadSlots)
+                break;
+            this->start(OrderKind::Warm, *offer, "fewer than " + std::to_string(this->settings.warmSpares) + " spares");
+            ++this->spares;
+        }
+        if (this->orders.empty() && this->loading == 0)
+            this->replaceOrStop();
+        else
+            this->placement.surplusSince.reset();
+        return std::move(this->orders);
+    }
+
+private:
+    bool isPaused(const VmOffer &offer) const
+    {
+        return std::any_of(this->input.refusals.begin(), this->input.refusals.end(), [&](const RefusedStart &refusal) {
+            constexpr int mostDoublings = 10;
+            const auto pause =
+                std::min(this->settings.refusalPause * (1 << std::clamp(refusal.inSuccession - 1, 0, mostDoublings)),
+                         this->settings.longestRefusalPause);
+            return refusal.zone.name == offer.zone.name && refusal.vmClass == offer.vmClass
+                && refusal.reclaimable == offer.reclaimable && this->now < refusal.at + pause;
+        });
+    }
+
+    /// What a capacity lacks for the demand times a factor; empty when it lacks nothing.
+    std::string shortage(const Capacity &held, double factor) const
+    {
+        const double demand = this->input.demand * factor;
+        if (held.total < demand * this->settings.headroom)
+            return "capacity covers " + percent(held.total / demand) + " of the demand";
+        // With one zone for sale no plan survives its loss.
+        if (this->zones.size() > 1 && held.afterZoneLoss() < demand * this->settings.zoneLossCover)
+            return "the loss of zone " + held.largestZone() + " leaves " + percent(held.afterZoneLoss() / demand)
+                + " of the demand";
+        if (held.onDemand < demand * this->settings.onDemandShare)
+            return percent(held.onDemand / demand) + " of the demand is on VMs that cannot be reclaimed";
+        return {};
+    }
+
+    const VmOffer *cheapest(const std::string &withoutZone, bool onDemandOnly) const
+    {
+        const VmOffer *best = nullptr;
+        double bestPrice = 0.0;
+        for (const VmOffer &offer : this->offers) {
+            if (offer.zone.name == withoutZone || (onDemandOnly && offer.reclaimable) || offer.capacity <= 0.0)
+                continue;
+            // Between equal prices the smaller zone wins, so that the spread stays even.
+            const auto held = this->capacity.byZone.find(offer.zone.name);
+            const double part = held == this->capacity.byZone.end() ? 0.0 : held->second / (1.0 + this->capacity.total);
+            const double price = this->placement.effectivePrice(offer) * (1.0 + 0.2 * part);
+            if (best == nullptr || price < bestPrice) {
+                best = &offer;
+                bestPrice = price;
+            }
+        }
+        return best;
+    }
+
+    void cover()
+    {
+        for (std::string lack = this->shortage(this->capacity, 1.0); !lack.empty();
+             lack = this->shortage(this->capacity, 1.0)) {
+            const bool lacksTotal = this->capacity.total < this->input.demand * this->settings.headroom;
+            const bool lacksSpread = this->zones.size() > 1
+                && this->capacity.afterZoneLoss() < this->input.demand * this->settings.zoneLossCover;
+            // First, so that these VMs count towards the total and the spread.
+            const bool lacksOnDemand = this->capacity.onDemand < this->input.demand * this->settings.onDemandShare;
+            const std::string avoided = lacksSpread ? this->capacity.largestZone() : std::string();
+            if ((lacksTotal || lacksSpread) && this->activate(lacksTotal ? std::string() : avoided, lack))
+                continue;
+            const VmOffer *offer = this->cheapest(avoided, lacksOnDemand);
+            if (offer == nullptr && lacksOnDemand && (lacksTotal || lacksSpread))
+                offer = this->cheapest(avoided, false);
+            if (offer == nullptr && lacksTotal)
+                offer = this->cheapest({}, false);
+            if (offer == nullptr || this->loading >= this->loadSlots)
+                return;
+            this->start(OrderKind::Start, *offer, lack);
+            this->capacity.add(*offer);
+        }
+    }
+
+    bool activate(const std::string &avoidedZone, const std::string &reason)
+    {
+        const auto found = std::find_if(this->warm.begin(), this->warm.end(), [&](const PlacedVm *vm) {
+            return vm->offer.zone.name != avoidedZone;
+        });
+        if (found == this->warm.end())
+            return false;
+        PlacementOrder order;
+        order.kind = OrderKind::Activate;
+        order.vm = (*found)->id;
+        order.reason = reason + "; a spare is warm in " + (*found)->offer.zone.name;
+        this->capacity.add((*found)->offer);
+        this->warm.erase(found);
+        --this->spares;
+        this->issue(std::move(order));
+        return true;
+    }
+
+    void start(OrderKind kind, const VmOffer &offer, const std::string &lack)
+    {
+        PlacementOrder order;
+        order.kind = kind;
+        order.offer = offer;
+        order.reason = lack + "; cheapest is " + describe(offer);
+        ++this->loading;
+        this->issue(std::move(order));
+    }
+
+    void replaceOrStop()
+    {
+        const PlacedVm *surplus = this->dearestSurplus();
+        if (surplus != nullptr) {
+            if (!this->placement.surplusSince)
+                this->placement.surplusSince = this->now;
+            if (this->now - *this->placement.surplusSince < this->settings.surplusTime)
+                return;
+            PlacementOrder order;
+            order.kind = OrderKind::Stop;
+            order.vm = surplus->id;
+            order.reason = "the rest covers the demand and the loss of a zone; dearest is " + describe(surplus->offer);
+            this->issue(std::move(order));
+            return;
+        }
+        this->placement.surplusSince.reset();
+        this->replace();
+    }
+
+    const PlacedVm *dearestSurplus() const
+    {
+        const PlacedVm *dearest = nullptr;
+        for (const PlacedVm &vm : this->input.vms) {
+            if (vm.role == VmRole::Warm && this->spares > this->settings.warmSpares)
+                return &vm;
+            if (vm.role != VmRole::Serving)
+                continue;
+            Capacity rest = this->capacity;
+            rest.add(vm.offer, -1);
+            // The margin holds back stops after a small dip, but not that of a VM whose cheaper replacement serves.
+            const double margin = this->isReplaced(vm) ? 0.0 : this->settings.stopMargin;
+            if (this->shortage(rest, 1.0 + margin).empty()
+                && (dearest == nullptr || this->price(*dearest) < this->price(vm)))
+                dearest = &vm;
+        }
+        return dearest;
+    }
+
+    /// Whether a VM that serves is so much cheaper that it would have been started as a replacement.
+    bool isReplaced(const PlacedVm &vm) const
+    {
+        return std::any_of(this->input.vms.begin(), this->input.vms.end(), [&](const PlacedVm &other) {
+            return other.role == VmRole::Serving
+                && this->price(other) < this->price(vm) * (1.0 - this->settings.savingForReplacement);
+        });
+    }
+
+    /// Starts a cheaper VM beside a dear one; the dear one is stopped as surplus later.
+    void replace()
+    {
+        for (const PlacedVm &vm : this->input.vms) {
+            if (vm.role != VmRole::Serving)
+                continue;
+            Capacity rest = this->capacity;
+            rest.add(vm.offer, -1);
+            for (const VmOffer &offer : this->offers) {
+                const double saving = 1.0 - this->placement.effectivePrice(offer) / this->price(vm);
+                if (saving < this->settings.savingForReplacement || isSameKind(offer, vm.offer))
+                    continue;
+                Capacity replaced = rest;
+                replaced.add(offer);
+                if (!this->shortage(replaced, 1.0).empty())
+                    continue;
+                this->start(OrderKind::Start, offer, "saves " + percent(saving) + " against " + describe(vm.offer));
+                return;
+            }
+        }
+    }
+
+    double price(const PlacedVm &vm) const
+    {
+        return this->placement.effectivePrice(vm.offer);
+    }
+
+    void issue(PlacementOrder order)
+    {
+        order.service = this->input.service;
+        order.fencingToken = this->placement.fencingToken;
+        order.sequence = ++this->placement.sequence;
+        this->orders.push_back(std::move(order));
+    }
+
+    Placement &placement;
+    const PlacementSettings &settings;
+    const PlacementInput &input;
+    TimePoint now;
+    std::vector<VmOffer> offers; ///< Those that are not paused after a refusal.
+    std::map<std::string, bool> zones;
+    Capacity capacity;
+    std::vector<const PlacedVm *> warm;
+    int spares = 0;
+    int loading = 0;
+    int loadSlots = 0;
+    std::vector<PlacementOrder> orders;
+};
+
+Placement::Placement(std::int64_t fencingToken, PlacementSettings settings)
+    : fencingToken(fencingToken)
+    , settings(settings)
+{
+}
+
+std::vector<PlacementOrder> Placement::plan(const PlacementInput &input, TimePoint now)
+{
+    return Planner(*this, input, now).run();
+}
+
+double Placement::effectivePrice(const VmOffer &offer) const
+{
+    const double reclaims = offer.reclaimable ? offer.reclaimsPerHour : 0.0;
+    return offer.pricePerHour * (1.0 + reclaims * this->settings.reclaimHours) / std::max(offer.capacity, 1e-9);
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/reclaimplan.cpp
@@ -0,0 +1,148 @@
+#include "reclaimplan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+// A part of the notice is left for what comes late: deliveries, retries, the process's own end.
+constexpr double usedNotice = 0.9;
+
+double seconds(std::chrono::milliseconds time)
+{
+    return static_cast<double>(time.count()) / 1000.0;
+}
+
+class ReclaimPlanner
+{
+public:
+    explicit ReclaimPlanner(const ReclaimInput &input)
+        : input(input)
+        , targets(input.targets)
+        , secondsLeft(usedNotice * seconds(input.timeLeft))
+    {
+        for (const CacheItem &item : input.items)
+            this->itemById[item.id] = &item;
+    }
+
+    std::vector<ReclaimStep> run()
+    {
+        std::vector<const CacheItem *> waiting;
+        for (const CacheItem &item : this->input.items) {
+            if (item.isStream && seconds(item.timeToFinish) < usedNotice * seconds(input.timeLeft))
+                this->steps.push_back({item.id, ReclaimAction::Finish, {}, "ends before the deadline"});
+            else
+                waiting.push_back(&item);
+        }
+        // An export of a prefix makes the streams that continue it cheaper, so the order is worked out again each time.
+        while (!waiting.empty()) {
+            const auto best = std::max_element(waiting.begin(), waiting.end(), [this](const auto *a, const auto *b) {
+                return this->density(*a) < this->density(*b);
+            });
+            const CacheItem &item = **best;
+            waiting.erase(best);
+            this->place(item);
+        }
+        return std::move(this->steps);
+    }
+
+private:
+    double bytes(const CacheItem &item) const
+    {
+        const auto prefix = this->itemById.find(item.prefix);
+        const bool isCarried = prefix != this->itemById.end() && this->targetOf.count(item.prefix) == 0;
+        return item.bytes + (isCarried ? prefix->second->bytes : 0.0);
+    }
+
+    /// Saved tokens per byte; an interrupted stream delays a caller who waits, so urgent streams weigh more.
+    double density(const CacheItem &item) const
+    {
+        constexpr double urgency = 1.1;
+        const double weight = item.isStream ? 2.0 * std::pow(urgency, 5 - item.priority) : 1.0;
+        const auto prefix = this->itemById.find(item.prefix);
+        const bool isCarried = prefix != this->itemById.end() && this->targetOf.count(item.prefix) == 0;
+        const double tokens = item.savedTokens + (isCarried ? prefix->second->savedTokens : 0.0);
+        return weight * tokens / std::max(this->bytes(item), 1.0);
+    }
+
+    void place(const CacheItem &item)
+    {
+        const auto carried = this->targetOf.find(item.id);
+        if (carried != this->targetOf.end()) {
+            this->steps.push_back({item.id, ReclaimAction::Export, carried->second, "exported with a stream"});
+            return;
+        }
+        double bytes = this->bytes(item);
+        ExportTarget *target = this->targetOfPrefix(item, bytes);
+        if (target == nullptr) {
+            // Away from its prefix a stream takes a copy of it along.
+            const auto prefix = this->itemById.find(item.prefix);
+            bytes = item.bytes + (prefix != this->itemById.end() ? prefix->second->bytes : 0.0);
+            target = this->bestTarget(bytes);
+        }
+        if (target == nullptr) {
+            this->steps.push_back({item.id, ReclaimAction::Replay, {}, "no upstream has room"});
+            return;
+        }
+        const double duration = bytes / std::max(this->input.bytesPerSecond, 1.0) + seconds(this->input.timePerExport);
+        if (duration > this->secondsLeft) {
+            this->steps.push_back({item.id, ReclaimAction::Replay, {}, "does not fit into the time left"});
+            return;
+        }
+        this->secondsLeft -= duration;
+        target->freeBytes -= bytes;
+        target->load += item.isStream ? 1.0 : 0.0;
+        if (this->itemById.count(item.prefix) > 0)
+            this->targetOf.emplace(item.prefix, target->id);
+        this->targetOf.emplace(item.id, target->id);
+        this->steps.push_back({item.id,
+                               ReclaimAction::Export,
+                               target->id,
+                               std::to_string(std::lround(item.savedTokens)) + " tokens for "
+                                   + std::to_string(std::lround(bytes)) + " bytes"});
+    }
+
+    ExportTarget *targetOfPrefix(const CacheItem &item, double bytes)
+    {
+        const auto known = this->targetOf.find(item.prefix);
+        if (known == this->targetOf.end())
+            return nullptr;
+        const auto found = std::find_if(this->targets.begin(), this->targets.end(), [&](const ExportTarget &target) {
+            return target.id == known->second && target.freeBytes >= bytes;
+        });
+        return found == this->targets.end() ? nullptr : &*found;
+    }
+
+    ExportTarget *bestTarget(double bytes)
+    {
+        ExportTarget *best = nullptr;
+        const auto rank = [this](const ExportTarget &target) {
+            return std::pair(target.zone.name == this->input.zone.name, target.load);
+        };
+        for (ExportTarget &target : this->targets) {
+            if (target.freeBytes >= bytes && (best == nullptr || rank(target) < rank(*best)))
+                best = &target;
+        }
+        return best;
+    }
+
+    const ReclaimInput &input;
+    std::vector<ExportTarget> targets;
+    double secondsLeft;
+    std::map<std::string, const CacheItem *> itemById;
+    std::map<std::string, std::string> targetOf; ///< By exported item.
+    std::vector<ReclaimStep> steps;
+};
+
+} // namespace
+
+std::vector<ReclaimStep> planReclaim(const ReclaimInput &input)
+{
+    return ReclaimPlanner(input).run();
+}
+
+} // namespace hemlock
