Dispatch attempts within quarantine and retry budgets; resume and hand over streams

Cause: a failed attempt was retried without bounds, a crashing request would have taken down one upstream after another, and a stream could not move to another entry VM. Change: Dispatcher chooses each attempt's upstream within quarantine and retry budgets; a broken connection is examined by a probe, and an engine that still lives resumes the stream; callers resume by engine, by a peer's handed stream or by regeneration; draining processes hand open streams to peers; slow callers are cut; silent engines are given up; cancels reach the engine.

--- /dev/null
+++ b/src/entry/callinfo.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "service.h"
+
+#include <chrono>
+#include <string>
+
+namespace hemlock {
+
+/// What is known of a caller's request once it is admitted.
+struct CallInfo
+{
+    std::string requestId;
+    std::string clientAccount;
+    Service service;
+    int priority = 5;
+    std::chrono::steady_clock::time_point received;
+    std::chrono::steady_clock::time_point deadline;
+};
+
+} // namespace hemlock
--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -2,16 +2,17 @@
 
 #include "activesnapshot.h"
 #include "calltable.h"
-#include "decisionlog.h"
+#include "dispatcher.h"
 #include "entrysettings.h"
 #include "httpclient.h"
 #include "idempotency.h"
-#include "router.h"
-#include "upstreampool.h"
 
 #include <asio.hpp>
 
 #include <functional>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace hemlock {
 
@@ -19,6 +20,12 @@
 using ForwardCall =
     std::function<void(const std::string &ownerAddress, const HttpRequest &request, const HttpResponderPtr &responder)>;
 
+/// Tokens of a stream that a draining peer handed over; nothing when no peer knows the stream.
+using HandedTokens = std::optional<std::vector<std::string>>;
+
+/// Asks the peers that a draining entry process would have chosen; answers once.
+using FindHandedStream = std::function<void(const StreamPosition &stream, std::function<void(const HandedTokens &)>)>;
+
 /// What all calls of an entry process share.
 struct EntryContext
 {
@@ -26,8 +33,7 @@
         : loop(loop)
         , settings(settings)
         , http(loop)
-        , router(settings.policy)
-        , random(std::random_device()())
+        , dispatcher(loop, this->http, settings)
     {
     }
 
@@ -35,25 +41,13 @@
     EntrySettings settings;
     HttpClient http;
     ActiveSnapshot configuration;
-    UpstreamPool upstreams;
-    Router router;
-    RandomEngine random;
-    DecisionLog decisions;
+    Dispatcher dispatcher;
     CallTable calls;
     SubmitIntent submitIntent;
     CompleteIntent completeIntent;
     ForwardCall forwardCall;
-};
-
-/// What is known of a caller's request once it is admitted.
-struct CallInfo
-{
-    std::string requestId;
-    std::string clientAccount;
-    Service service;
-    int priority = 5;
-    std::chrono::steady_clock::time_point received;
-    std::chrono::steady_clock::time_point deadline;
+    FindHandedStream findHandedStream;
+    bool isDraining = false;
 };
 
 } // namespace hemlock
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -12,6 +12,11 @@
 // The last answers are still on their way to the sockets when the last call has ended.
 constexpr std::chrono::milliseconds flushTime{200};
 
+// A VM that is reclaimed before its streams end loses at most the tokens of this time, which are generated again.
+constexpr std::chrono::milliseconds handoverInterval{500};
+
+constexpr std::chrono::seconds progressInterval{1};
+
 HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t maxBodyBytes)
 {
     HttpServerSettings settings;
@@ -31,6 +36,8 @@
     , context(loop, settings)
     , gateway(this->context)
     , rpc(ControlAuth(settings.controlKey))
+    , peers(this->context.http, ControlAuth(settings.controlKey))
+    , handover(this->context, this->peers)
     , callers(loop,
               serverSettings(settings.listen, settings.maxBodyBytes),
               [this](const HttpRequest &request, const HttpResponderPtr &responder) {
@@ -43,6 +50,8 @@
               })
     , signals(loop, SIGTERM, SIGINT)
     , drainTimer(loop)
+    , handoverTimer(loop)
+    , progressTimer(loop)
 {
     this->addMethods();
     this->useDefaultIntents();
@@ -52,6 +61,7 @@
 void EntryProcess::start()
 {
     this->awaitSignal();
+    this->checkProgress();
     announceAddress("listen", this->callers.start());
     announceAddress("control", this->control.start());
 }
@@ -70,6 +80,12 @@
 void EntryProcess::addMethods()
 {
     this->rpc.addMethod("applySnapshot", [this](const nlohmann::json &params) { return this->applySnapshot(params); });
+    this->rpc.addMethod("holdStreams", [this](const nlohmann::json &params) { return this->handover.hold(params); });
+    this->rpc.addMethod("findStream", [this](const nlohmann::json &params) { return this->handover.find(params); });
+    this->rpc.addMethod("quarantineDelta",
+                        [this](const nlohmann::json &params) { return this->quarantineDelta(params); });
+    this->rpc.addMethod("applyQuarantine",
+                        [this](const nlohmann::json &params) { return this->applyQuarantine(params); });
     this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
     this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
 }
@@ -78,7 +94,7 @@
 {
     this->context.configuration.apply(params.get<Snapshot>());
     const Snapshot &snapshot = this->context.configuration.snapshot();
-    this->context.upstreams.apply(snapshot.upstreams);
+    this->context.dispatcher.applyUpstreams(snapshot.upstreams);
     logEvent(LogLevel::Info,
              "snapshot-applied",
              {{"manifestVersion", snapshot.manifestVersion},
@@ -91,15 +107,27 @@
 
 nlohmann::json EntryProcess::report()
 {
-    return {{"inFlight", this->context.upstreams.inFlight()},
-            {"failures", this->context.upstreams.takeFailures()},
+    return {{"inFlight", this->context.dispatcher.upstreams().inFlight()},
+            {"failures", this->context.dispatcher.upstreams().takeFailures()},
             {"openCalls", this->context.calls.size()},
-            {"draining", this->isDraining}};
+            {"draining", this->context.isDraining}};
 }
 
 nlohmann::json EntryProcess::explain(const nlohmann::json &params) const
 {
-    return {{"decisions", this->context.decisions.find(params.at("request").get<std::string>())}};
+    return {{"decisions", this->context.dispatcher.decisions().find(params.at("request").get<std::string>())}};
+}
+
+nlohmann::json EntryProcess::quarantineDelta(const nlohmann::json &params)
+{
+    return this->context.dispatcher.quarantine().delta(params.value("after", std::uint64_t{0}),
+                                                       std::chrono::steady_clock::now());
+}
+
+nlohmann::json EntryProcess::applyQuarantine(const nlohmann::json &params)
+{
+    this->context.dispatcher.quarantine().applyDelta(params, std::chrono::steady_clock::now());
+    return nlohmann::json::object();
 }
 
 void EntryProcess::useDefaultIntents()
@@ -116,6 +144,10 @@
                             std::chrono::seconds(1)};
         decided(decision);
     };
+    this->context.findHandedStream = [this](const StreamPosition &stream,
+                                            const std::function<void(const HandedTokens &)> &done) {
+        this->handover.askPeers(stream, done);
+    };
     this->context.completeIntent = [](const IntentRequest &, Verdict, const StoredAnswer &) {};
     this->context.forwardCall = [](const std::string &, const HttpRequest &request, const HttpResponderPtr &responder) {
         replyRefusal(*responder,
@@ -136,11 +168,11 @@
 
 void EntryProcess::drain()
 {
-    if (std::exchange(this->isDraining, true))
+    if (std::exchange(this->context.isDraining, true))
         return;
     logEvent(LogLevel::Info, "draining", {{"openCalls", this->context.calls.size()}});
-    this->gateway.setDraining(true);
     this->callers.setDraining(true);
+    this->handOverStreams();
     this->drainTimer.expires_after(this->context.settings.drainNotice);
     this->drainTimer.async_wait([this](const asio::error_code &error) {
         if (error)
@@ -151,6 +183,27 @@
     });
 }
 
+void EntryProcess::handOverStreams()
+{
+    this->handover.send();
+    this->handoverTimer.expires_after(handoverInterval);
+    this->handoverTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->handOverStreams();
+    });
+}
+
+void EntryProcess::checkProgress()
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->context.calls.forEach([now](OpenCall &call) { call.checkProgress(now); });
+    this->progressTimer.expires_after(progressInterval);
+    this->progressTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->checkProgress();
+    });
+}
+
 void EntryProcess::stopWhenIdle()
 {
     if (!this->hasNoticePassed || this->context.calls.size() > 0)
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -4,6 +4,7 @@
 #include "gateway.h"
 #include "httpserver.h"
 #include "rpc.h"
+#include "streamhandover.h"
 
 #include <asio.hpp>
 
@@ -26,20 +27,27 @@
     void addMethods();
     nlohmann::json applySnapshot(const nlohmann::json &params);
     nlohmann::json report();
+    nlohmann::json quarantineDelta(const nlohmann::json &params);
+    nlohmann::json applyQuarantine(const nlohmann::json &params);
     nlohmann::json explain(const nlohmann::json &params) const;
     void useDefaultIntents();
     void awaitSignal();
+    void handOverStreams();
+    void checkProgress();
     void stopWhenIdle();
 
     asio::io_context &loop;
     EntryContext context;
     Gateway gateway;
     RpcServer rpc;
+    RpcClient peers;
+    StreamHandover handover;
     HttpServer callers;
     HttpServer control;
     asio::signal_set signals;
     asio::steady_timer drainTimer;
-    bool isDraining = false;
+    asio::steady_timer handoverTimer;
+    asio::steady_timer progressTimer;
     bool hasNoticePassed = false; ///< The balancer had the time to see that this process drains.
 };
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -27,7 +27,7 @@
     Endpoint control; ///< Serves the system's own processes.
     std::string controlKey;
     std::string store; ///< "IP:PORT" of the key-value store; empty when there is none.
-    std::string policy = "least-in-flight"; ///< Name of the routing policy.
+    std::string policy = "prefix-affinity"; ///< Name of the routing policy.
     int slots = 8; ///< Number of slots that idempotency keys hash to; the same in all entry processes.
     bool unsafeIntents = false; ///< For trials: dispatch calls that may not repeat without a durable intent.
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -25,11 +25,6 @@
 {
 }
 
-void Gateway::setDraining(bool draining)
-{
-    this->draining = draining;
-}
-
 void Gateway::handle(const HttpRequest &request, const HttpResponderPtr &responder)
 {
     if (request.path == "/healthz") {
@@ -108,6 +103,9 @@
         return refuse(405, "method-not-allowed", "POST is expected at this path");
     BOOST_LEAF_AUTO(completion, parseCompletion(request.body, this->context.settings.limits));
     BOOST_LEAF_AUTO(call, this->admit(fields, account, completion.service, ServiceKind::Model, fields.requestId));
+    if (fields.resume && !completion.stream)
+        return refuse(400, "invalid-last-event-id", "Last-Event-ID: only a streamed answer can be resumed");
+    completion.resume = fields.resume;
     std::make_shared<ModelCall>(this->context, std::move(call), std::move(completion), responder)->start();
     return {};
 }
@@ -130,8 +128,11 @@
 
 void Gateway::replyHealth(HttpResponder &responder) const
 {
-    const bool ready = !this->draining && this->context.configuration.isLoaded();
-    const nlohmann::json body = {{"status", this->draining ? "draining" : ready ? "ready" : "not-configured"}};
+    const bool ready = !this->context.isDraining && this->context.configuration.isLoaded();
+    const nlohmann::json body = {{"status",
+                                  this->context.isDraining ? "draining"
+                                      : ready              ? "ready"
+                                                           : "not-configured"}};
     responder.reply(ready ? 200 : 503, {{"Content-Type", "application/json"}}, body.dump());
 }
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -6,7 +6,8 @@
 
 namespace hemlock {
 
-/// Serves callers: identifies the client account, checks the request and starts the call.
+/// Serves callers: identifies the client account, checks the request and starts the call. While the process drains,
+/// /healthz answers 503 so that the balancer leaves it out.
 class Gateway
 {
 public:
@@ -14,9 +15,6 @@
 
     void handle(const HttpRequest &request, const HttpResponderPtr &responder);
 
-    /// While draining, /healthz answers 503 so that the balancer leaves this process out.
-    void setDraining(bool draining);
-
 private:
     Result<void> route(const HttpRequest &request, const HttpResponderPtr &responder);
     Result<void> startCompletion(const HttpRequest &request,
@@ -35,7 +33,6 @@
     void replyHealth(HttpResponder &responder) const;
 
     EntryContext &context;
-    bool draining = false;
 };
 
 } // namespace hemlock
--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -10,10 +10,17 @@
 
 namespace {
 
-constexpr int maxAttempts = 8;
-constexpr std::chrono::seconds retryLater{1};
 constexpr std::size_t attemptIdLength = 32;
 constexpr std::string_view completionPath = "/v1/completions";
+constexpr std::string_view attemptsPath = "/v1/attempts/";
+
+// Far beyond the latency targets: an engine that is silent for so long is cut off rather than busy.
+constexpr std::chrono::seconds firstTokenLimit{30};
+constexpr std::chrono::seconds nextTokenLimit{10};
+
+constexpr std::chrono::milliseconds suspectWait{100};
+constexpr std::chrono::milliseconds upstreamWait{250};
+constexpr std::chrono::seconds cancelTimeout{5};
 
 } // namespace
 
@@ -21,89 +28,166 @@
     : context(context)
     , call(std::move(call))
     , request(std::move(request))
+    , digest(sha256Hex(std::to_string(this->request.maxTokens) + ":" + this->request.prompt))
+    , fingerprint(requestFingerprint(this->call.clientAccount, this->call.service.id, this->digest))
     , writer(responder, this->call.requestId, this->request.stream, context.settings.maxPendingBytes)
     , responder(std::move(responder))
+    , timer(context.loop)
 {
 }
 
 void ModelCall::start()
 {
-    this->context.calls.add(this->shared_from_this());
+    const auto &resume = this->request.resume;
+    const auto previous = this->context.calls.find(this->call.clientAccount, this->call.requestId);
+    if (resume && previous)
+        previous->supersede();
+    this->context.calls.add(this->call.clientAccount, this->call.requestId, this->shared_from_this());
     this->responder->setDisconnected([weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
             self->disconnected();
     });
+    if (!resume) {
+        this->nextAttempt();
+        return;
+    }
+    this->skippedTokens = resume->tokens;
+    const auto engine = this->context.dispatcher.upstreams().find(resume->upstream);
+    if (engine && engine->service == this->call.service.id && engine->state != UpstreamState::Gone)
+        this->resumeAtEngine(*engine, "the caller resumes the stream of this engine");
+    else
+        this->resumeElsewhere();
+}
+
+void ModelCall::resumeAtEngine(const Upstream &upstream, const std::string &reason)
+{
+    ++this->attempts;
+    this->startAttempt(this->context.dispatcher.resume(this->wish(), upstream, reason), true);
+}
+
+void ModelCall::resumeElsewhere()
+{
+    this->hasAskedPeers = true;
+    const StreamPosition position{this->call.clientAccount, this->call.requestId, this->digest, nullptr};
+    this->context.findHandedStream(position, [weak = this->weak_from_this()](const HandedTokens &handed) {
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
+            self->takeHandedTokens(handed);
+    });
+}
+
+void ModelCall::takeHandedTokens(const HandedTokens &handed)
+{
+    const bool isDeterministic = this->call.service.deterministic;
+    if (handed && (isDeterministic || handed->size() >= this->skippedTokens)) {
+        this->tokens = *handed;
+        for (std::size_t number = this->skippedTokens + 1; number <= this->tokens.size(); ++number)
+            this->emitToken(number, this->request.resume->upstream);
+    } else if (!isDeterministic) {
+        this->refuse({Verdict::Ran,
+                      410,
+                      "stream-not-resumable",
+                      "no engine or entry process holds the stream, and the service is not deterministic",
+                      {}});
+        return;
+    }
     this->nextAttempt();
 }
 
 void ModelCall::nextAttempt()
 {
-    const auto now = std::chrono::steady_clock::now();
-    if (now >= this->call.deadline) {
+    if (this->hasEnded)
+        return;
+    if (this->tokens.size() >= static_cast<std::size_t>(this->request.maxTokens)) {
+        this->complete();
+        return;
+    }
+    if (std::chrono::steady_clock::now() >= this->call.deadline) {
         this->refuse({Verdict::NotRun, 504, "deadline-exceeded", "the deadline passed before the answer's end", {}});
         return;
     }
-    RouteQuery query;
-    query.requestId = this->call.requestId;
-    query.service = this->call.service.id;
-    query.prompt = this->request.prompt;
-    query.zone = this->context.settings.zone;
-    query.priority = this->call.priority;
-    const auto candidates = this->context.upstreams.candidates(query.service, this->failedUpstreams, now);
-    RouteDecision decision = this->context.router.choose(query, candidates, this->context.random);
-    const auto upstream = this->context.upstreams.find(decision.upstream);
-    if (upstream && this->attempts < maxAttempts)
-        this->startAttempt(*upstream);
-    this->context.decisions.add({this->call.requestId,
-                                 this->call.clientAccount,
-                                 this->call.service.id,
-                                 this->attempt ? this->attempt->id() : std::string(),
-                                 ++this->attempts,
-                                 std::move(decision)});
-    if (!this->attempt)
-        this->refuse({Verdict::NotRun, 503, "no-upstream", "no upstream takes the request", retryLater});
-}
-
-void ModelCall::startAttempt(const Upstream &upstream)
-{
-    this->attempt = std::make_shared<Attempt>(
-        this->context.loop, this->context.http, this->context.upstreams, upstream, this->attemptId(upstream.id));
+    ++this->attempts;
+    AttemptGrant grant = this->context.dispatcher.next(this->wish());
+    if (grant.mustWait) {
+        this->waitAndRetry(suspectWait);
+    } else if (grant.attempt) {
+        this->startAttempt(std::move(grant.attempt), false);
+    } else if (!this->tokens.empty() && grant.refusal->code == "no-upstream") {
+        // An answer that has begun waits for replacements; upstreams that failed it may be back by then.
+        this->failedUpstreams.clear();
+        this->waitAndRetry(upstreamWait);
+    } else {
+        this->refuse(*grant.refusal);
+    }
+}
+
+void ModelCall::waitAndRetry(std::chrono::milliseconds time)
+{
+    this->timer.expires_after(time);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (self && !error)
+            self->nextAttempt();
+    });
+}
+
+AttemptWish ModelCall::wish() const
+{
+    return {.call = this->call,
+            .prompt = this->request.prompt,
+            .fingerprint = this->fingerprint,
+            .excluded = this->failedUpstreams,
+            .number = this->attempts,
+            .mustGoOn = !this->tokens.empty() || this->wasReclaimed,
+            .makeId = [this](const std::string &upstream) { return this->attemptId(upstream); }};
+}
+
+std::string ModelCall::attemptId(const std::string &upstream) const
+{
+    // Derived rather than random, so that any entry VM can ask the engine for the stream that a caller resumes.
+    std::string text;
+    for (const std::string &part : {this->call.clientAccount, this->call.requestId, upstream, this->digest})
+        text += std::to_string(part.size()) + ":" + part;
+    return sha256Hex(text).substr(0, attemptIdLength);
+}
+
+void ModelCall::startAttempt(std::shared_ptr<Attempt> attempt, bool resumesStream)
+{
+    this->attempt = std::move(attempt);
+    this->resumesStream = resumesStream;
+    this->lastProgress = std::chrono::steady_clock::now();
     this->parser =
         std::make_unique<EventStreamParser>([this](const ServerSentEvent &event) { this->eventReceived(event); });
     AttemptHooks hooks;
     hooks.data = [weak = this->weak_from_this()](std::string_view bytes) {
         const auto self = weak.lock();
-        if (self && self->attempt && !self->parser->append(bytes))
+        if (!self || !self->attempt)
+            return;
+        self->lastProgress = std::chrono::steady_clock::now();
+        if (!self->parser->append(bytes) && self->attempt)
             self->attempt->reject("the engine sent an overlong line");
     };
     hooks.done = [weak = this->weak_from_this()](const HttpOutcome &outcome) {
-        if (const auto self = weak.lock())
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
             self->attemptDone(outcome);
     };
-    this->attempt->start(this->makeCall(this->attempt->id()), std::string(completionPath), std::move(hooks));
-}
-
-std::string ModelCall::attemptId(const std::string &upstream) const
-{
-    // Derived rather than random, so that any entry VM can ask the engine for the stream that a caller resumes.
-    std::string text;
-    for (const std::string &part : {this->call.clientAccount,
-                                    this->call.requestId,
-                                    upstream,
-                                    this->request.prompt,
-                                    std::to_string(this->request.maxTokens)})
-        text += std::to_string(part.size()) + ":" + part;
-    return sha256Hex(text).substr(0, attemptIdLength);
+    this->attempt->start(
+        this->makeCall(this->attempt->id(), resumesStream), std::string(completionPath), std::move(hooks));
 }
 
-HttpCall ModelCall::makeCall(const std::string &attempt) const
+HttpCall ModelCall::makeCall(const std::string &attempt, bool resumesStream) const
 {
     nlohmann::json body = this->request.body;
     body["max_tokens"] = this->request.maxTokens;
     body["stream"] = true;
     body["priority"] = this->call.priority;
     body["attempt"] = attempt;
-    body["resume_tokens"] = this->tokens;
+    // A stream is taken up from its start when its text is not known here, since a later replay needs the whole text.
+    if (resumesStream)
+        body["resume_from"] = this->tokens.size();
+    else
+        body["resume_tokens"] = this->tokens;
     HttpCall call;
     call.method = "POST";
     call.body = dumpJson(body);
@@ -118,10 +202,6 @@
 {
     if (!this->attempt || this->attempt->isRejected() || this->isGenerated)
         return;
-    if (event.data == "[DONE]") {
-        this->isGenerated = true;
-        return;
-    }
     const auto json = nlohmann::json::parse(event.data, nullptr, false);
     try {
         if (!json.is_object())
@@ -156,44 +236,130 @@
         return;
     }
     this->tokens.push_back(text);
-    if (this->tokens.size() > this->skippedTokens)
-        this->writer.writeToken(this->tokens.size(), this->attempt->upstream().id, text);
+    this->emitToken(number, this->attempt->upstream().id);
+    if (!this->writer.isTooSlow())
+        return;
+    // The engine keeps the stream, so that the caller can come back for the rest.
+    this->attempt.reset();
+    this->refuse({Verdict::Ran, 503, "caller-too-slow", "the answer was not read in time; resume the stream", {}});
+}
+
+void ModelCall::emitToken(std::size_t number, const std::string &upstream)
+{
+    if (number > this->skippedTokens)
+        this->writer.writeToken(number, upstream, this->tokens[number - 1]);
 }
 
 void ModelCall::attemptDone(const HttpOutcome &outcome)
 {
-    const std::string upstream = this->attempt->upstream().id;
-    this->attempt.reset();
+    const auto ended = std::exchange(this->attempt, nullptr);
+    const Upstream &upstream = ended->upstream();
     if (this->isGenerated) {
         this->complete();
         return;
     }
     this->worstVerdict = std::max(this->worstVerdict, outcome.verdict);
+    this->wasReclaimed = this->context.dispatcher.upstreams().isLeaving(upstream.id);
     logEvent(LogLevel::Warning,
              "attempt-failed",
              {{"request", this->call.requestId},
-              {"upstream", upstream},
+              {"attempt", ended->id()},
+              {"upstream", upstream.id},
               {"verdict", verdictName(outcome.verdict)},
               {"status", outcome.status},
               {"error", outcome.error},
               {"tokens", this->tokens.size()}});
+    if (std::chrono::steady_clock::now() >= this->call.deadline) {
+        this->cancelAtEngine(*ended);
+        this->nextAttempt();
+        return;
+    }
+    if (this->resumesStream && outcome.status == 404) {
+        // The engine does not hold the stream any more.
+        if (this->tokens.empty() && !this->hasAskedPeers)
+            this->resumeElsewhere();
+        else
+            this->nextAttempt();
+        return;
+    }
     if (outcome.isComplete() && outcome.status >= 400 && outcome.status < 500) {
         this->refuse({Verdict::Ran, outcome.status, "upstream-refused", outcome.body, {}});
         return;
     }
-    this->failedUpstreams.insert(upstream);
-    this->nextAttempt();
+    if (outcome.verdict == Verdict::MayHaveRun && !ended->isRejected()) {
+        this->context.dispatcher.examine(
+            this->fingerprint, upstream, [weak = this->weak_from_this(), upstream](bool hasDied) {
+                const auto self = weak.lock();
+                if (self && !self->hasEnded)
+                    self->connectionBroke(upstream, hasDied);
+            });
+        return;
+    }
+    this->failedUpstreams.insert(upstream.id);
+    if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
+        this->resumeElsewhere();
+    else
+        this->nextAttempt();
+}
+
+void ModelCall::connectionBroke(const Upstream &upstream, bool hasDied)
+{
+    // The engine is there and keeps the stream, which saves computing it again; but only once, as the link may be bad.
+    if (!hasDied && this->reconnectedUpstreams.insert(upstream.id).second) {
+        this->resumeAtEngine(upstream, "the engine holds the stream whose connection broke");
+        return;
+    }
+    this->failedUpstreams.insert(upstream.id);
+    if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
+        this->resumeElsewhere();
+    else
+        this->nextAttempt();
+}
+
+void ModelCall::checkProgress(std::chrono::steady_clock::time_point now)
+{
+    const auto limit = this->tokens.empty() ? firstTokenLimit : nextTokenLimit;
+    if (this->attempt && now - this->lastProgress > limit)
+        this->attempt->reject("the engine sent nothing for " + std::to_string(limit.count()) + " s");
+}
+
+std::optional<StreamPosition> ModelCall::streamPosition() const
+{
+    if (!this->request.stream || this->tokens.empty() || this->hasEnded)
+        return std::nullopt;
+    return StreamPosition{this->call.clientAccount, this->call.requestId, this->digest, &this->tokens};
+}
+
+void ModelCall::supersede()
+{
+    if (this->hasEnded)
+        return;
+    this->attempt.reset();
+    this->refuse({Verdict::Ran, 409, "superseded", "the stream was resumed on another connection", {}});
 }
 
 void ModelCall::disconnected()
 {
     logEvent(LogLevel::Info, "cancelled", {{"request", this->call.requestId}, {"tokens", this->tokens.size()}});
-    this->attempt.reset();
+    const auto ended = std::exchange(this->attempt, nullptr);
+    // Callers leave a draining process to resume elsewhere, so the engine has to keep their streams.
+    if (ended && !this->context.isDraining)
+        this->cancelAtEngine(*ended);
     this->end();
 }
 
+void ModelCall::cancelAtEngine(const Attempt &attempt)
+{
+    HttpCall call;
+    call.method = "DELETE";
+    call.url = "http://" + attempt.upstream().address + std::string(attemptsPath) + attempt.id();
+    call.timeout = cancelTimeout;
+    this->context.http.start(std::move(call), {.done = [](const HttpOutcome &) {}});
+}
+
 void ModelCall::complete()
 {
+    this->context.dispatcher.quarantine().requestSucceeded(this->fingerprint, std::chrono::steady_clock::now());
     this->writer.finish(this->usage);
     this->end();
 }
@@ -217,6 +383,7 @@
 {
     if (std::exchange(this->hasEnded, true))
         return;
+    this->timer.cancel();
     this->context.calls.remove(this->shared_from_this());
 }
 
--- a/src/entry/modelcall.h
+++ b/src/entry/modelcall.h
@@ -17,6 +17,9 @@
 
 /// A caller's completion request. When an engine fails, the prompt and the emitted tokens are replayed on another one,
 /// so that the caller gets each token once.
+///
+/// A caller that resumes a stream gets the rest from the engine that generated it, else from the tokens that a draining
+/// peer handed over, else by generating the answer again when the service is deterministic.
 class ModelCall : public OpenCall, public std::enable_shared_from_this<ModelCall>
 {
 public:
@@ -24,16 +27,30 @@
 
     void start();
 
+    void checkProgress(std::chrono::steady_clock::time_point now) override;
+    std::optional<StreamPosition> streamPosition() const override;
+    void supersede() override;
+
 private:
     void nextAttempt();
-    void startAttempt(const Upstream &upstream);
-    HttpCall makeCall(const std::string &attempt) const;
+    void waitAndRetry(std::chrono::milliseconds time);
+    void resumeAtEngine(const Upstream &upstream, const std::string &reason);
+    void resumeElsewhere();
+    void takeHandedTokens(const HandedTokens &handed);
+    void startAttempt(std::shared_ptr<Attempt> attempt, bool resumesStream);
+    AttemptWish wish() const;
     std::string attemptId(const std::string &upstream) const;
+    HttpCall makeCall(const std::string &attempt, bool resumesStream) const;
+
     void eventReceived(const ServerSentEvent &event);
     void engineReported(const nlohmann::json &json);
     void tokenReceived(std::size_t number, const std::string &text);
+    void emitToken(std::size_t number, const std::string &upstream);
     void attemptDone(const HttpOutcome &outcome);
+    void connectionBroke(const Upstream &upstream, bool hasDied);
+
     void disconnected();
+    void cancelAtEngine(const Attempt &attempt);
     void complete();
     void refuse(RequestError error);
     void end();
@@ -41,15 +58,23 @@
     EntryContext &context;
     CallInfo call;
     CompletionRequest request;
+    std::string digest; ///< Of prompt and length, as resumed requests must match.
+    std::string fingerprint;
     CompletionWriter writer;
     HttpResponderPtr responder;
+    asio::steady_timer timer;
     std::shared_ptr<Attempt> attempt;
     std::unique_ptr<EventStreamParser> parser;
     int attempts = 0;
+    bool resumesStream = false; ///< The running attempt takes up a stream that the engine holds.
+    bool hasAskedPeers = false;
+    bool wasReclaimed = false; ///< The last attempt's upstream was leaving.
     std::set<std::string> failedUpstreams;
+    std::set<std::string> reconnectedUpstreams; ///< Their stream was taken up again after a lost connection.
     Verdict worstVerdict = Verdict::NotRun;
-    std::vector<std::string> tokens; ///< Texts of the tokens generated so far.
+    std::vector<std::string> tokens; ///< Texts of the tokens so far, with those of an earlier stream.
     std::size_t skippedTokens = 0; ///< Tokens that the caller has from an earlier stream.
+    std::chrono::steady_clock::time_point lastProgress;
     nlohmann::json usage = nlohmann::json::object();
     bool isGenerated = false; ///< The engine has sent its last event.
     bool hasEnded = false;
--- a/src/entry/transactionalcall.cpp
+++ b/src/entry/transactionalcall.cpp
@@ -13,8 +13,7 @@
 
 namespace {
 
-constexpr int maxAttempts = 5;
-constexpr std::chrono::seconds retryLater{1};
+constexpr std::chrono::milliseconds suspectWait{100};
 
 /// Fields that reach the upstream; all others concern the exchange with the entry process.
 constexpr std::array<std::string_view, 5> passedFields = {
@@ -39,12 +38,14 @@
     , request(std::move(request))
     , responder(std::move(responder))
     , isRepeatable(this->call.service.isRepeatable(this->request.method, this->path))
+    , fingerprint(requestFingerprint(this->call.clientAccount, this->call.service.id, callDigest(this->request)))
+    , timer(context.loop)
 {
 }
 
 void TransactionalCall::start()
 {
-    this->context.calls.add(this->shared_from_this());
+    this->context.calls.add(this->call.clientAccount, this->call.requestId, this->shared_from_this());
     this->responder->setDisconnected([weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
             self->disconnected();
@@ -86,37 +87,42 @@
 
 void TransactionalCall::nextAttempt()
 {
-    const auto now = std::chrono::steady_clock::now();
-    if (now >= this->call.deadline) {
+    if (this->hasEnded)
+        return;
+    if (std::chrono::steady_clock::now() >= this->call.deadline) {
         this->refuse({this->worstVerdict, 504, "deadline-exceeded", "the deadline passed before an answer", {}});
         return;
     }
-    RouteQuery query;
-    query.requestId = this->call.requestId;
-    query.service = this->call.service.id;
-    query.zone = this->context.settings.zone;
-    query.priority = this->call.priority;
-    const auto candidates = this->context.upstreams.candidates(query.service, this->triedUpstreams, now);
-    RouteDecision decision = this->context.router.choose(query, candidates, this->context.random);
-    const auto upstream = this->context.upstreams.find(decision.upstream);
-    if (upstream && this->attempts < maxAttempts) {
-        this->attempt = std::make_shared<Attempt>(
-            this->context.loop, this->context.http, this->context.upstreams, *upstream, makeUniqueId());
-    }
-    this->context.decisions.add({this->call.requestId,
-                                 this->call.clientAccount,
-                                 this->call.service.id,
-                                 this->attempt ? this->attempt->id() : std::string(),
-                                 ++this->attempts,
-                                 std::move(decision)});
-    if (!this->attempt) {
-        this->refuse({this->worstVerdict, 503, "no-upstream", "no upstream takes the call", retryLater});
-        return;
+    ++this->attempts;
+    AttemptGrant grant = this->context.dispatcher.next({.call = this->call,
+                                                        .prompt = {},
+                                                        .fingerprint = this->fingerprint,
+                                                        .excluded = this->triedUpstreams,
+                                                        .number = this->attempts,
+                                                        .mustGoOn = this->wasReclaimed,
+                                                        .makeId = [](const std::string &) { return makeUniqueId(); }});
+    if (grant.attempt) {
+        this->startAttempt(std::move(grant.attempt));
+    } else if (grant.mustWait) {
+        this->timer.expires_after(suspectWait);
+        this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->nextAttempt();
+        });
+    } else {
+        this->refuse(*grant.refusal);
     }
-    this->triedUpstreams.insert(upstream->id);
+}
+
+void TransactionalCall::startAttempt(std::shared_ptr<Attempt> next)
+{
+    this->attempt = std::move(next);
+    this->triedUpstreams.insert(this->attempt->upstream().id);
     AttemptHooks hooks;
     hooks.done = [weak = this->weak_from_this()](const HttpOutcome &outcome) {
-        if (const auto self = weak.lock())
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
             self->attemptDone(outcome);
     };
     const std::string queryString = this->request.query.empty() ? std::string() : "?" + this->request.query;
@@ -141,10 +147,11 @@
 
 void TransactionalCall::attemptDone(const HttpOutcome &outcome)
 {
-    const std::string upstream = this->attempt->upstream().id;
-    this->attempt.reset();
+    const auto ended = std::exchange(this->attempt, nullptr);
+    const Upstream &upstream = ended->upstream();
     if (outcome.verdict == Verdict::Ran) {
         const StoredAnswer answer{outcome.status, outcome.headers.value("Content-Type"), outcome.body};
+        this->context.dispatcher.quarantine().requestSucceeded(this->fingerprint, std::chrono::steady_clock::now());
         this->reply(answer);
         this->finish(Verdict::Ran, answer);
         return;
@@ -152,11 +159,26 @@
     logEvent(LogLevel::Warning,
              "attempt-failed",
              {{"request", this->call.requestId},
-              {"upstream", upstream},
+              {"attempt", ended->id()},
+              {"upstream", upstream.id},
               {"verdict", verdictName(outcome.verdict)},
               {"status", outcome.status},
               {"error", outcome.error}});
     this->worstVerdict = std::max(this->worstVerdict, outcome.verdict);
+    this->wasReclaimed = this->context.dispatcher.upstreams().isLeaving(upstream.id);
+    if (outcome.verdict == Verdict::NotRun || ended->isRejected())
+        this->exchangeBroke(upstream, outcome);
+    else
+        this->context.dispatcher.examine(
+            this->fingerprint, upstream, [weak = this->weak_from_this(), upstream, outcome](bool) {
+                const auto self = weak.lock();
+                if (self && !self->hasEnded)
+                    self->exchangeBroke(upstream, outcome);
+            });
+}
+
+void TransactionalCall::exchangeBroke(const Upstream &upstream, const HttpOutcome &outcome)
+{
     if (outcome.verdict == Verdict::NotRun || this->isRepeatable) {
         this->nextAttempt();
         return;
@@ -165,10 +187,23 @@
     this->refuse({Verdict::MayHaveRun,
                   isLate ? 504 : 502,
                   isLate ? "deadline-exceeded" : "outcome-unknown",
-                  "the exchange with the upstream broke off: " + outcome.error,
+                  "the exchange with " + upstream.id + " broke off: " + outcome.error,
                   {}});
 }
 
+void TransactionalCall::checkProgress(std::chrono::steady_clock::time_point)
+{
+}
+
+std::optional<StreamPosition> TransactionalCall::streamPosition() const
+{
+    return std::nullopt;
+}
+
+void TransactionalCall::supersede()
+{
+}
+
 void TransactionalCall::disconnected()
 {
     // An attempt that may not be repeated goes on, since its answer has to be recorded for the caller's next try.
@@ -204,7 +239,10 @@
 
 void TransactionalCall::finish(Verdict verdict, const StoredAnswer &answer)
 {
-    if (std::exchange(this->hasIntent, false))
+    if (std::exchange(this->hasEnded, true))
+        return;
+    this->timer.cancel();
+    if (this->hasIntent)
         this->context.completeIntent(this->intent, verdict, answer);
     this->context.calls.remove(this->shared_from_this());
 }
--- a/src/entry/transactionalcall.h
+++ b/src/entry/transactionalcall.h
@@ -20,10 +20,16 @@
 
     void start();
 
+    void checkProgress(std::chrono::steady_clock::time_point now) override;
+    std::optional<StreamPosition> streamPosition() const override;
+    void supersede() override;
+
 private:
     void intentDecided(const IntentDecision &decision);
     void nextAttempt();
+    void startAttempt(std::shared_ptr<Attempt> next);
     void attemptDone(const HttpOutcome &outcome);
+    void exchangeBroke(const Upstream &upstream, const HttpOutcome &outcome);
     void disconnected();
     HttpCall makeCall() const;
     void reply(const StoredAnswer &answer);
@@ -36,11 +42,15 @@
     HttpRequest request;
     HttpResponderPtr responder;
     bool isRepeatable;
+    std::string fingerprint;
+    asio::steady_timer timer;
     bool hasIntent = false;
     IntentRequest intent;
     std::shared_ptr<Attempt> attempt;
     int attempts = 0;
     std::set<std::string> triedUpstreams;
+    bool wasReclaimed = false; ///< The last attempt's upstream was leaving.
+    bool hasEnded = false;
     Verdict worstVerdict = Verdict::NotRun;
 };
 
--- a/src/entry/attempt.cpp
+++ b/src/libhemlock/attempt.cpp
@@ -74,6 +74,11 @@
     this->call = this->http.start(std::move(call), std::move(callHooks));
 }
 
+void Attempt::keepUntilEnd(std::shared_ptr<void> object)
+{
+    this->kept = std::move(object);
+}
+
 void Attempt::reject(const std::string &reason)
 {
     if (!this->running || this->rejected)
@@ -117,6 +122,7 @@
 void Attempt::finish(HttpOutcome outcome)
 {
     this->running = false;
+    this->kept.reset();
     this->pool.attemptEnded(this->target.id);
     if (this->hooks.data && this->status != 200)
         outcome.body = std::move(this->refusal);
--- a/src/entry/attempt.h
+++ b/src/libhemlock/attempt.h
@@ -40,6 +40,9 @@
     /// Sends the call; the address of the upstream and the attempt identifier are added to it.
     void start(HttpCall call, const std::string &target, AttemptHooks hooks);
 
+    /// Keeps an object until the exchange has ended.
+    void keepUntilEnd(std::shared_ptr<void> object);
+
     /// Drops the rest of the answer and closes the connection; done is called later with MayHaveRun.
     void reject(const std::string &reason);
     bool isRejected() const;
@@ -55,6 +58,7 @@
     Upstream target;
     std::string identifier;
     AttemptHooks hooks;
+    std::shared_ptr<void> kept;
     HttpClient::CallId call = 0;
     bool running = false;
     bool rejected = false;
--- a/src/libhemlock/callerrequest.h
+++ b/src/libhemlock/callerrequest.h
@@ -45,6 +45,7 @@
     std::string prompt;
     int maxTokens = 0;
     bool stream = false;
+    std::optional<ResumePoint> resume; ///< Filled in from the header fields.
     nlohmann::json body; ///< As sent, with further fields that concern the engine only.
 };
 
--- /dev/null
+++ b/src/libhemlock/quarantine.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "upstream.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// Fingerprint of a request; equal for requests of one client account with the same service and body.
+std::string requestFingerprint(const std::string &clientAccount, const std::string &service, const std::string &body);
+
+struct QuarantineSettings
+{
+    std::size_t triedUpstreams = 2; ///< Crashes after which a request is refused.
+    std::chrono::milliseconds zoneWindow{2000}; ///< Deaths in one zone this close together have a common cause.
+    std::chrono::minutes suspectTime{10}; ///< How long a crash is held against a request.
+    std::chrono::minutes refusedTime{60}; ///< How long a request stays refused.
+    std::size_t maxEntries = 10000;
+};
+
+/// Finds requests that crash the upstreams that run them.
+///
+/// A request is suspect once an upstream crashed during one of its attempts. A suspect request runs one attempt at a
+/// time, on an upstream without another suspect, so that the next crash has one cause; after the second crash it is
+/// refused. Crashes do not count when the upstream's reclaim was announced, or when another upstream of the zone that
+/// did not run the request died at the same time.
+class Quarantine
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    enum class Permission {
+        Allowed,
+        Isolated, ///< Allowed on an upstream that runs no other suspect.
+        Wait, ///< Another attempt of this suspect request is running.
+        Refused,
+    };
+
+    explicit Quarantine(QuarantineSettings settings = {});
+
+    /// Whether an attempt of the request may start now.
+    Permission ask(const std::string &fingerprint, Time now);
+
+    void attemptStarted(const std::string &fingerprint, const std::string &upstream);
+    void attemptEnded(const std::string &fingerprint, const std::string &upstream);
+
+    /// Upstreams that run a suspect request.
+    std::set<std::string> isolatedUpstreams() const;
+
+    /// An upstream crashed during an attempt of the request.
+    void requestCrashed(const std::string &fingerprint, const Upstream &upstream, Time now);
+
+    /// The request got a whole answer, which clears it of earlier crashes.
+    void requestSucceeded(const std::string &fingerprint, Time now);
+
+    /// An upstream died, whether or not this process had attempts there.
+    void upstreamDied(const Upstream &upstream, Time now);
+
+    /// A reclaim of the upstream was announced.
+    void reclaimAnnounced(const std::string &upstream, Time now);
+
+    /// What changed after a version, for other entry processes: {"version","entries":[...]}.
+    nlohmann::json delta(std::uint64_t after, Time now) const;
+
+    /// Takes over what another entry process learned. Throws nlohmann::json::exception for a malformed message.
+    void applyDelta(const nlohmann::json &message, Time now);
+
+    std::size_t size() const;
+
+private:
+    struct Crash
+    {
+        std::string upstream;
+        std::string zone;
+        Time time;
+        bool isExcused = false;
+    };
+
+    struct Entry
+    {
+        std::vector<Crash> crashes; ///< At most one per upstream.
+        Time clearedAt = Time::min();
+        Time updated;
+        std::uint64_t version = 0;
+    };
+
+    std::size_t countedCrashes(const Entry &entry) const;
+    void addCrash(const std::string &fingerprint, const Crash &crash, Time now);
+    bool clear(Entry &entry, Time at) const;
+    bool evaluate(Entry &entry, Time now) const;
+    void evaluateAll(Time now);
+    void touch(Entry &entry, Time now);
+    void expire(Time now);
+
+    QuarantineSettings settings;
+    std::map<std::string, Entry> entries;
+    std::map<std::string, std::multiset<std::string>> running; ///< Upstreams of running attempts by fingerprint.
+    std::deque<Crash> deaths; ///< Of all upstreams, the latest last.
+    std::map<std::string, Time> announced;
+    std::uint64_t version = 0;
+    Time lastExpiry;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/retrybudget.cpp
@@ -0,0 +1,78 @@
+#include "retrybudget.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+// Full balances equal unknown names, so they are dropped now and then; upstreams come and go all day.
+constexpr std::size_t requestsBetweenPrunes = 4096;
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetSettings settings)
+    : settings(settings)
+{
+}
+
+RetryBudget::Balance &RetryBudget::balance(Balances &balances, const std::string &name, Time now) const
+{
+    const auto [found, isNew] = balances.try_emplace(name, Balance{this->settings.maxRetries, now});
+    Balance &balance = found->second;
+    const double seconds = std::chrono::duration<double>(now - balance.updated).count();
+    balance.retries =
+        std::min(this->settings.maxRetries, balance.retries + std::max(0.0, seconds) * this->settings.earnedPerSecond);
+    balance.updated = now;
+    return balance;
+}
+
+void RetryBudget::earn(Balances &balances, const std::string &name, Time now) const
+{
+    Balance &balance = this->balance(balances, name, now);
+    balance.retries = std::min(this->settings.maxRetries, balance.retries + this->settings.earnedPerRequest);
+}
+
+void RetryBudget::noteRequest(const std::string &clientAccount, const std::string &upstream, Time now)
+{
+    this->earn(this->accounts, clientAccount, now);
+    this->earn(this->upstreams, upstream, now);
+    if (++this->requests % requestsBetweenPrunes == 0) {
+        this->prune(this->accounts, now);
+        this->prune(this->upstreams, now);
+    }
+}
+
+bool RetryBudget::tryRetry(const std::string &clientAccount, const std::string &upstream, Time now)
+{
+    Balance &account = this->balance(this->accounts, clientAccount, now);
+    Balance &target = this->balance(this->upstreams, upstream, now);
+    if (account.retries < 1.0 || target.retries < 1.0)
+        return false;
+    account.retries -= 1.0;
+    target.retries -= 1.0;
+    return true;
+}
+
+void RetryBudget::chargeReplay(const std::string &clientAccount, const std::string &upstream, Time now)
+{
+    // Debt is bounded, since otherwise the loss of a zone would bar the account from retries for minutes.
+    for (Balance *balance :
+         {&this->balance(this->accounts, clientAccount, now), &this->balance(this->upstreams, upstream, now)})
+        balance->retries = std::max(-this->settings.maxRetries, balance->retries - 1.0);
+}
+
+std::size_t RetryBudget::size() const
+{
+    return this->accounts.size() + this->upstreams.size();
+}
+
+void RetryBudget::prune(Balances &balances, Time now) const
+{
+    std::erase_if(balances, [this, now](const auto &entry) {
+        const double seconds = std::chrono::duration<double>(now - entry.second.updated).count();
+        return entry.second.retries + seconds * this->settings.earnedPerSecond >= this->settings.maxRetries;
+    });
+}
+
+} // namespace hemlock
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -11,18 +11,30 @@
 
 } // namespace
 
-void UpstreamPool::apply(const std::vector<Upstream> &upstreams)
+UpstreamPool::Change UpstreamPool::apply(const std::vector<Upstream> &upstreams, Time now)
 {
-    this->upstreams.clear();
+    Change change;
+    auto previous = std::exchange(this->upstreams, {});
     this->idsByService.clear();
     for (const Upstream &upstream : upstreams) {
         this->upstreams[upstream.id] = upstream;
         this->idsByService[upstream.service].push_back(upstream.id);
     }
-    for (auto activity = this->activities.begin(); activity != this->activities.end();) {
-        const bool isForgotten = activity->second.inFlight == 0 && !this->upstreams.contains(activity->first);
-        activity = isForgotten ? this->activities.erase(activity) : std::next(activity);
+    for (const auto &[id, upstream] : previous) {
+        const auto current = this->upstreams.find(id);
+        const bool isListed = current != this->upstreams.end();
+        if (!isListed || current->second.service != upstream.service)
+            this->soundByService[upstream.service].remove(id);
+        const bool isGone = !isListed || current->second.state == UpstreamState::Gone;
+        if (isGone && upstream.state != UpstreamState::Gone)
+            change.removed.push_back(upstream);
     }
+    for (const auto &[id, upstream] : this->upstreams)
+        this->refreshCandidate(upstream, now);
+    std::erase_if(this->activities, [this](const auto &activity) {
+        return activity.second.inFlight == 0 && !this->upstreams.contains(activity.first);
+    });
+    return change;
 }
 
 std::optional<Upstream> UpstreamPool::find(const std::string &id) const
@@ -31,6 +43,19 @@
     return found == this->upstreams.end() ? std::nullopt : std::optional(found->second);
 }
 
+RouteDecision UpstreamPool::choose(const Router &router,
+                                   const RouteQuery &query,
+                                   const std::set<std::string> &excluded,
+                                   Time now,
+                                   RandomEngine &random)
+{
+    this->endAvoidance(now);
+    const auto sound = this->soundByService.find(query.service);
+    if (excluded.empty() && sound != this->soundByService.end() && sound->second.size() > 0)
+        return router.choose(query, sound->second, random);
+    return router.choose(query, this->candidates(query.service, excluded, now), random);
+}
+
 bool UpstreamPool::isAvoided(const std::string &id, Time now) const
 {
     const auto activity = this->activities.find(id);
@@ -38,6 +63,35 @@
         && now - *activity->second.failedAt < avoidedAfterFailure;
 }
 
+UpstreamView UpstreamPool::view(const Upstream &upstream) const
+{
+    UpstreamView view;
+    view.id = upstream.id;
+    view.zone = upstream.zone;
+    if (const auto activity = this->activities.find(upstream.id); activity != this->activities.end())
+        view.inFlight = activity->second.inFlight;
+    return view;
+}
+
+void UpstreamPool::refreshCandidate(const Upstream &upstream, Time now)
+{
+    CandidateSet &sound = this->soundByService[upstream.service];
+    if (upstream.state == UpstreamState::Serving && !this->isAvoided(upstream.id, now))
+        sound.set(this->view(upstream));
+    else
+        sound.remove(upstream.id);
+}
+
+void UpstreamPool::endAvoidance(Time now)
+{
+    while (!this->avoided.empty() && now - this->avoided.front().first >= avoidedAfterFailure) {
+        const std::string id = std::move(this->avoided.front().second);
+        this->avoided.pop_front();
+        if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+            this->refreshCandidate(upstream->second, now);
+    }
+}
+
 std::vector<UpstreamView>
 UpstreamPool::candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const
 {
@@ -51,12 +105,7 @@
         const bool isSuspected = upstream.state == UpstreamState::Suspected;
         if ((upstream.state != UpstreamState::Serving && !isSuspected) || excluded.contains(id))
             continue;
-        const auto activity = this->activities.find(id);
-        UpstreamView view;
-        view.id = id;
-        view.zone = upstream.zone;
-        view.inFlight = activity == this->activities.end() ? 0 : activity->second.inFlight;
-        (isSuspected || this->isAvoided(id, now) ? doubtful : sound).push_back(std::move(view));
+        (isSuspected || this->isAvoided(id, now) ? doubtful : sound).push_back(this->view(upstream));
     }
     return sound.empty() ? doubtful : sound;
 }
@@ -64,17 +113,31 @@
 void UpstreamPool::attemptStarted(const std::string &id)
 {
     ++this->activities[id].inFlight;
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].addInFlight(id, 1);
 }
 
 void UpstreamPool::attemptEnded(const std::string &id)
 {
     --this->activities[id].inFlight;
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].addInFlight(id, -1);
 }
 
 void UpstreamPool::attemptFailed(const std::string &id, Time now)
 {
     this->activities[id].failedAt = now;
     ++this->failures[id];
+    this->avoided.emplace_back(now, id);
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].remove(id);
+}
+
+bool UpstreamPool::isLeaving(const std::string &id) const
+{
+    const auto upstream = this->upstreams.find(id);
+    return upstream == this->upstreams.end() || upstream->second.state == UpstreamState::Leaving
+        || upstream->second.state == UpstreamState::Gone;
 }
 
 std::map<std::string, int> UpstreamPool::inFlight() const
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "candidateset.h"
 #include "router.h"
 #include "upstream.h"
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,15 +21,25 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
+    /// What a new list of upstreams changed.
+    struct Change
+    {
+        std::vector<Upstream> removed; ///< Gone from the list or in the state "gone", as they were before.
+    };
+
     /// Replaces the known upstreams; in-flight counts stay.
-    void apply(const std::vector<Upstream> &upstreams);
+    Change apply(const std::vector<Upstream> &upstreams, Time now);
 
     std::optional<Upstream> find(const std::string &id) const;
 
-    /// Upstreams of a service to route to. Serving ones that did not fail just now come first; when there are none,
-    /// those that failed or are suspected are returned rather than nothing.
-    std::vector<UpstreamView>
-    candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const;
+    /// Chooses among the serving upstreams of the query's service that did not fail just now. When there are none, one
+    /// that failed or is suspected is chosen rather than nothing. Costs a pass over the service's upstreams only when
+    /// some are excluded or none is sound.
+    RouteDecision choose(const Router &router,
+                         const RouteQuery &query,
+                         const std::set<std::string> &excluded,
+                         Time now,
+                         RandomEngine &random);
 
     void attemptStarted(const std::string &id);
     void attemptEnded(const std::string &id);
@@ -35,6 +47,9 @@
     /// Notes that an attempt found the upstream unusable; it is avoided for a short time.
     void attemptFailed(const std::string &id, Time now);
 
+    /// Whether a reclaim notice or the VM list announced that the upstream goes away.
+    bool isLeaving(const std::string &id) const;
+
     /// Requests in flight by upstream, without idle upstreams.
     std::map<std::string, int> inFlight() const;
 
@@ -49,10 +64,17 @@
     };
 
     bool isAvoided(const std::string &id, Time now) const;
+    UpstreamView view(const Upstream &upstream) const;
+    void refreshCandidate(const Upstream &upstream, Time now);
+    void endAvoidance(Time now);
+    std::vector<UpstreamView>
+    candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const;
 
     std::unordered_map<std::string, Upstream> upstreams;
     std::map<std::string, std::vector<std::string>> idsByService;
+    std::map<std::string, CandidateSet> soundByService; ///< Serving and not avoided.
     std::unordered_map<std::string, Activity> activities;
+    std::deque<std::pair<Time, std::string>> avoided; ///< In order of failure.
     std::map<std::string, int> failures;
 };
 
