Connect the entry process with the intent log

Without the log the entry process refused each call that may not be repeated. IntentGate gives IntentLog the store, time and randomness, and forwards a call to the owner of its key as a signed message to /peer/call. A call whose owner refuses, breaks off or loses its lease meanwhile goes back to the log, which keeps it from running twice; "not run" becomes "may have run" once an owner may have run it. A graceful shutdown releases the slots after the notice time.

--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -6,6 +6,7 @@
 #include "entrysettings.h"
 #include "httpclient.h"
 #include "idempotency.h"
+#include "peercall.h"
 #include "router.h"
 #include "upstreampool.h"
 
@@ -15,9 +16,11 @@
 
 namespace hemlock {
 
-/// Passes a call on to the entry process that owns its idempotency key, and its answer back to the caller.
-using ForwardCall =
-    std::function<void(const std::string &ownerAddress, const HttpRequest &request, const HttpResponderPtr &responder)>;
+/// Passes a call on to the entry process that owns its idempotency key.
+using ForwardCall = std::function<void(const std::string &ownerAddress,
+                                       const IntentRequest &intent,
+                                       const HttpRequest &request,
+                                       std::function<void(const ForwardOutcome &)> done)>;
 
 /// What all calls of an entry process share.
 struct EntryContext
@@ -52,6 +55,7 @@
     std::string clientAccount;
     Service service;
     int priority = 5;
+    bool isForwarded = false; ///< A peer passed it on, so it is not passed on again.
     std::chrono::steady_clock::time_point received;
     std::chrono::steady_clock::time_point deadline;
 };
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -46,14 +46,24 @@
 {
     this->addMethods();
     this->useDefaultIntents();
+    if (!settings.store.empty())
+        this->intents = std::make_unique<IntentGate>(
+            loop,
+            this->context.http,
+            IntentGateSettings{settings.store, settings.controlKey, settings.id, settings.intents});
     this->context.calls.setEmptied([this] { this->stopWhenIdle(); });
 }
 
 void EntryProcess::start()
 {
     this->awaitSignal();
+    const std::string controlAddress = this->control.start();
+    if (this->intents) {
+        this->intents->start(controlAddress);
+        this->useIntentLog();
+    }
     announceAddress("listen", this->callers.start());
-    announceAddress("control", this->control.start());
+    announceAddress("control", controlAddress);
 }
 
 void EntryProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder)
@@ -62,6 +72,12 @@
         this->rpc.handle(request, responder);
         return;
     }
+    if (this->intents && request.path.starts_with("/peer/")) {
+        this->intents->handlePeer(request, responder, [this](const PeerCall &call, const HttpResponderPtr &responder) {
+            this->gateway.runPeerCall(call, responder);
+        });
+        return;
+    }
     replyRefusal(*responder,
                  {Verdict::NotRun, 404, "unknown-path", "nothing is served at this path", {}},
                  requestIdOf(request.headers));
@@ -117,11 +133,34 @@
         decided(decision);
     };
     this->context.completeIntent = [](const IntentRequest &, Verdict, const StoredAnswer &) {};
-    this->context.forwardCall = [](const std::string &, const HttpRequest &request, const HttpResponderPtr &responder) {
-        replyRefusal(*responder,
-                     {Verdict::NotRun, 503, "owner-unreachable", "the key's owner cannot be reached", {}},
-                     requestIdOf(request.headers));
+}
+
+void EntryProcess::useIntentLog()
+{
+    this->hasReleasedIntents = false;
+    this->context.submitIntent = [this](const IntentRequest &request,
+                                        const std::function<void(const IntentDecision &)> &decided) {
+        this->intents->submit(request, decided);
+    };
+    this->context.completeIntent = [this](const IntentRequest &request, Verdict verdict, const StoredAnswer &answer) {
+        this->intents->complete(request, verdict, answer);
     };
+    this->context.forwardCall = [this](const std::string &ownerAddress,
+                                       const IntentRequest &intent,
+                                       const HttpRequest &request,
+                                       const std::function<void(const ForwardOutcome &)> &done) {
+        this->intents->forward(ownerAddress, intent, request, done);
+    };
+}
+
+void EntryProcess::releaseIntents()
+{
+    if (!this->intents)
+        return;
+    this->intents->release(this->context.settings.releaseLimit, [this] {
+        this->hasReleasedIntents = true;
+        this->stopWhenIdle();
+    });
 }
 
 void EntryProcess::awaitSignal()
@@ -147,13 +186,14 @@
             return;
         this->hasNoticePassed = true;
         this->callers.stopAccepting();
+        this->releaseIntents();
         this->stopWhenIdle();
     });
 }
 
 void EntryProcess::stopWhenIdle()
 {
-    if (!this->hasNoticePassed || this->context.calls.size() > 0)
+    if (!this->hasNoticePassed || !this->hasReleasedIntents || this->context.calls.size() > 0)
         return;
     this->drainTimer.expires_after(flushTime);
     this->drainTimer.async_wait([this](const asio::error_code &error) {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -3,6 +3,7 @@
 #include "entrycontext.h"
 #include "gateway.h"
 #include "httpserver.h"
+#include "intentgate.h"
 #include "rpc.h"
 
 #include <asio.hpp>
@@ -28,18 +29,22 @@
     nlohmann::json report();
     nlohmann::json explain(const nlohmann::json &params) const;
     void useDefaultIntents();
+    void useIntentLog();
+    void releaseIntents();
     void awaitSignal();
     void stopWhenIdle();
 
     asio::io_context &loop;
     EntryContext context;
     Gateway gateway;
+    std::unique_ptr<IntentGate> intents; ///< Absent without a store.
     RpcServer rpc;
     HttpServer callers;
     HttpServer control;
     asio::signal_set signals;
     asio::steady_timer drainTimer;
     bool isDraining = false;
+    bool hasReleasedIntents = true;
     bool hasNoticePassed = false; ///< The balancer had the time to see that this process drains.
 };
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -2,6 +2,7 @@
 
 #include "callerrequest.h"
 #include "httpserver.h"
+#include "intentsettings.h"
 #include "upstream.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -28,7 +29,8 @@
     std::string controlKey;
     std::string store; ///< "IP:PORT" of the key-value store; empty when there is none.
     std::string policy = "least-in-flight"; ///< Name of the routing policy.
-    int slots = 8; ///< Number of slots that idempotency keys hash to; the same in all entry processes.
+    IntentLogSettings intents;
+    std::chrono::milliseconds releaseLimit{30000}; ///< For the calls that may not repeat in a graceful shutdown.
     bool unsafeIntents = false; ///< For trials: dispatch calls that may not repeat without a durable intent.
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t maxPendingBytes = std::size_t{256} * 1024; ///< Bytes a slow caller may leave unread in one stream.
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -75,6 +75,38 @@
     return this->startServiceCall(request, fields, *account, responder);
 }
 
+void Gateway::runPeerCall(const PeerCall &call, const HttpResponderPtr &responder)
+{
+    const auto report = [&](const RequestError &error) { replyRefusal(*responder, error, call.requestId); };
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(target, parseServiceTarget(call.request.path));
+            const Service *service = this->context.configuration.findService(target.service);
+            if (!service) {
+                // The sender knows the service, so this process lags behind with its configuration.
+                return boost::leaf::new_error(RequestError{Verdict::NotRun,
+                                                           503,
+                                                           "not-configured",
+                                                           "the key's owner does not know the service yet",
+                                                           std::chrono::seconds(1)});
+            }
+            CallInfo info;
+            info.requestId = call.requestId;
+            info.clientAccount = call.clientAccount;
+            info.service = *service;
+            info.received = std::chrono::steady_clock::now();
+            info.deadline = info.received + call.timeLeft;
+            info.isForwarded = true;
+            std::make_shared<TransactionalCall>(this->context, std::move(info), target.path, call.request, responder)
+                ->start();
+            return {};
+        },
+        report,
+        [&] {
+            report({Verdict::NotRun, 500, "internal-error", "the call was not handled", {}});
+        });
+}
+
 Result<CallInfo> Gateway::admit(const CallerFields &fields,
                                 const ClientAccount &account,
                                 const std::string &service,
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -14,6 +14,9 @@
 
     void handle(const HttpRequest &request, const HttpResponderPtr &responder);
 
+    /// Runs a call of a transactional service that a peer has forwarded.
+    void runPeerCall(const PeerCall &call, const HttpResponderPtr &responder);
+
     /// While draining, /healthz answers 503 so that the balancer leaves this process out.
     void setDraining(bool draining);
 
--- /dev/null
+++ b/src/entry/intentgate.cpp
@@ -0,0 +1,255 @@
+#include "intentgate.h"
+
+#include "encoding.h"
+#include "logger.h"
+#include "refusal.h"
+
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace hemlock {
+
+namespace {
+
+// A slow store is waited for, since each call has its own deadline; a shorter limit would turn slowness into outage.
+constexpr std::chrono::milliseconds storeTimeout{5000};
+constexpr std::chrono::milliseconds peerConnectTimeout{500};
+// Between checks that the owner of a long call still holds its slot.
+constexpr std::chrono::seconds ownerCheckInterval{1};
+// The owner's refusal at the deadline should arrive before the sender gives up.
+constexpr std::chrono::milliseconds answerMargin{20};
+
+void startTimer(asio::io_context &loop, std::chrono::steady_clock::duration delay, std::function<void()> expired)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(loop, delay);
+    timer->async_wait([timer, expired = std::move(expired)](const asio::error_code &error) {
+        if (!error)
+            expired();
+    });
+}
+
+bool isClosingRefusal(const HttpOutcome &outcome)
+{
+    if (outcome.status != 503)
+        return false;
+    const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
+    return body.is_object() && body.contains("error") && body["error"].value("code", std::string()) == "shutting-down";
+}
+
+} // namespace
+
+/// One call on its way to the owner of its key.
+class IntentGate::Forwarding : public std::enable_shared_from_this<Forwarding>
+{
+public:
+    Forwarding(IntentGate &gate,
+               std::string owner,
+               IntentRequest intent,
+               std::function<void(const ForwardOutcome &)> done)
+        : loop(gate.loop)
+        , http(gate.http)
+        , log(gate.log)
+        , owner(std::move(owner))
+        , intent(std::move(intent))
+        , done(std::move(done))
+    {
+    }
+
+    void start(HttpCall call)
+    {
+        HttpCallHooks hooks;
+        hooks.done = [self = this->shared_from_this()](const HttpOutcome &outcome) { self->ended(outcome); };
+        this->call = this->http.start(std::move(call), std::move(hooks));
+        this->planCheck();
+    }
+
+private:
+    void planCheck()
+    {
+        startTimer(this->loop, ownerCheckInterval, [weak = this->weak_from_this()] {
+            const auto self = weak.lock();
+            const auto log = self ? self->log.lock() : nullptr;
+            if (!log || self->isOver)
+                return;
+            log->verifyOwner(self->intent, self->owner, [self](bool holds) {
+                if (self->isOver)
+                    return;
+                if (holds)
+                    self->planCheck();
+                else
+                    self->abandon();
+            });
+        });
+    }
+
+    void abandon()
+    {
+        this->http.cancel(this->call);
+        // The former owner may have run the call or may be running it.
+        this->finish({false, Verdict::MayHaveRun, 0, {}, {}});
+    }
+
+    void ended(const HttpOutcome &outcome)
+    {
+        const auto log = this->log.lock();
+        if (this->isOver || !log)
+            return;
+        if (!outcome.isComplete()) {
+            // A call that ran into its own deadline says nothing about the owner.
+            if (std::chrono::steady_clock::now() < this->intent.deadline)
+                log->ownerRefused(this->intent, this->owner, OwnerRefusal::Unreachable);
+            this->finish({false, outcome.verdict, 0, {}, {}});
+            return;
+        }
+        if (outcome.status == notOwnerStatus) {
+            log->ownerRefused(this->intent, this->owner, OwnerRefusal::NotOwner);
+            this->finish({false, Verdict::NotRun, 0, {}, {}});
+            return;
+        }
+        if (isClosingRefusal(outcome)) {
+            log->ownerRefused(this->intent, this->owner, OwnerRefusal::Closing);
+            this->finish({false, Verdict::NotRun, 0, {}, {}});
+            return;
+        }
+        log->ownerAnswered(this->intent, this->owner);
+        this->finish({true, Verdict::Ran, outcome.status, outcome.headers, outcome.body});
+    }
+
+    void finish(const ForwardOutcome &outcome)
+    {
+        this->isOver = true;
+        const auto hook = std::move(this->done);
+        hook(outcome);
+    }
+
+    asio::io_context &loop;
+    HttpClient &http;
+    std::weak_ptr<IntentLog> log;
+    std::string owner;
+    IntentRequest intent;
+    std::function<void(const ForwardOutcome &)> done;
+    HttpClient::CallId call = 0;
+    bool isOver = false;
+};
+
+IntentGate::IntentGate(asio::io_context &loop, HttpClient &http, const IntentGateSettings &settings)
+    : loop(loop)
+    , http(http)
+    , settings(settings)
+    , auth(settings.controlKey)
+    , store(http, "http://" + settings.store, storeTimeout)
+{
+}
+
+IntentGate::~IntentGate() = default;
+
+IntentLogHooks IntentGate::makeHooks()
+{
+    IntentLogHooks hooks;
+    hooks.range = [this](const std::string &key, const std::function<void(const KvRangeResult &)> &done) {
+        this->store.range(key, false, done);
+    };
+    hooks.txn = [this](const KvTxn &txn, const std::function<void(const KvTxnResult &)> &done) {
+        this->store.txn(txn, done);
+    };
+    hooks.grantLease = [this](std::chrono::seconds ttl, const std::function<void(const KvLeaseResult &)> &done) {
+        this->store.grantLease(ttl, done);
+    };
+    hooks.keepLeaseAlive = [this](std::int64_t lease, const std::function<void(const KvLeaseResult &)> &done) {
+        this->store.keepLeaseAlive(lease, done);
+    };
+    hooks.revokeLease = [this](std::int64_t lease, const std::function<void(const KvLeaseResult &)> &done) {
+        this->store.revokeLease(lease, done);
+    };
+    hooks.now = [] { return std::chrono::steady_clock::now(); };
+    hooks.wallNow = [] { return std::chrono::system_clock::now(); };
+    hooks.after = [this](std::chrono::steady_clock::duration delay, std::function<void()> expired) {
+        startTimer(this->loop, delay, std::move(expired));
+    };
+    hooks.random = [generator = std::make_shared<std::mt19937>(std::random_device()())] {
+        return std::uniform_real_distribution<>(0, 1)(*generator);
+    };
+    hooks.uniqueId = makeUniqueId;
+    return hooks;
+}
+
+void IntentGate::start(const std::string &controlAddress)
+{
+    this->settings.log.instance = this->settings.vm + "/" + makeUniqueId();
+    this->settings.log.address = controlAddress;
+    this->log = std::make_shared<IntentLog>(this->settings.log, this->makeHooks());
+}
+
+void IntentGate::submit(const IntentRequest &request, std::function<void(const IntentDecision &)> decided)
+{
+    this->log->submit(request, std::move(decided));
+}
+
+void IntentGate::complete(const IntentRequest &request, Verdict verdict, const StoredAnswer &answer)
+{
+    this->log->complete(request, verdict, answer);
+}
+
+void IntentGate::forward(const std::string &ownerAddress,
+                         const IntentRequest &intent,
+                         const HttpRequest &request,
+                         std::function<void(const ForwardOutcome &)> done)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(intent.deadline - std::chrono::steady_clock::now());
+    const auto atLeast = [](std::chrono::milliseconds time) { return std::max(time, std::chrono::milliseconds(1)); };
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + ownerAddress + std::string(peerCallPath);
+    call.body = encodePeerCall({intent.clientAccount, intent.requestId, atLeast(left - answerMargin), request});
+    call.headers = this->auth.sign(peerCallPath, call.body, std::chrono::system_clock::now());
+    call.headers.add("Content-Type", "application/json");
+    call.connectTimeout = peerConnectTimeout;
+    call.timeout = atLeast(left);
+    std::make_shared<Forwarding>(*this, ownerAddress, intent, std::move(done))->start(std::move(call));
+}
+
+void IntentGate::handlePeer(const HttpRequest &request, const HttpResponderPtr &responder, const RunPeerCall &run) const
+{
+    const std::string requestId = request.headers.value(requestIdField);
+    const std::string problem = this->auth.check(request, std::chrono::system_clock::now());
+    if (!problem.empty()) {
+        logEvent(LogLevel::Warning, "peer-call-refused", {{"remote", request.remoteAddress}, {"problem", problem}});
+        replyRefusal(*responder, {Verdict::NotRun, 403, "not-authentic", problem, {}}, requestId);
+        return;
+    }
+    if (request.path != peerCallPath || request.method != "POST") {
+        replyRefusal(
+            *responder, {Verdict::NotRun, 404, "unknown-path", "nothing is served at this path", {}}, requestId);
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(call, decodePeerCall(request.body));
+            run(std::move(call), responder);
+            return {};
+        },
+        [&](const RequestError &error) { replyRefusal(*responder, error, requestId); },
+        [&] {
+            replyRefusal(
+                *responder, {Verdict::NotRun, 500, "internal-error", "the call was not handled", {}}, requestId);
+        });
+}
+
+void IntentGate::release(std::chrono::milliseconds limit, std::function<void()> done)
+{
+    if (!this->log) {
+        done();
+        return;
+    }
+    this->log->release(limit, std::move(done));
+}
+
+const IntentLogStats &IntentGate::stats() const
+{
+    return this->log->stats();
+}
+
+} // namespace hemlock
--- a/src/entry/transactionalcall.cpp
+++ b/src/entry/transactionalcall.cpp
@@ -58,6 +58,11 @@
     this->intent.bodySha256 = callDigest(this->request);
     this->intent.requestId = this->call.requestId;
     this->intent.deadline = this->call.deadline;
+    this->submitIntent();
+}
+
+void TransactionalCall::submitIntent()
+{
     this->context.submitIntent(this->intent, [self = this->shared_from_this()](const IntentDecision &decision) {
         self->intentDecided(decision);
     });
@@ -68,6 +73,8 @@
     switch (decision.action) {
     case IntentAction::Dispatch:
         this->hasIntent = true;
+        // The durable intent proves that no former owner of the key ran the call or will run it.
+        this->worstVerdict = Verdict::NotRun;
         this->nextAttempt();
         return;
     case IntentAction::Replay:
@@ -78,10 +85,40 @@
         this->refuse(decision.refusal);
         return;
     case IntentAction::Forward:
-        this->context.forwardCall(decision.ownerAddress, this->request, this->responder);
+        this->forward(decision.ownerAddress);
+        return;
+    }
+}
+
+void TransactionalCall::forward(const std::string &ownerAddress)
+{
+    if (this->call.isForwarded) {
+        replyRefusal(*this->responder,
+                     {Verdict::NotRun, notOwnerStatus, "not-owner", "this process does not own the key's slot", {}},
+                     this->call.requestId);
         this->finish(Verdict::NotRun, {});
         return;
     }
+    this->context.forwardCall(
+        ownerAddress, this->intent, this->request, [self = this->shared_from_this()](const ForwardOutcome &outcome) {
+            self->forwarded(outcome);
+        });
+}
+
+void TransactionalCall::forwarded(const ForwardOutcome &outcome)
+{
+    if (!outcome.isAnswered) {
+        this->worstVerdict = std::max(this->worstVerdict, outcome.verdict);
+        this->submitIntent();
+        return;
+    }
+    HttpHeaders headers{{std::string(requestIdField), this->call.requestId}};
+    for (const char *name : {"Content-Type", "Retry-After"}) {
+        if (outcome.headers.has(name))
+            headers.add(name, outcome.headers.value(name));
+    }
+    this->responder->reply(outcome.status, headers, outcome.body);
+    this->finish(Verdict::Ran, {});
 }
 
 void TransactionalCall::nextAttempt()
--- a/src/entry/transactionalcall.h
+++ b/src/entry/transactionalcall.h
@@ -21,7 +21,10 @@
     void start();
 
 private:
+    void submitIntent();
     void intentDecided(const IntentDecision &decision);
+    void forward(const std::string &ownerAddress);
+    void forwarded(const ForwardOutcome &outcome);
     void nextAttempt();
     void attemptDone(const HttpOutcome &outcome);
     void disconnected();
