Accept the store's endpoint with and without a scheme

Cause: the entry process prefixed the setting 'store' with http:// although the settings give a URL, so every call that may not be repeated timed out; the control process has its own prefixing. Change: KvClient normalises the endpoint.

--- a/src/entry/intentgate.cpp
+++ b/src/entry/intentgate.cpp
@@ -140,7 +140,7 @@
     , http(http)
     , settings(settings)
     , auth(settings.controlKey)
-    , store(http, "http://" + settings.store, storeTimeout)
+    , store(http, settings.store, storeTimeout)
 {
 }
 
--- a/src/libhemlock/kvclient.cpp
+++ b/src/libhemlock/kvclient.cpp
@@ -181,9 +181,9 @@
     std::string error;
 };
 
-KvClient::KvClient(HttpClient &http, std::string endpoint, std::chrono::milliseconds timeout)
+KvClient::KvClient(HttpClient &http, const std::string &endpoint, std::chrono::milliseconds timeout)
     : http(http)
-    , endpoint(std::move(endpoint))
+    , endpoint(endpoint.find("://") == std::string::npos ? "http://" + endpoint : endpoint)
     , timeout(timeout)
 {
 }
--- a/src/libhemlock/kvclient.h
+++ b/src/libhemlock/kvclient.h
@@ -96,8 +96,8 @@
         std::function<void(const std::string &error)> ended; ///< The watch is over; start a new one.
     };
 
-    /// @p endpoint is "http://ADDRESS:PORT"; @p timeout limits each call but watches.
-    KvClient(HttpClient &http, std::string endpoint, std::chrono::milliseconds timeout);
+    /// @p endpoint is "http://ADDRESS:PORT" or "ADDRESS:PORT"; @p timeout limits each call but watches.
+    KvClient(HttpClient &http, const std::string &endpoint, std::chrono::milliseconds timeout);
 
     /// Reads one key, or with @p prefix all keys that begin with it.
     void range(const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done);
