Add membership, the life cycle of upstreams and the relay of configuration

The thin control process polled the store and the platform from every node and trusted the lagging list alone.

One watcher per zone (lowest live identifier) holds a watch and polls the platform; others get configuration deltas from peers by gossip and poll with jitter as a fallback. After a start a node serves nothing before the store or its peers have been asked. Members register under a lease whose keep-alive interval grows with the fleet and spread heartbeat counters by gossip. Upstreams follow charts/upstream.json; the news that one leaves goes directly to the other entry VMs, and one node's view suspects at most a third of a zone.

--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -15,6 +15,11 @@
 constexpr std::chrono::milliseconds cloudTimeout{1000};
 /// Covers a round trip between zones several times; a slower peer is as good as unreachable for a control message.
 constexpr std::chrono::milliseconds rpcTimeout{1000};
+/// Any HTTP answer to this path shows that the upstream is there; engines report their load on it.
+constexpr std::string_view probePath = "/load";
+constexpr std::chrono::milliseconds probeTimeout{500};
+/// Lets the last messages of a leaving node out.
+constexpr std::chrono::milliseconds leaveTime{100};
 
 std::string endpointUrl(const std::string &endpoint)
 {
@@ -31,9 +36,8 @@
 
 } // namespace
 
-ControlProcess::ControlProcess(const json &settings, json documentSchema)
+ControlProcess::ControlProcess(const json &settings, json documentSchema, json upstreamChart)
     : settings(settings)
-    , documentSchema(std::move(documentSchema))
     , http(this->loop)
     , kv(this->http, endpointUrl(settings.at("store")), storeTimeout)
     , rpcServer(ControlAuth(settings.at("controlKey")))
@@ -51,18 +55,22 @@
     , timer(this->loop)
     , signals(this->loop, SIGTERM, SIGINT)
 {
+    this->nodeSettings.self.id = settings.at("id");
+    this->nodeSettings.self.zone.name = settings.at("zone");
+    this->nodeSettings.self.entryControlAddress = settings.at("entryControlAddress");
+    this->nodeSettings.seeds = settings.value("seeds", std::vector<std::string>());
+    this->nodeSettings.documentSchema = std::move(documentSchema);
+    this->nodeSettings.upstreamChart = std::move(upstreamChart);
+    for (const std::string &method : ControlNode::methods())
+        this->rpcServer.addMethod(method,
+                                  [this, method](const json &params) { return this->node->answer(method, params); });
 }
 
 void ControlProcess::run()
 {
     const std::string address = this->server.start();
-    ControlNodeSettings nodeSettings;
-    nodeSettings.self.id = this->settings.at("id");
-    nodeSettings.self.zone.name = this->settings.at("zone");
-    nodeSettings.self.entryControlAddress = this->settings.at("entryControlAddress");
-    nodeSettings.self.controlAddress = address;
-    nodeSettings.documentSchema = this->documentSchema;
-    this->node = std::make_unique<ControlNode>(std::move(nodeSettings), this->nodeIo());
+    this->nodeSettings.self.controlAddress = address;
+    this->node = std::make_unique<ControlNode>(this->nodeSettings, this->nodeIo());
     announceAddress("control", address);
     this->signals.async_wait([this](const std::error_code &error, int) {
         if (!error)
@@ -72,9 +80,9 @@
     this->loop.run();
 }
 
-ControlNodeIo ControlProcess::nodeIo()
+ControlIo ControlProcess::nodeIo()
 {
-    ControlNodeIo io;
+    ControlIo io;
     io.kv = kvAccess(this->kv);
     io.cloudGet = [this](const std::string &path, std::function<void(const json &, const std::string &)> done) {
         this->cloudGet(path, std::move(done));
@@ -85,6 +93,11 @@
                      std::function<void(const RpcOutcome &)> done) {
         this->rpcClient.call(address, method, params, rpcTimeout, std::move(done));
     };
+    io.probe = [this](const std::string &address, std::function<void(bool)> done) {
+        this->probe(address, std::move(done));
+    };
+    io.now = [] { return std::chrono::steady_clock::now(); };
+    io.wallClock = [] { return std::chrono::system_clock::now(); };
     io.random = [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(this->engine); };
     io.log = [](LogLevel level, std::string_view event, const json &fields) { logEvent(level, event, fields); };
     return io;
@@ -107,9 +120,20 @@
     this->http.start(std::move(call), std::move(hooks));
 }
 
+void ControlProcess::probe(const std::string &address, std::function<void(bool)> done)
+{
+    HttpCall call;
+    call.url = "http://" + address + std::string(probePath);
+    call.connectTimeout = probeTimeout;
+    call.timeout = probeTimeout;
+    HttpCallHooks hooks;
+    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) { done(outcome.isComplete()); };
+    this->http.start(std::move(call), std::move(hooks));
+}
+
 void ControlProcess::tick()
 {
-    this->node->tick(std::chrono::steady_clock::now());
+    this->node->tick();
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](const std::error_code &error) {
         if (!error)
@@ -120,9 +144,14 @@
 void ControlProcess::stop()
 {
     logEvent(LogLevel::Info, "stopping", json::object());
-    this->timer.cancel();
-    this->server.stopAccepting();
-    this->loop.stop();
+    this->node->leave();
+    this->timer.expires_after(leaveTime);
+    this->timer.async_wait([this](const std::error_code &error) {
+        if (error)
+            return;
+        this->server.stopAccepting();
+        this->loop.stop();
+    });
 }
 
 } // namespace hemlock
--- a/src/control/controlprocess.h
+++ b/src/control/controlprocess.h
@@ -22,19 +22,20 @@
 {
 public:
     /// @p settings have been checked against schemas/control.json.
-    ControlProcess(const nlohmann::json &settings, nlohmann::json documentSchema);
+    ControlProcess(const nlohmann::json &settings, nlohmann::json documentSchema, nlohmann::json upstreamChart);
 
     /// Runs until SIGTERM or SIGINT.
     void run();
 
 private:
-    ControlNodeIo nodeIo();
+    ControlIo nodeIo();
     void cloudGet(const std::string &path, std::function<void(const nlohmann::json &, const std::string &)> done);
+    void probe(const std::string &address, std::function<void(bool)> done);
     void tick();
     void stop();
 
     nlohmann::json settings;
-    nlohmann::json documentSchema;
+    ControlNodeSettings nodeSettings;
     asio::io_context loop;
     HttpClient http;
     KvClient kv;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -56,7 +56,9 @@
         if (options.checksOnly)
             return 0;
         hemlock::setupLogger("hemlock-control", settings.at("id"));
-        hemlock::ControlProcess process(settings, hemlock::readJsonFile(hemlock::dataFile("schemas/document.json")));
+        hemlock::ControlProcess process(settings,
+                                        hemlock::readJsonFile(hemlock::dataFile("schemas/document.json")),
+                                        hemlock::readJsonFile(hemlock::dataFile("charts/upstream.json")));
         process.run();
     } catch (const std::exception &error) {
         std::cerr << "hemlock-control: " << error.what() << "\n";
--- a/src/libhemlock/configkeeper.cpp
+++ b/src/libhemlock/configkeeper.cpp
@@ -19,6 +19,12 @@
         if (!problems.empty())
             throw std::invalid_argument("configuration version " + std::to_string(records.manifest.version)
                                         + " is invalid:\n" + formatProblems(problems));
+        for (const auto &[name, reference] : records.manifest.sections) {
+            const bool isSame = this->current && this->current->manifest.sections.contains(name)
+                && this->current->manifest.sections.at(name) == reference;
+            if (!isSame)
+                this->changedAt[name] = records.manifest.version;
+        }
         this->current = records;
         this->joined = std::move(document);
         this->lastError.clear();
@@ -29,6 +35,42 @@
     }
 }
 
+nlohmann::json ConfigKeeper::deltaSince(std::int64_t version) const
+{
+    if (!this->current || this->current->manifest.version <= version)
+        return {{"version", this->version()}};
+    const Manifest &manifest = this->current->manifest;
+    nlohmann::json sections = nlohmann::json::object();
+    for (const auto &[name, reference] : manifest.sections) {
+        if (this->changedAt.at(name) <= version)
+            continue;
+        sections[name] = {{"revision", reference.revision},
+                          {"commitId", reference.commitId},
+                          {"sha256", reference.sha256},
+                          {"record", this->current->sections.at(name)}};
+    }
+    return {{"version", manifest.version}, {"commitId", manifest.commitId}, {"sections", sections}};
+}
+
+ConfigKeeper::Offer ConfigKeeper::offerDelta(const nlohmann::json &delta)
+{
+    if (delta.at("version").get<std::int64_t>() <= this->version())
+        return Offer::NotNewer;
+    ConfigRecords records = this->current.value_or(ConfigRecords());
+    delta.at("version").get_to(records.manifest.version);
+    delta.at("commitId").get_to(records.manifest.commitId);
+    for (const auto &[name, section] : delta.at("sections").items()) {
+        const SectionReference reference{section.at("revision"), section.at("commitId"), section.at("sha256")};
+        const auto known = records.manifest.sections.find(name);
+        // This node may have moved on since it asked; sections never go back.
+        if (known != records.manifest.sections.end() && known->second.revision >= reference.revision)
+            continue;
+        records.manifest.sections[name] = reference;
+        records.sections[name] = section.at("record");
+    }
+    return this->offer(records);
+}
+
 std::int64_t ConfigKeeper::version() const
 {
     return this->current ? this->current->manifest.version : 0;
--- a/src/libhemlock/configkeeper.h
+++ b/src/libhemlock/configkeeper.h
@@ -22,6 +22,12 @@
     /// Offers a configuration that the store or a peer holds.
     Offer offer(const ConfigRecords &records);
 
+    /// The sections that changed after @p version, as an answer to a peer: {"version","commitId","sections"}.
+    nlohmann::json deltaSince(std::int64_t version) const;
+
+    /// Offers what a peer answered with deltaSince().
+    Offer offerDelta(const nlohmann::json &delta);
+
     /// Version in force; 0 before the first configuration.
     std::int64_t version() const;
 
@@ -36,6 +42,7 @@
     nlohmann::json schema;
     std::optional<ConfigRecords> current;
     Document joined;
+    std::map<std::string, std::int64_t> changedAt; ///< Version at which this node saw the section change.
     std::string lastError;
 };
 
--- a/src/libhemlock/configstore.cpp
+++ b/src/libhemlock/configstore.cpp
@@ -20,7 +20,7 @@
 /// Older revisions are deleted by later commits, since 68,000 changes a day would fill the store.
 constexpr std::int64_t keptRevisions = 20;
 /// The store takes values up to a megabyte; the base64 of its protocol is not counted.
-constexpr std::size_t maxRecordBytes = 1000 * 1000;
+constexpr std::size_t maxRecordBytes = 1'000'000;
 
 std::string encodeSectionRecord(const SectionCommit &commit, const SectionEdit &edit, std::int64_t revision)
 {
--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
 #include <utility>
 
 namespace hemlock {
@@ -10,131 +11,295 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds configPollInterval{500};
-constexpr std::chrono::milliseconds vmPollInterval{500};
 /// The entry process gets a snapshot at least this often, also when nothing has changed.
 constexpr std::chrono::milliseconds pushInterval{800};
+constexpr std::chrono::milliseconds pushRetryInterval{200};
+constexpr std::chrono::milliseconds reportInterval{500};
+constexpr std::chrono::milliseconds gossipInterval{1000};
+constexpr std::size_t gossipFanout = 2;
+constexpr std::size_t configFanout = 3;
+/// Bounds a message to about a kilobyte in ordinary times.
+constexpr std::size_t membersPerMessage = 40;
+constexpr std::size_t upstreamsPerMessage = 20;
+/// In larger fleets each zone's watcher tells the nodes of its own zone.
+constexpr std::size_t smallFleet = 16;
+/// Peers that a starting node asks for upstreams that leave or are gone.
+constexpr std::size_t newsSources = 3;
 
-Upstream parseVm(const json &vm)
+std::int64_t secondsSince1970(std::chrono::system_clock::time_point time)
 {
-    Upstream upstream;
-    vm.at("id").get_to(upstream.id);
-    vm.at("service").get_to(upstream.service);
-    vm.at("address").get_to(upstream.address);
-    vm.at("zone").get_to(upstream.zone.name);
-    upstream.state = vm.at("state") == "live" ? UpstreamState::Serving : UpstreamState::Leaving;
-    return upstream;
+    return std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count();
 }
 
 } // namespace
 
-ControlNode::ControlNode(ControlNodeSettings settings, ControlNodeIo io)
+ControlNode::ControlNode(ControlNodeSettings settings, ControlIo io)
     : settings(std::move(settings))
     , io(std::move(io))
-    , store(this->io.kv, {})
-    , config(this->settings.documentSchema)
+    , membership(this->settings.self, secondsSince1970(this->io.wallClock()), this->io.now())
+    , lifecycle(this->settings.upstreamChart,
+                [this](const Upstream &upstream, const std::string &from, const std::string &event) {
+                    this->isChanged = true;
+                    this->io.log(LogLevel::Info,
+                                 "upstream-state",
+                                 {{"upstream", upstream.id},
+                                  {"service", upstream.service},
+                                  {"zone", upstream.zone.name},
+                                  {"from", from},
+                                  {"to", upstreamStateName(upstream.state)},
+                                  {"reason", event}});
+                })
+    , config(this->io,
+             this->settings.documentSchema,
+             {[this] { this->announceConfig(); }, [this] { return this->contacts(); }})
+    , registry(this->io, this->settings.self, this->membership)
+    , vms(this->io,
+          {[this](const std::vector<ListedVm> &listed) { this->lifecycle.applyList(listed, this->io.now()); },
+           [this](const std::vector<VmFeed::Notice> &notices) { this->applyNotices(notices); }})
 {
 }
 
-void ControlNode::tick(TimePoint now)
+void ControlNode::tick()
 {
-    if (!this->readsConfig && this->configPoll.isDue(now, configPollInterval, this->io.random()))
-        this->readConfig();
-    if (!this->readsVms && this->vmPoll.isDue(now, vmPollInterval, this->io.random()))
-        this->readVms();
-    if (!this->pushes && (this->changed || this->push.isDue(now, pushInterval, this->io.random())))
-        this->pushSnapshot(now);
+    const TimePoint now = this->io.now();
+    this->membership.tick(now);
+    const FleetRole role = this->role();
+    this->lifecycle.setNodeCount(role.nodes);
+    this->registry.tick(now, role);
+    this->config.tick(now, role);
+    this->vms.tick(now, role);
+    this->lifecycle.expire(now);
+    this->probe();
+    if (!this->hasUpstreamNews && role.nodes > 1)
+        this->fetchUpstreamNews();
+    if (this->gossipRound.isDue(now, gossipInterval, this->io.random()))
+        this->gossip();
+    if (!this->readsReport && this->reportPoll.isDue(now, reportInterval, this->io.random()))
+        this->readReport();
+    const bool isUrgent = this->isChanged && now >= this->pushRetry;
+    if (!this->pushes && (isUrgent || this->push.isDue(now, pushInterval, this->io.random())))
+        this->pushSnapshot();
 }
 
-Snapshot ControlNode::snapshot() const
+std::vector<std::string> ControlNode::methods()
 {
-    Snapshot snapshot;
-    snapshot.manifestVersion = this->config.version();
-    snapshot.sequence = this->sequence;
-    snapshot.services = this->config.document().services();
-    snapshot.clientAccounts = this->config.document().clientAccounts();
-    snapshot.rules = this->config.document().rules();
-    for (const auto &[id, upstream] : this->upstreams)
-        snapshot.upstreams.push_back(upstream);
-    return snapshot;
+    return {"gossip", "configDelta", "leaving", "upstreamNews", "drainUpstream", "status"};
 }
 
-void ControlNode::readConfig()
+json ControlNode::answer(const std::string &method, const json &params)
 {
-    this->readsConfig = true;
-    this->store.read(this->config.records(), [this, alive = std::weak_ptr<bool>(this->alive)](const ConfigRead &read) {
-        if (alive.expired())
-            return;
-        this->readsConfig = false;
-        this->applyConfig(read);
-    });
+    if (method == "gossip")
+        return this->answerGossip(params);
+    if (method == "configDelta")
+        return this->config.keeper().deltaSince(params.at("version"));
+    if (method == "leaving")
+        return this->answerLeaving(params);
+    if (method == "upstreamNews")
+        return this->upstreamNews();
+    if (method == "drainUpstream")
+        return this->answerDrain(params);
+    if (method == "status")
+        return this->status();
+    throw std::invalid_argument("unknown method " + method);
 }
 
-void ControlNode::applyConfig(const ConfigRead &read)
+json ControlNode::answerGossip(const json &params)
 {
-    if (read.status != KvStatus::Ok || !read.records) {
-        if (!read.error.empty())
-            this->io.log(LogLevel::Warning, "configuration-not-read", {{"reason", read.error}});
-        return;
+    const TimePoint now = this->io.now();
+    const auto wanted = this->membership.receive(params.at("members"), now);
+    this->lifecycle.receive(params.at("upstreams"), this->membership.size(), now);
+    this->config.hear(params.at("config"), params.at("address"));
+    json reply = {{"config", this->config.keeper().version()}};
+    if (!wanted.empty())
+        reply["want"] = wanted;
+    return reply;
+}
+
+json ControlNode::answerLeaving(const json &params)
+{
+    this->lifecycle.receive(params.at("upstreams"), this->membership.size(), this->io.now());
+    // The caller waits for upstreams to get no new work, so the entry process is told in the same step.
+    if (this->isChanged && !this->pushes)
+        this->pushSnapshot();
+    return json::object();
+}
+
+json ControlNode::answerDrain(const json &params)
+{
+    const std::string id = params.at("upstream");
+    const Upstream *upstream = this->lifecycle.find(id);
+    if (upstream == nullptr)
+        throw std::invalid_argument("upstream " + id + ": found none of this identifier; allowed: see status");
+    const bool isNews = this->lifecycle.applyLeaving({*upstream, std::nullopt}, "drain", this->io.now());
+    if (isNews)
+        this->spreadLeaving({id});
+    return {{"upstream", id},
+            {"state", upstreamStateName(this->lifecycle.find(id)->state)},
+            {"peersTold", isNews ? this->directPeers().size() : 0}};
+}
+
+json ControlNode::upstreamNews() const
+{
+    return {{"upstreams", this->lifecycle.departures(this->io.now())}};
+}
+
+json ControlNode::status() const
+{
+    const ConfigKeeper &keeper = this->config.keeper();
+    json members = json::array();
+    for (const auto &[id, member] : this->membership.members())
+        members.push_back({{"id", id},
+                           {"zone", member.peer.zone.name},
+                           {"controlAddress", member.peer.controlAddress},
+                           {"live", this->membership.isLive(member)},
+                           {"heartbeat", member.heartbeat}});
+    json sections = json::object();
+    if (keeper.records()) {
+        for (const auto &[name, reference] : keeper.records()->manifest.sections)
+            sections[name] = reference.revision;
     }
-    switch (this->config.offer(*read.records)) {
-    case ConfigKeeper::Offer::Applied:
-        this->changed = true;
-        this->io.log(LogLevel::Info, "configuration-applied", {{"version", this->config.version()}});
-        return;
-    case ConfigKeeper::Offer::Refused:
-        this->io.log(LogLevel::Error,
-                     "configuration-refused",
-                     {{"version", read.records->manifest.version},
-                      {"inForce", this->config.version()},
-                      {"reason", this->config.error()}});
-        return;
-    case ConfigKeeper::Offer::NotNewer:
-        return;
+    return {{"id", this->settings.self.id},
+            {"zone", this->settings.self.zone.name},
+            {"configVersion", keeper.version()},
+            {"configError", keeper.error()},
+            {"sections", sections},
+            {"storeReachable", this->config.isStoreReachable()},
+            {"zoneWatcher", this->membership.isZoneWatcher()},
+            {"services", keeper.document().services()},
+            {"upstreams", this->lifecycle.upstreams()},
+            {"entryVms", members}};
+}
+
+void ControlNode::gossip()
+{
+    const auto random = this->io.random;
+    for (const Peer &peer : this->membership.chooseTargets(gossipFanout, random))
+        this->gossipTo(peer,
+                       this->membership.takeNews(membersPerMessage),
+                       this->lifecycle.takeNews(upstreamsPerMessage, this->io.now()));
+}
+
+void ControlNode::gossipTo(const Peer &peer, const json &members, const json &upstreams)
+{
+    const json message = {{"address", this->settings.self.controlAddress},
+                          {"config", this->config.keeper().version()},
+                          {"members", members},
+                          {"upstreams", upstreams}};
+    this->io.call(peer.controlAddress,
+                  "gossip",
+                  message,
+                  [this, peer, alive = std::weak_ptr<bool>(this->alive)](const RpcOutcome &outcome) {
+                      if (alive.expired() || !outcome.succeeded || !outcome.result.is_object())
+                          return;
+                      this->config.hear(outcome.result.value("config", std::int64_t{0}), peer.controlAddress);
+                      const auto wanted = outcome.result.value("want", std::vector<std::string>());
+                      if (!wanted.empty())
+                          this->gossipTo(peer, this->membership.records(wanted), json::array());
+                  });
+}
+
+void ControlNode::announceConfig()
+{
+    this->isChanged = true;
+    const auto random = this->io.random;
+    for (const Peer &peer : this->membership.chooseTargets(configFanout, random))
+        this->gossipTo(peer, json::array(), json::array());
+}
+
+void ControlNode::applyNotices(const std::vector<VmFeed::Notice> &notices)
+{
+    std::vector<std::string> news;
+    for (const VmFeed::Notice &notice : notices) {
+        if (notice.vm == this->settings.self.id) {
+            this->io.log(LogLevel::Warning, "own-vm-reclaimed", {{"leftMs", notice.timeLeft.count()}});
+            const json params = {{"leftMs", notice.timeLeft.count()}};
+            this->io.call(this->settings.self.entryControlAddress, "drain", params, [](const RpcOutcome &) {});
+            continue;
+        }
+        const bool isNews =
+            this->lifecycle.applyLeaving({{.id = notice.vm}, notice.timeLeft}, "notice", this->io.now());
+        if (isNews && this->lifecycle.find(notice.vm) != nullptr)
+            news.push_back(notice.vm);
     }
+    if (!news.empty())
+        this->spreadLeaving(news);
 }
 
-void ControlNode::readVms()
+void ControlNode::spreadLeaving(const std::vector<std::string> &ids)
 {
-    this->readsVms = true;
-    this->io.cloudGet("/cloud/v1/vms",
-                      [this, alive = std::weak_ptr<bool>(this->alive)](const json &body, const std::string &error) {
-                          if (alive.expired())
+    json upstreams = json::array();
+    for (const std::string &id : ids)
+        upstreams.push_back(this->lifecycle.newsOf(id, this->io.now()));
+    for (const Peer &peer : this->directPeers())
+        this->io.call(peer.controlAddress, "leaving", {{"upstreams", upstreams}}, [](const RpcOutcome &) {});
+    if (!this->pushes)
+        this->pushSnapshot();
+}
+
+std::vector<Peer> ControlNode::directPeers() const
+{
+    std::vector<Peer> peers = this->membership.livePeers();
+    if (peers.size() >= smallFleet)
+        std::erase_if(peers, [this](const Peer &peer) { return peer.zone != this->settings.self.zone; });
+    return peers;
+}
+
+void ControlNode::fetchUpstreamNews()
+{
+    this->hasUpstreamNews = true;
+    const auto random = this->io.random;
+    for (const Peer &peer : this->membership.chooseTargets(newsSources, random)) {
+        this->io.call(peer.controlAddress,
+                      "upstreamNews",
+                      json::object(),
+                      [this, alive = std::weak_ptr<bool>(this->alive)](const RpcOutcome &outcome) {
+                          if (alive.expired() || !outcome.succeeded)
                               return;
-                          this->readsVms = false;
-                          if (!error.empty())
-                              return this->io.log(LogLevel::Warning, "vm-list-not-read", {{"reason", error}});
-                          this->applyVms(body);
+                          this->lifecycle.receive(
+                              outcome.result.at("upstreams"), this->membership.size(), this->io.now());
                       });
+    }
 }
 
-void ControlNode::applyVms(const json &body)
+void ControlNode::readReport()
 {
-    std::map<std::string, Upstream> listed;
-    try {
-        for (const json &vm : body.at("vms")) {
-            if (!vm.value("service", "").empty()) {
-                Upstream upstream = parseVm(vm);
-                listed[upstream.id] = std::move(upstream);
-            }
-        }
-    } catch (const json::exception &error) {
-        return this->io.log(LogLevel::Warning, "vm-list-not-read", {{"reason", error.what()}});
+    this->readsReport = true;
+    this->io.call(this->settings.self.entryControlAddress,
+                  "report",
+                  json::object(),
+                  [this, alive = std::weak_ptr<bool>(this->alive)](const RpcOutcome &outcome) {
+                      if (alive.expired())
+                          return;
+                      this->readsReport = false;
+                      if (!outcome.succeeded || !outcome.result.is_object())
+                          return;
+                      std::vector<std::string> failing;
+                      const json failures = outcome.result.value("failures", json::object());
+                      for (const auto &[id, count] : failures.items())
+                          failing.push_back(id);
+                      this->lifecycle.observeFailures(
+                          this->settings.self.id, this->settings.self.zone, failing, this->io.now());
+                  });
+}
+
+void ControlNode::probe()
+{
+    for (const Upstream &upstream : this->lifecycle.takeProbes(this->io.now())) {
+        this->io.probe(upstream.address,
+                       [this, id = upstream.id, alive = std::weak_ptr<bool>(this->alive)](bool answered) {
+                           if (!alive.expired())
+                               this->lifecycle.applyProbe(
+                                   id, answered, this->settings.self.id, this->settings.self.zone, this->io.now());
+                       });
     }
-    if (json(listed) == json(this->upstreams))
-        return;
-    this->upstreams = std::move(listed);
-    this->changed = true;
 }
 
-void ControlNode::pushSnapshot(TimePoint now)
+void ControlNode::pushSnapshot()
 {
-    // Nothing is in force before the first configuration, so there is nothing to serve.
-    if (this->config.version() == 0)
+    if (!this->config.isReady())
         return;
     this->pushes = true;
-    this->changed = false;
-    this->push.isDue(now, pushInterval, this->io.random());
+    this->isChanged = false;
     ++this->sequence;
     this->io.call(this->settings.self.entryControlAddress,
                   "applySnapshot",
@@ -143,9 +308,51 @@
                       if (alive.expired())
                           return;
                       this->pushes = false;
-                      if (!outcome.succeeded)
-                          this->io.log(LogLevel::Warning, "snapshot-not-applied", {{"reason", outcome.error}});
+                      if (outcome.succeeded)
+                          return;
+                      this->isChanged = true;
+                      this->pushRetry = this->io.now() + pushRetryInterval;
+                      this->io.log(LogLevel::Warning, "snapshot-not-applied", {{"reason", outcome.error}});
                   });
 }
 
+void ControlNode::leave()
+{
+    this->membership.leave();
+    this->registry.leave();
+    this->gossip();
+}
+
+Snapshot ControlNode::snapshot() const
+{
+    const Document &document = this->config.keeper().document();
+    Snapshot snapshot;
+    snapshot.manifestVersion = this->config.keeper().version();
+    snapshot.sequence = this->sequence;
+    snapshot.services = document.services();
+    snapshot.clientAccounts = document.clientAccounts();
+    snapshot.rules = document.rules();
+    snapshot.upstreams = this->lifecycle.upstreams();
+    snapshot.peers = this->membership.livePeers();
+    return snapshot;
+}
+
+std::int64_t ControlNode::configVersion() const
+{
+    return this->config.keeper().version();
+}
+
+std::vector<std::string> ControlNode::contacts() const
+{
+    std::vector<std::string> addresses = this->settings.seeds;
+    for (const Peer &peer : this->membership.livePeers())
+        addresses.push_back(peer.controlAddress);
+    return addresses;
+}
+
+FleetRole ControlNode::role() const
+{
+    return {this->membership.size(), this->membership.isZoneWatcher()};
+}
+
 } // namespace hemlock
--- a/src/libhemlock/controlnode.h
+++ b/src/libhemlock/controlnode.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "configkeeper.h"
-#include "kvaccess.h"
-#include "logger.h"
+#include "configfeed.h"
+#include "controlio.h"
+#include "memberregistry.h"
+#include "membership.h"
 #include "periodictask.h"
-#include "rpc.h"
 #include "snapshot.h"
+#include "upstreamlifecycle.h"
+#include "vmfeed.h"
 
 #include <chrono>
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,59 +19,70 @@
 struct ControlNodeSettings
 {
     Peer self;
+    std::vector<std::string> seeds; ///< Control addresses of peers, used while the store is out.
     nlohmann::json documentSchema;
+    nlohmann::json upstreamChart;
 };
 
-/// What a control node does to the outside world.
-struct ControlNodeIo
-{
-    KvAccess kv;
-    /// GET of a path of the cloud API; @p error is empty when @p body arrived.
-    std::function<void(const std::string &path,
-                       std::function<void(const nlohmann::json &body, const std::string &error)>)>
-        cloudGet;
-    /// JSON-RPC call to another of the system's processes.
-    std::function<void(const std::string &address,
-                       const std::string &method,
-                       const nlohmann::json &params,
-                       std::function<void(const RpcOutcome &)> done)>
-        call;
-    std::function<double()> random; ///< Uniform in [0, 1).
-    std::function<void(LogLevel level, std::string_view event, const nlohmann::json &fields)> log;
-};
-
-/// The control process of one entry VM: reads configuration and upstreams and tells its entry process.
+/// The control process of one entry VM: membership, configuration and the life cycle of upstreams. It tells its entry
+/// process all of it as snapshots.
 class ControlNode
 {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    ControlNode(ControlNodeSettings settings, ControlNodeIo io);
+    ControlNode(ControlNodeSettings settings, ControlIo io);
 
     /// Starts what is due. Called every few tens of milliseconds.
-    void tick(TimePoint now);
+    void tick();
+
+    /// Methods that answer(), by name.
+    static std::vector<std::string> methods();
+
+    /// Answers a JSON-RPC call of a peer or of hemlockctl. Throws std::invalid_argument for what it refuses.
+    nlohmann::json answer(const std::string &method, const nlohmann::json &params);
+
+    /// Tells the peers and the store that this node ends.
+    void leave();
 
     Snapshot snapshot() const;
+    std::int64_t configVersion() const;
 
 private:
-    void readConfig();
-    void applyConfig(const ConfigRead &read);
-    void readVms();
-    void applyVms(const nlohmann::json &body);
-    void pushSnapshot(TimePoint now);
+    nlohmann::json answerGossip(const nlohmann::json &params);
+    nlohmann::json answerLeaving(const nlohmann::json &params);
+    nlohmann::json answerDrain(const nlohmann::json &params);
+    nlohmann::json upstreamNews() const;
+    nlohmann::json status() const;
+
+    void gossip();
+    void gossipTo(const Peer &peer, const nlohmann::json &members, const nlohmann::json &upstreams);
+    void announceConfig();
+    void applyNotices(const std::vector<VmFeed::Notice> &notices);
+    void spreadLeaving(const std::vector<std::string> &ids);
+    std::vector<Peer> directPeers() const;
+    void fetchUpstreamNews();
+    void readReport();
+    void probe();
+    void pushSnapshot();
+    std::vector<std::string> contacts() const;
+    FleetRole role() const;
 
     ControlNodeSettings settings;
-    ControlNodeIo io;
-    ConfigStore store;
-    ConfigKeeper config;
-    std::map<std::string, Upstream> upstreams;
-    PeriodicTask configPoll;
-    PeriodicTask vmPoll;
+    ControlIo io;
+    Membership membership;
+    UpstreamLifecycle lifecycle;
+    ConfigFeed config;
+    MemberRegistry registry;
+    VmFeed vms;
+    PeriodicTask gossipRound;
+    PeriodicTask reportPoll;
     PeriodicTask push;
-    bool readsConfig = false;
-    bool readsVms = false;
+    bool readsReport = false;
     bool pushes = false;
-    bool changed = false;
+    bool isChanged = false;
+    bool hasUpstreamNews = false;
+    TimePoint pushRetry;
     std::int64_t sequence = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/libhemlock/kvaccess.cpp
+++ b/src/libhemlock/kvaccess.cpp
@@ -19,6 +19,10 @@
     access.keepLeaseAlive = [&client](std::int64_t lease, std::function<void(const KvLeaseResult &)> done) {
         client.keepLeaseAlive(lease, std::move(done));
     };
+    access.watch = [&client](const std::string &key, KvClient::WatchHooks hooks) {
+        const KvClient::WatchId id = client.watch(key, false, 0, std::move(hooks));
+        return [&client, id] { client.cancelWatch(id); };
+    };
     return access;
 }
 
--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -15,6 +15,8 @@
     std::function<void(const KvTxn &txn, std::function<void(const KvTxnResult &)> done)> txn;
     std::function<void(std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done)> grantLease;
     std::function<void(std::int64_t lease, std::function<void(const KvLeaseResult &)> done)> keepLeaseAlive;
+    /// Watches one key; the result ends the watch.
+    std::function<std::function<void()>(const std::string &key, KvClient::WatchHooks hooks)> watch;
 };
 
 /// Passes the calls on to @p client, which must live longer than the result.
--- /dev/null
+++ b/src/libhemlock/upstreamlifecycle.cpp
@@ -0,0 +1,330 @@
+#include "upstreamlifecycle.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+/// Longer than the platform's list lags, so that an old list does not show a gone upstream as a new one.
+constexpr std::chrono::minutes goneRetention{30};
+/// Failures older than this say nothing about now.
+constexpr std::chrono::seconds observationAge{10};
+constexpr std::chrono::milliseconds probeInterval{500};
+/// Bounds the probes after the loss of a zone, when a thousand upstreams are in doubt at once.
+constexpr std::size_t maxProbesPerInterval = 20;
+/// A suspected upstream that answers probes but fails calls is tried again ever more rarely.
+constexpr std::chrono::milliseconds firstSuspicionTime{2000};
+constexpr int longestSuspicionDoublings = 4;
+/// One node's view may suspect one in this many of a zone's upstreams.
+constexpr std::size_t singleViewShare = 3;
+
+constexpr std::string_view suspicionTag = "!";
+
+std::chrono::milliseconds millisecondsUntil(UpstreamLifecycle::TimePoint time, UpstreamLifecycle::TimePoint now)
+{
+    return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(time - now));
+}
+
+bool isLeavingOrGone(UpstreamState state)
+{
+    return state == UpstreamState::Leaving || state == UpstreamState::Gone;
+}
+
+} // namespace
+
+UpstreamLifecycle::UpstreamLifecycle(const json &chart, ChangeHook changed)
+    : chart(chart)
+    , changed(std::move(changed))
+{
+    for (const std::string &state : this->chart.states())
+        parseUpstreamState(state);
+}
+
+void UpstreamLifecycle::applyList(const std::vector<ListedVm> &vms, TimePoint now)
+{
+    std::set<std::string> listed;
+    for (const ListedVm &vm : vms) {
+        listed.insert(vm.upstream.id);
+        Record &record = this->addRecord(vm.upstream, now);
+        record.listing = Listing::Listed;
+        if (vm.isLeaving)
+            this->handle(record, "listed-leaving", now);
+        const auto notice = this->early.find(vm.upstream.id);
+        if (notice == this->early.end())
+            continue;
+        const TimePoint deadline = notice->second;
+        this->early.erase(notice);
+        this->applyLeaving({vm.upstream, millisecondsUntil(deadline, now)}, "notice", now);
+    }
+    for (auto &[id, record] : this->records) {
+        if (record.listing != Listing::Listed || listed.contains(id))
+            continue;
+        record.listing = Listing::Vanished;
+        this->handle(record, "unlisted", now);
+    }
+}
+
+bool UpstreamLifecycle::applyLeaving(const LeavingNews &news, const std::string &event, TimePoint now)
+{
+    const auto match = this->records.find(news.upstream.id);
+    if (match == this->records.end() && news.upstream.address.empty())
+        return this->early.insert({news.upstream.id, now + news.timeLeft.value_or(goneRetention)}).second;
+    Record &record = match == this->records.end() ? this->addRecord(news.upstream, now) : match->second;
+    if (news.timeLeft) {
+        const TimePoint deadline = now + *news.timeLeft;
+        if (!record.deadline || deadline < *record.deadline)
+            record.deadline = deadline;
+    }
+    if (isLeavingOrGone(record.upstream.state))
+        return false;
+    this->handle(record, event, now);
+    return true;
+}
+
+void UpstreamLifecycle::observeFailures(const std::string &observer,
+                                        const AvailabilityZone &observerZone,
+                                        const std::vector<std::string> &upstreams,
+                                        TimePoint now)
+{
+    for (const std::string &id : upstreams) {
+        const auto match = this->records.find(id);
+        if (match == this->records.end())
+            continue;
+        this->noteFailure(match->second, observer, observerZone, now);
+        this->queue.add(std::string(suspicionTag) + id + "\n" + observer, gossipSends(this->nodes));
+    }
+}
+
+void UpstreamLifecycle::noteFailure(Record &record,
+                                    const std::string &observer,
+                                    const AvailabilityZone &zone,
+                                    TimePoint now)
+{
+    std::erase_if(record.failures, [now](const auto &item) { return now - item.second.time > observationAge; });
+    record.failures[observer] = {zone, now};
+    this->judge(record, now);
+}
+
+void UpstreamLifecycle::judge(Record &record, TimePoint now)
+{
+    if (record.upstream.state != UpstreamState::Serving)
+        return;
+    if (!this->isCorroborated(record) && !this->isWithinZoneShare(record))
+        return;
+    const int doublings = std::min(record.suspicions++, longestSuspicionDoublings);
+    record.nextProbe = now + firstSuspicionTime * (1 << doublings);
+    this->handle(record, "suspicion", now);
+}
+
+bool UpstreamLifecycle::isCorroborated(const Record &record) const
+{
+    for (const auto &[observer, observation] : record.failures) {
+        if (observation.zone != record.failures.begin()->second.zone)
+            return true;
+    }
+    return false;
+}
+
+bool UpstreamLifecycle::isWithinZoneShare(const Record &record) const
+{
+    std::size_t inZone = 0;
+    std::size_t suspected = 1;
+    for (const auto &[id, other] : this->records) {
+        if (other.upstream.zone != record.upstream.zone || other.upstream.service != record.upstream.service
+            || isLeavingOrGone(other.upstream.state))
+            continue;
+        ++inZone;
+        suspected += other.upstream.state == UpstreamState::Suspected ? 1 : 0;
+    }
+    return suspected * singleViewShare <= inZone;
+}
+
+std::vector<Upstream> UpstreamLifecycle::takeProbes(TimePoint now)
+{
+    std::vector<Upstream> probes;
+    if (now >= this->probeWindowEnd) {
+        this->probeWindowEnd = now + probeInterval;
+        this->probesInWindow = 0;
+    }
+    for (auto &[id, record] : this->records) {
+        const UpstreamState state = record.upstream.state;
+        const bool isInDoubt = state == UpstreamState::Joining || state == UpstreamState::Suspected
+            || (state == UpstreamState::Serving && (record.listing == Listing::Vanished || !record.failures.empty()));
+        if (!isInDoubt || now < record.nextProbe || this->probesInWindow >= maxProbesPerInterval)
+            continue;
+        ++this->probesInWindow;
+        record.nextProbe = now + probeInterval;
+        probes.push_back(record.upstream);
+    }
+    return probes;
+}
+
+void UpstreamLifecycle::applyProbe(
+    const std::string &id, bool answered, const std::string &observer, const AvailabilityZone &zone, TimePoint now)
+{
+    const auto match = this->records.find(id);
+    if (match == this->records.end())
+        return;
+    Record &record = match->second;
+    if (!answered) {
+        if (record.upstream.state == UpstreamState::Serving)
+            this->observeFailures(observer, zone, {id}, now);
+        else if (record.upstream.state == UpstreamState::Suspected && record.listing == Listing::Vanished)
+            this->handle(record, "unlisted", now);
+        return;
+    }
+    if (record.upstream.state == UpstreamState::Suspected || record.upstream.state == UpstreamState::Serving)
+        record.failures.clear();
+    this->handle(record, "probe-answered", now);
+}
+
+void UpstreamLifecycle::expire(TimePoint now)
+{
+    for (auto &[id, record] : this->records) {
+        if (record.deadline && now >= *record.deadline)
+            this->handle(record, "deadline-passed", now);
+    }
+    std::erase_if(this->early, [now](const auto &item) { return now - item.second > goneRetention; });
+    std::erase_if(this->records, [now](const auto &item) {
+        return item.second.upstream.state == UpstreamState::Gone && now - item.second.stateSince > goneRetention;
+    });
+}
+
+std::vector<Upstream> UpstreamLifecycle::upstreams() const
+{
+    std::vector<Upstream> present;
+    for (const auto &[id, record] : this->records) {
+        if (record.upstream.state != UpstreamState::Gone)
+            present.push_back(record.upstream);
+    }
+    return present;
+}
+
+const Upstream *UpstreamLifecycle::find(const std::string &id) const
+{
+    const auto match = this->records.find(id);
+    return match == this->records.end() ? nullptr : &match->second.upstream;
+}
+
+json UpstreamLifecycle::takeNews(std::size_t limit, TimePoint now)
+{
+    json news = json::array();
+    for (const std::string &key : this->queue.take(limit)) {
+        if (!key.starts_with(suspicionTag)) {
+            if (const auto match = this->records.find(key); match != this->records.end())
+                news.push_back(this->encode(match->second, now));
+            continue;
+        }
+        const std::size_t separator = key.find('\n');
+        const std::string observer = key.substr(separator + 1);
+        const auto match = this->records.find(key.substr(suspicionTag.size(), separator - suspicionTag.size()));
+        if (match == this->records.end() || !match->second.failures.contains(observer))
+            continue;
+        const Observation &failure = match->second.failures.at(observer);
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - failure.time);
+        news.push_back({match->first, suspicionTag, observer, failure.zone.name, age.count()});
+    }
+    return news;
+}
+
+void UpstreamLifecycle::receive(const json &news, std::size_t nodeCount, TimePoint now)
+{
+    this->nodes = nodeCount;
+    for (const json &entry : news) {
+        if (entry.at(1) != suspicionTag) {
+            this->receiveUpstream(entry, now);
+            continue;
+        }
+        const auto match = this->records.find(entry.at(0));
+        const std::string observer = entry.at(2);
+        const TimePoint time = now - std::chrono::milliseconds(entry.at(4).get<std::int64_t>());
+        if (match == this->records.end() || now - time > observationAge)
+            continue;
+        const auto known = match->second.failures.find(observer);
+        // A report counts as the same one when it is not clearly newer, or it would circulate for ever.
+        if (known != match->second.failures.end() && time <= known->second.time + std::chrono::seconds(1))
+            continue;
+        this->noteFailure(match->second, observer, {entry.at(3)}, time);
+        this->queue.add(std::string(suspicionTag) + match->first + "\n" + observer, gossipSends(this->nodes));
+    }
+}
+
+void UpstreamLifecycle::receiveUpstream(const json &entry, TimePoint now)
+{
+    Upstream upstream;
+    entry.at(0).get_to(upstream.id);
+    const UpstreamState state = parseUpstreamState(entry.at(1).get<std::string>());
+    entry.at(2).get_to(upstream.service);
+    entry.at(3).get_to(upstream.address);
+    entry.at(4).get_to(upstream.zone.name);
+    const std::int64_t left = entry.at(5);
+    if (!isLeavingOrGone(state)) {
+        if (!this->records.contains(upstream.id))
+            this->addRecord(upstream, now);
+        return;
+    }
+    const std::optional timeLeft(std::chrono::milliseconds{left});
+    this->applyLeaving({upstream, left < 0 ? std::nullopt : timeLeft}, "notice", now);
+    if (state == UpstreamState::Gone)
+        this->handle(this->records.at(upstream.id), "deadline-passed", now);
+}
+
+json UpstreamLifecycle::newsOf(const std::string &id, TimePoint now) const
+{
+    return this->encode(this->records.at(id), now);
+}
+
+json UpstreamLifecycle::departures(TimePoint now) const
+{
+    json news = json::array();
+    for (const auto &[id, record] : this->records) {
+        if (isLeavingOrGone(record.upstream.state))
+            news.push_back(this->encode(record, now));
+    }
+    return news;
+}
+
+void UpstreamLifecycle::setNodeCount(std::size_t count)
+{
+    this->nodes = count;
+}
+
+UpstreamLifecycle::Record &UpstreamLifecycle::addRecord(const Upstream &upstream, TimePoint now)
+{
+    const auto match = this->records.find(upstream.id);
+    if (match != this->records.end())
+        return match->second;
+    Record &record = this->records.emplace(upstream.id, Record(this->chart)).first->second;
+    record.upstream = upstream;
+    record.upstream.state = parseUpstreamState(record.machine.state());
+    record.stateSince = now;
+    this->queue.add(upstream.id, gossipSends(this->nodes));
+    this->changed(record.upstream, "", "listed");
+    return record;
+}
+
+void UpstreamLifecycle::handle(Record &record, const std::string &event, TimePoint now)
+{
+    const std::string from = record.machine.state();
+    if (!record.machine.handle(event))
+        return;
+    record.upstream.state = parseUpstreamState(record.machine.state());
+    record.stateSince = now;
+    if (isLeavingOrGone(record.upstream.state))
+        this->queue.add(record.upstream.id, gossipSends(this->nodes));
+    this->changed(record.upstream, from, event);
+}
+
+json UpstreamLifecycle::encode(const Record &record, TimePoint now) const
+{
+    const Upstream &upstream = record.upstream;
+    const std::int64_t left = record.deadline ? millisecondsUntil(*record.deadline, now).count() : -1;
+    return {
+        upstream.id, upstreamStateName(upstream.state), upstream.service, upstream.address, upstream.zone.name, left};
+}
+
+} // namespace hemlock
