--- a/src/standins/common/jsonreply.cpp
+++ b/src/standins/common/jsonreply.cpp
@@ -1,14 +1,14 @@
 #include "jsonreply.h"
 
+#include "refusal.h"
+
 #include <stdexcept>
 
 namespace hemlock {
 
 void replyJson(HttpResponder &responder, int status, const nlohmann::json &body)
 {
-    responder.reply(status,
-                    {{"Content-Type", "application/json"}},
-                    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    responder.reply(status, {{"Content-Type", "application/json"}}, dumpJson(body));
 }
 
 void replyError(HttpResponder &responder, int status, const std::string &message)
--- a/src/standins/engine/enginestream.cpp
+++ b/src/standins/engine/enginestream.cpp
@@ -2,6 +2,7 @@
 
 #include "encoding.h"
 #include "jsonreply.h"
+#include "refusal.h"
 
 #include <stdexcept>
 
@@ -13,11 +14,6 @@
 
 constexpr std::size_t maxTokensLimit = 100000;
 
-std::string dumpJson(const json &value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 } // namespace
 
 CompletionRequest parseCompletion(const json &body, const std::string &attemptHeader)
--- a/src/standins/platform/cloudvms.cpp
+++ b/src/standins/platform/cloudvms.cpp
@@ -25,7 +25,7 @@
     json.at("zone").get_to(vm.zone);
     json.at("class").get_to(vm.machineClass);
     vm.reclaimable = json.value("reclaimable", true);
-    json.at("service").get_to(vm.service);
+    vm.service = json.value("service", "");
     vm.address = json.value("address", "");
 }
 
--- a/src/standins/platform/cloudvms.h
+++ b/src/standins/platform/cloudvms.h
@@ -19,8 +19,8 @@
     std::string zone;
     std::string machineClass;
     bool reclaimable = true;
-    std::string service;
-    std::string address; ///< "IP:PORT" of the upstream on the VM.
+    std::string service; ///< Empty for an entry VM.
+    std::string address; ///< "IP:PORT" of what runs on the VM.
     double pricePerHour = 0.0;
     bool isLeaving = false; ///< Under a reclaim notice.
 };
--- a/src/standins/service/ledger.cpp
+++ b/src/standins/service/ledger.cpp
@@ -10,6 +10,15 @@
         {"seq", entry.seq}, {"path", entry.path}, {"key", entry.key}, {"attempt", entry.attempt}, {"body", entry.body}};
 }
 
+void from_json(const nlohmann::json &json, LedgerEntry &entry)
+{
+    entry = {json.value("seq", std::int64_t{0}),
+             json.at("path"),
+             json.value("key", ""),
+             json.value("attempt", ""),
+             json.value("body", "")};
+}
+
 const LedgerEntry &Ledger::append(std::string path, std::string key, std::string attempt, std::string body)
 {
     const auto seq = static_cast<std::int64_t>(this->executed.size()) + 1;
--- a/src/standins/service/ledger.h
+++ b/src/standins/service/ledger.h
@@ -19,6 +19,7 @@
 };
 
 void to_json(nlohmann::json &json, const LedgerEntry &entry);
+void from_json(const nlohmann::json &json, LedgerEntry &entry);
 
 /// Executed calls in their order. A key executed twice appears twice: the service does not deduplicate.
 class Ledger
--- a/src/standins/service/servicestandin.cpp
+++ b/src/standins/service/servicestandin.cpp
@@ -3,6 +3,7 @@
 #include "connectionabort.h"
 #include "encoding.h"
 #include "jsonreply.h"
+#include "refusal.h"
 #include "standinprogram.h"
 
 #include <cstdlib>
@@ -35,6 +36,8 @@
 
 ServiceStandin::ServiceStandin(asio::io_context &loop, const json &settings)
     : loop(loop)
+    , http(loop)
+    , database(settings.value("database", ""))
 {
     this->switchFaults(settings.value("faults", json::object()));
     this->server = std::make_unique<HttpServer>(
@@ -61,6 +64,10 @@
 {
     if (request.path == "/ledger") {
         replyJson(*responder, 200, {{"entries", this->ledger.entries(request.queryValue("key"))}});
+    } else if (request.path == "/ledger/entries") {
+        replyJson(*responder, 200, this->execute(parseBody(request).get<LedgerEntry>()));
+    } else if (request.path == "/ledger/state") {
+        replyJson(*responder, 200, this->read(request.queryValue("path")));
     } else if (request.path == "/load") {
         replyJson(*responder, 200, {{"inFlight", this->inFlight}});
     } else if (request.path == "/healthz") {
@@ -86,7 +93,32 @@
         abortConnection(request.remoteAddress);
         return;
     }
-    const json answer = request.method == "GET" ? this->read(request.path) : this->execute(request);
+    const auto finish = [this, request, responder](const json &answer) { this->finish(request, responder, answer); };
+    if (request.method == "GET") {
+        HttpCall call;
+        call.url = this->database + "/ledger/state?path=" + request.path;
+        if (this->database.empty())
+            finish(this->read(request.path));
+        else
+            this->askDatabase(std::move(call), finish);
+        return;
+    }
+    const LedgerEntry entry{
+        0, request.path, request.headers.value("Idempotency-Key"), request.headers.value("X-Attempt-Id"), request.body};
+    const json answer = this->execute(entry);
+    if (this->database.empty()) {
+        finish(answer);
+        return;
+    }
+    HttpCall call;
+    call.method = "POST";
+    call.url = this->database + "/ledger/entries";
+    call.body = dumpJson(entry);
+    this->askDatabase(std::move(call), finish);
+}
+
+void ServiceStandin::finish(const HttpRequest &request, const HttpResponderPtr &responder, const json &answer)
+{
     if (takeFault(this->faults.closeAfter)) {
         abortConnection(request.remoteAddress);
         return;
@@ -95,18 +127,26 @@
     if (request.headers.has("X-Attempt-Id"))
         headers.add("X-Attempt-Id", request.headers.value("X-Attempt-Id"));
     this->after(this->faults.answerDelay,
-                [responder, headers, answer] { responder->reply(200, headers, answer.dump()); });
+                [responder, headers, answer] { responder->reply(200, headers, dumpJson(answer)); });
+}
+
+void ServiceStandin::askDatabase(HttpCall call, std::function<void(const json &)> done)
+{
+    HttpCallHooks hooks;
+    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
+        const json answer = json::parse(outcome.body, nullptr, false);
+        done(answer.is_discarded() ? json{{"error", "the service's database does not answer"}} : answer);
+    };
+    this->http.start(std::move(call), std::move(hooks));
 }
 
-json ServiceStandin::execute(const HttpRequest &request)
+json ServiceStandin::execute(const LedgerEntry &call)
 {
-    const std::string key = request.headers.value("Idempotency-Key");
-    this->ledger.append(request.path, key, request.headers.value("X-Attempt-Id"), request.body);
+    this->ledger.append(call.path, call.key, call.attempt, call.body);
     // The reference depends on the call only, so that golden files hold whichever worker runs it.
-    const std::string reference = sha256Hex(request.path + "\n" + key + "\n" + request.body);
-    return {{"path", request.path},
-            {"reference", reference.substr(0, referenceLength)},
-            {"accepted", bodyJson(request.body)}};
+    const std::string reference = sha256Hex(call.path + "\n" + call.key + "\n" + call.body);
+    return {
+        {"path", call.path}, {"reference", reference.substr(0, referenceLength)}, {"accepted", bodyJson(call.body)}};
 }
 
 json ServiceStandin::read(const std::string &path) const
--- a/src/standins/service/servicestandin.h
+++ b/src/standins/service/servicestandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "httpclient.h"
 #include "httpserver.h"
 #include "ledger.h"
 
@@ -24,6 +25,7 @@
 };
 
 /// Transactional application with a ledger. A POST runs; a GET reads what the latest POST on its path has set.
+/// Several workers of a service share their state through the "database" of their settings, another such process.
 class ServiceStandin
 {
 public:
@@ -36,13 +38,17 @@
     void handle(const HttpRequest &request, const HttpResponderPtr &responder);
     void serve(const HttpRequest &request, const HttpResponderPtr &responder);
     void run(const HttpRequest &request, const HttpResponderPtr &responder);
-    nlohmann::json execute(const HttpRequest &request);
+    void finish(const HttpRequest &request, const HttpResponderPtr &responder, const nlohmann::json &answer);
+    nlohmann::json execute(const LedgerEntry &call);
     nlohmann::json read(const std::string &path) const;
+    void askDatabase(HttpCall call, std::function<void(const nlohmann::json &)> done);
     void switchFaults(const nlohmann::json &body);
     nlohmann::json faultsJson() const;
     void after(std::chrono::milliseconds delay, std::function<void()> action);
 
     asio::io_context &loop;
+    HttpClient http;
+    std::string database;
     ServiceFaults faults;
     Ledger ledger;
     int inFlight = 0;
