--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -20,7 +20,7 @@
 }
 
 has_lines() {
-    [[ $(wc -l <"$1") -ge $2 ]]
+    [[ -e "$1" && $(wc -l <"$1") -ge $2 ]]
 }
 
 # Starts a program and waits until it has announced its addresses: start_program NAME PROGRAM SETTINGS [COUNT].
--- a/src/standins/engine/answertext.cpp
+++ b/src/standins/engine/answertext.cpp
@@ -30,13 +30,19 @@
     return value ^ (value >> 31U);
 }
 
-/// ASCII words only, since a token must be valid UTF-8 by itself.
+/// Whether a byte is part of a word. Bytes beyond ASCII are, so that no character is cut in two.
+bool isWordByte(char byte)
+{
+    const auto value = static_cast<unsigned char>(byte);
+    return value >= 0x80U || std::isalnum(value) != 0;
+}
+
 std::vector<std::string> splitWords(std::string_view text)
 {
     std::vector<std::string> words;
     std::string word;
     for (const char byte : text) {
-        if (std::isalnum(static_cast<unsigned char>(byte)) != 0) {
+        if (isWordByte(byte)) {
             word += byte;
             continue;
         }
--- /dev/null
+++ b/tests/unit/cloudvmstest.cpp
@@ -0,0 +1,122 @@
+#include "cloudvms.h"
+
+#include "tokenbucket.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hemlock;
+using namespace std::chrono_literals;
+
+namespace {
+
+class CloudVmsFixture
+{
+protected:
+    CloudVmsFixture()
+    {
+        this->vms.setPrice("a", "small", true, 0.5);
+        this->vms.setPrice("a", "small", false, 1.5);
+        this->vms.addLive(this->vm("r1", "a", true));
+        this->vms.addLive(this->vm("d1", "a", false));
+        this->vms.addLive(this->vm("r2", "b", true));
+    }
+
+    static CloudVm vm(const std::string &id, const std::string &zone, bool reclaimable)
+    {
+        return {id, zone, "small", reclaimable, "model", "127.0.0.1:1", 0.0, false};
+    }
+
+    /// Identifiers in the list, with "!" after those that are leaving.
+    std::vector<std::string> listed(CloudVms::Time time) const
+    {
+        std::vector<std::string> ids;
+        for (const CloudVm &vm : this->vms.list(time))
+            ids.push_back(vm.id + (vm.isLeaving ? "!" : ""));
+        return ids;
+    }
+
+    CloudVms vms{2000ms};
+    CloudVms::Time now{1h};
+};
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a list that is fresher than the platform's, with which tests would prove too much.
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: ended VM: stays in the list for the lag")
+{
+    CHECK(this->vms.end("r1", this->now));
+    CHECK(this->listed(this->now + 1999ms) == Ids{"d1", "r1", "r2"});
+    CHECK(this->listed(this->now + 2000ms) == Ids{"d1", "r2"});
+    CHECK_FALSE(this->vms.end("r1", this->now));
+}
+
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: started VM: appears after the lag, with its price")
+{
+    const auto started = this->vms.start(this->vm("", "a", false), this->now);
+    REQUIRE(started);
+    CHECK(started->pricePerHour == 1.5);
+    CHECK(this->listed(this->now).size() == 3);
+    CHECK(this->listed(this->now + 2s) == Ids{"d1", "r1", "r2", started->id});
+}
+
+// Guards against a reclaim of a zone that spares VMs, or takes those that are paid in full.
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: reclaim of a zone: takes its reclaimable VMs once")
+{
+    CHECK(this->vms.reclaimZone("a", false, 5s, this->now) == Ids{"r1"});
+    CHECK(this->vms.reclaimZone("a", false, 5s, this->now).empty());
+    CHECK(this->vms.reclaimZone("a", true, 5s, this->now) == Ids{"d1"});
+    CHECK(this->listed(this->now + 3s) == Ids{"d1!", "r1!", "r2"});
+}
+
+// Guards against notices that a reader who asks from the last number on gets twice or never.
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: notices after a number: are the later ones with their deadlines")
+{
+    this->vms.reclaim("r1", 5s, this->now);
+    this->vms.reclaim("r2", 7s, this->now);
+    CHECK(this->vms.noticesAfter(0).size() == 2);
+    const auto later = this->vms.noticesAfter(1);
+    REQUIRE(later.size() == 1);
+    CHECK(later.front().vm == "r2");
+    CHECK(later.front().deadline == this->now + 7s);
+}
+
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: deadline of a notice: ends the VM once and not before")
+{
+    this->vms.reclaim("r1", 5s, this->now);
+    CHECK(this->vms.endOverdue(this->now + 4999ms).empty());
+    CHECK(this->vms.endOverdue(this->now + 5s).size() == 1);
+    CHECK(this->vms.endOverdue(this->now + 6s).empty());
+}
+
+// Guards against starts without capacity, which is what refusals stand for.
+TEST_CASE_METHOD(CloudVmsFixture, "CloudVms: start without an address: takes a spare one of the zone or is refused")
+{
+    CloudVm wanted = this->vm("", "b", true);
+    wanted.address.clear();
+    CHECK_FALSE(this->vms.start(wanted, this->now));
+    CloudVm spare = this->vm("", "b", true);
+    spare.address = "127.0.0.1:9";
+    this->vms.addSpare(spare);
+    const auto started = this->vms.start(wanted, this->now);
+    REQUIRE(started);
+    CHECK(started->address == "127.0.0.1:9");
+    CHECK_FALSE(this->vms.start(wanted, this->now));
+}
+
+// Guards against a rate limit that lets a burst through again and again, or starves after a quiet time.
+TEST_CASE("TokenBucket: burst beyond the rate: is refused until time has passed")
+{
+    TokenBucket bucket(10.0);
+    TokenBucket::Time now{1h};
+    int taken = 0;
+    for (int call = 0; call < 15; ++call)
+        taken += bucket.take(now) ? 1 : 0;
+    CHECK(taken == 10);
+    CHECK(bucket.take(now + 100ms));
+    CHECK_FALSE(bucket.take(now + 100ms));
+    CHECK(bucket.borrow(10.0, now + 1100ms).count() == Approx(0.0).margin(1e-6));
+    CHECK(bucket.borrow(5.0, now + 1100ms).count() == Approx(0.5));
+}
--- /dev/null
+++ b/tests/unit/enginestandintest.cpp
@@ -0,0 +1,176 @@
+#include "answertext.h"
+#include "batchscheduler.h"
+#include "cacheeventlog.h"
+#include "laggingvalue.h"
+#include "orderbook.h"
+#include "prefixcache.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hemlock;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Ids = std::vector<std::string>;
+
+class BatchSchedulerFixture
+{
+protected:
+    static BatchSettings settings()
+    {
+        BatchSettings settings;
+        settings.maxBatch = 2;
+        settings.step = 1000us;
+        settings.growth = 0.1;
+        settings.prefillTokens = 100;
+        settings.prefillGrowth = 0.01;
+        return settings;
+    }
+
+    BatchScheduler scheduler{settings()};
+};
+
+class PrefixCacheFixture
+{
+protected:
+    PrefixCache cache{
+        3, [this](const std::string &key, bool isStored) { this->changes.push_back((isStored ? "+" : "-") + key); }};
+    Ids changes;
+};
+
+class OrderBookFixture
+{
+protected:
+    OrderBook checked{{"m", "1", "serve", {}}, true};
+    OrderBook ignoring{{"m", "1", "serve", {}}, false};
+};
+
+} // namespace
+
+// Guards against steps that cost the same whatever they compute, which would hide the price of recomputed tokens.
+TEST_CASE_METHOD(BatchSchedulerFixture, "BatchScheduler: step time: grows with the batch and with prompt tokens")
+{
+    this->scheduler.add("a", 5, 0, 3);
+    CHECK(this->scheduler.step().duration == 1000us);
+    this->scheduler.add("b", 5, 0, 3);
+    CHECK(this->scheduler.step().duration == 1100us);
+    this->scheduler.remove("b");
+    this->scheduler.add("c", 5, 50, 1);
+    CHECK(this->scheduler.step().duration == 1600us);
+}
+
+TEST_CASE_METHOD(BatchSchedulerFixture, "BatchScheduler: long prompt: is computed in parts before the first token")
+{
+    this->scheduler.add("a", 5, 250, 1);
+    CHECK(this->scheduler.step().admitted == Ids{"a"});
+    CHECK(this->scheduler.step().emitted.empty());
+    CHECK(this->scheduler.step().emitted.empty());
+    const auto last = this->scheduler.step();
+    CHECK(last.emitted == Ids{"a"});
+    CHECK(last.finished == Ids{"a"});
+    CHECK(this->scheduler.isIdle());
+}
+
+// Guards against urgent requests that wait behind a full batch.
+TEST_CASE_METHOD(BatchSchedulerFixture, "BatchScheduler: full batch: the highest priorities run, then arrival counts")
+{
+    this->scheduler.add("low", 9, 0, 5);
+    this->scheduler.add("first", 5, 0, 5);
+    this->scheduler.add("second", 5, 0, 5);
+    CHECK(this->scheduler.step().emitted == Ids{"first", "second"});
+    this->scheduler.add("urgent", 0, 0, 5);
+    CHECK(this->scheduler.step().emitted == Ids{"urgent", "first"});
+    CHECK(this->scheduler.running() == 2);
+    CHECK(this->scheduler.waiting() == 2);
+}
+
+// Guards against an eviction of a prefix's beginning, which makes the rest useless.
+TEST_CASE_METHOD(PrefixCacheFixture, "PrefixCache: beyond its size: evicts the least recently used ends first")
+{
+    this->cache.insert({"a1", "a2", "a3"});
+    this->cache.insert({"b1"});
+    CHECK(this->changes == Ids{"+a3", "+a2", "+a1", "+b1", "-a3"});
+    CHECK(this->cache.match({"a1", "a2", "a3"}) == 2);
+    this->cache.insert({"c1"});
+    CHECK(this->cache.match({"b1"}) == 0);
+    CHECK(this->cache.match({"a1", "a2"}) == 2);
+    CHECK(this->cache.size() == 3);
+}
+
+// Guards against keys that match although the texts differ before the block.
+TEST_CASE("PrefixCache: keys of two texts: are equal up to the first difference")
+{
+    const std::string common(cacheBlockBytes, 'x');
+    const auto first = cacheBlockKeys(common + std::string(cacheBlockBytes, 'y') + std::string(cacheBlockBytes, 'z'));
+    const auto second = cacheBlockKeys(common + std::string(cacheBlockBytes, 'w') + std::string(cacheBlockBytes, 'z'));
+    REQUIRE(first.size() == 3);
+    CHECK(first[0] == second[0]);
+    CHECK(first[1] != second[1]);
+    CHECK(first[2] != second[2]);
+    CHECK(cacheBlockKeys(std::string(cacheBlockBytes - 1, 'x')).empty());
+}
+
+// Guards against golden files and failovers that depend on which engine generates.
+TEST_CASE("AnswerText: same prompt: gives the same tokens, another prompt gives others")
+{
+    const AnswerText first("three wise men", {"star", "crib"});
+    const AnswerText again("three wise men", {"star", "crib"});
+    const AnswerText other("three wise women", {"star", "crib"});
+    std::string text;
+    std::string otherText;
+    for (std::size_t index = 1; index <= 20; ++index) {
+        CHECK(first.token(index) == again.token(index));
+        text += first.token(index);
+        otherText += other.token(index);
+    }
+    CHECK(text != otherText);
+    CHECK(countTokens("12345") == 2);
+}
+
+// Guards against load reports and cache events that are fresher or more complete than an engine's.
+TEST_CASE("LaggingValue: value that changed: is reported after the lag")
+{
+    LaggingValue<int> value(500ms);
+    const LaggingValue<int>::Time now{1h};
+    value.set(1, now);
+    value.set(2, now + 100ms);
+    CHECK(value.value(now + 500ms) == 1);
+    CHECK(value.value(now + 600ms) == 2);
+}
+
+TEST_CASE("CacheEventLog: every third event lost: the rest is published late, with its numbers")
+{
+    CacheEventLog log(300ms, 3);
+    const CacheEventLog::Time now{1h};
+    for (const char *block : {"a", "b", "c", "d"})
+        log.add(block, true, now);
+    CHECK(log.after(0, now + 299ms).at("events").empty());
+    const auto published = log.after(1, now + 300ms);
+    REQUIRE(published.at("events").size() == 2);
+    CHECK(published["events"][0]["block"] == "b");
+    CHECK(published["events"][1]["seq"] == 4);
+    CHECK(published["last"] == 4);
+}
+
+// Guards against a stand-in that checks fencing where the deployment's engines do not, and the reverse.
+TEST_CASE_METHOD(OrderBookFixture, "OrderBook: order with an old token: is refused only where tokens are checked")
+{
+    for (OrderBook *book : {&this->checked, &this->ignoring}) {
+        CHECK(book->receive({{"order", "o1"}, {"fencing", 5}, {"role", "spare"}}).isAccepted);
+        CHECK(book->receive({{"order", "o2"}, {"fencing", 5}, {"role", "serve"}}).isAccepted);
+    }
+    const nlohmann::json stale = {{"order", "o3"}, {"fencing", 4}, {"role", "stale"}};
+    CHECK_FALSE(this->checked.receive(stale).isAccepted);
+    CHECK(this->checked.state().role == "serve");
+    CHECK(this->ignoring.receive(stale).isAccepted);
+    CHECK(this->ignoring.state().role == "stale");
+    CHECK(this->ignoring.report().at("fencing") == 5);
+}
+
+TEST_CASE_METHOD(OrderBookFixture, "OrderBook: order of another version: needs the weights, a change of role does not")
+{
+    CHECK(this->checked.receive({{"fencing", 1}, {"version", "2"}}).changesModel);
+    CHECK_FALSE(this->checked.receive({{"fencing", 1}, {"role", "spare"}}).changesModel);
+}
