Bound the store's history by bytes and add spare engines

Cause: 20,000 past events of up to 1 MiB could take gigabytes; starts were always refused in the samples.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -73,25 +73,30 @@
     start_program "${name}" "${program}" "${out}/${name}.json"
 }
 
-# Tells the cloud API of the VMs that the platform's sample lists, at the addresses that their processes announced.
+# Tells the cloud API of the VMs, and of the idle ones that later starts take, at the addresses that their processes
+# announced.
 add_vms() {
-    local folder=$1 out=$2 platform=$3 id vm
-    while IFS= read -r vm; do
-        id=$(jq -r .id <<<"${vm}")
-        jq --arg address "$(jq -rs '.[0].address' "${out}/${id}.out")" '.address = $address' <<<"${vm}" \
-            | curl -fsS -o "${out}/vm.json" "http://${platform}/cloud/v1/vms" --data-binary @-
-    done < <(jq -c '.vms[]' "${folder}/settings/platform.json")
+    local folder=$1 out=$2 platform=$3 list path id vm
+    for list in vms spares; do
+        path=/cloud/v1/${list}
+        while IFS= read -r vm; do
+            id=$(jq -r .id <<<"${vm}")
+            jq --arg address "$(jq -rs '.[0].address' "${out}/${id}.out")" '.address = $address' <<<"${vm}" \
+                | curl -fsS -o "${out}/vm.json" "http://${platform}${path}" --data-binary @-
+        done < <(jq -c ".${list}[]" "${folder}/settings/platform.json")
+    done
 }
 
 all_healthy() {
     curl -fsS "http://$1/targets" | jq -e '.targets | length > 0 and all(.healthy)' >/dev/null
 }
 
-# Whether every entry process knows all upstreams: the last snapshot in each log has this many.
+# Whether every entry process knows at least this many upstreams, by the last snapshot in each log.
 entries_know() {
     local out=$1 count=$2 log
     for log in "${out}"/entry-*.log; do
-        grep '"event":"snapshot-applied"' "${log}" | tail -n 1 | grep -q "\"upstreams\":${count}[,}]" || return 1
+        grep '"event":"snapshot-applied"' "${log}" | tail -n 1 \
+            | jq -e --argjson count "${count}" '.upstreams >= $count' >/dev/null || return 1
     done
 }
 
@@ -99,13 +104,14 @@
 start_deployment() {
     local name=$1 folder="${root}/samples/$1" out="${run}/$1" file id platform store
     mkdir -p "${out}"
-    start_upstream "${folder}" "${out}" platform platform-standin '.vms = []'
+    # The platform starts first, since the engines load from its weight store: it learns the VMs' addresses later.
+    start_upstream "${folder}" "${out}" platform platform-standin '.vms = [] | .spares = []'
     platform=$(address_of "${name}" platform)
     store="http://${platform}"
     start_upstream "${folder}" "${out}" database service-standin .
     local database
     database="http://$(address_of "${name}" database)"
-    for file in "${folder}"/settings/engine-*.json; do
+    for file in "${folder}"/settings/{engine,spare}-*.json; do
         start_upstream "${folder}" "${out}" "$(basename "${file}" .json)" engine-standin '.weightStore = $store' \
             --arg store "${store}"
     done
--- a/src/standins/platform/kvgateway.cpp
+++ b/src/standins/platform/kvgateway.cpp
@@ -3,6 +3,7 @@
 #include "connectionabort.h"
 #include "jsonreply.h"
 #include "kvjson.h"
+#include "refusal.h"
 
 #include <stdexcept>
 
@@ -236,7 +237,15 @@
         responder->write(json{{"result", result}}.dump() + "\n");
     };
     const auto id = this->store.watch(interval, parseInteger64(create, "start_revision"), report);
-    this->openWatches[key] = {id, responder, request.remoteAddress};
+    if (!id) {
+        const std::string oldest = std::to_string(this->store.compactRevision());
+        responder->write(
+            dumpJson({{"result", {{"header", this->header()}, {"canceled", true}, {"compact_revision", oldest}}}})
+            + "\n");
+        responder->endStream();
+        return;
+    }
+    this->openWatches[key] = {*id, responder, request.remoteAddress};
 }
 
 void KvGateway::endWatches()
--- a/src/standins/platform/platformstandin.cpp
+++ b/src/standins/platform/platformstandin.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds endInterval{20};
 constexpr std::string_view vmsPath = "/cloud/v1/vms";
+constexpr std::string_view sparesPath = "/cloud/v1/spares";
 constexpr std::string_view weightsPath = "/weights/";
 
 KvLimits parseLimits(const json &settings)
@@ -86,6 +87,8 @@
         this->handleVms(request, *responder);
     else if (path.starts_with(weightsPath))
         this->weights.handle(path.substr(weightsPath.size()), responder);
+    else if (path == sparesPath && request.method == "POST")
+        this->addSpare(parseBody(request), *responder);
     else if (path == "/cloud/v1/prices")
         replyJson(*responder, 200, {{"prices", this->vms.prices()}});
     else if (path == "/cloud/v1/notices")
@@ -116,6 +119,12 @@
         replyError(responder, 405, "method not allowed");
 }
 
+void PlatformStandin::addSpare(const json &body, HttpResponder &responder)
+{
+    this->vms.addSpare(body.get<CloudVm>());
+    replyJson(responder, 201, json::object());
+}
+
 void PlatformStandin::startVm(const json &body, HttpResponder &responder)
 {
     const auto vm =
--- a/src/standins/platform/platformstandin.h
+++ b/src/standins/platform/platformstandin.h
@@ -29,6 +29,7 @@
     void route(const HttpRequest &request, const HttpResponderPtr &responder);
     void handleVms(const HttpRequest &request, HttpResponder &responder);
     void handleReclaim(const nlohmann::json &body, HttpResponder &responder);
+    void addSpare(const nlohmann::json &body, HttpResponder &responder);
     void startVm(const nlohmann::json &body, HttpResponder &responder);
     void endVm(const std::string &id, HttpResponder &responder);
     void switchFaults(const nlohmann::json &body);
