--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -6,6 +6,7 @@
 #include "entrysettings.h"
 #include "httpclient.h"
 #include "idempotency.h"
+#include "peercall.h"
 
 #include <asio.hpp>
 
@@ -16,9 +17,11 @@
 
 namespace hemlock {
 
-/// Passes a call on to the entry process that owns its idempotency key, and its answer back to the caller.
-using ForwardCall =
-    std::function<void(const std::string &ownerAddress, const HttpRequest &request, const HttpResponderPtr &responder)>;
+/// Passes a call on to the entry process that owns its idempotency key.
+using ForwardCall = std::function<void(const std::string &ownerAddress,
+                                       const IntentRequest &intent,
+                                       const HttpRequest &request,
+                                       std::function<void(const ForwardOutcome &)> done)>;
 
 /// Tokens of a stream that a draining peer handed over; nothing when no peer knows the stream.
 using HandedTokens = std::optional<std::vector<std::string>>;
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -15,6 +15,9 @@
 
     void handle(const HttpRequest &request, const HttpResponderPtr &responder);
 
+    /// Runs a call of a transactional service that a peer has forwarded.
+    void runPeerCall(const PeerCall &call, const HttpResponderPtr &responder);
+
 private:
     Result<void> route(const HttpRequest &request, const HttpResponderPtr &responder);
     Result<void> startCompletion(const HttpRequest &request,
--- a/src/entry/transactionalcall.h
+++ b/src/entry/transactionalcall.h
@@ -25,7 +25,10 @@
     void supersede() override;
 
 private:
+    void submitIntent();
     void intentDecided(const IntentDecision &decision);
+    void forward(const std::string &ownerAddress);
+    void forwarded(const ForwardOutcome &outcome);
     void nextAttempt();
     void startAttempt(std::shared_ptr<Attempt> next);
     void attemptDone(const HttpOutcome &outcome);
