--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -25,11 +25,6 @@
 {
 }
 
-void Gateway::setDraining(bool draining)
-{
-    this->draining = draining;
-}
-
 void Gateway::handle(const HttpRequest &request, const HttpResponderPtr &responder)
 {
     if (request.path == "/healthz") {
@@ -75,6 +70,38 @@
     return this->startServiceCall(request, fields, *account, responder);
 }
 
+void Gateway::runPeerCall(const PeerCall &call, const HttpResponderPtr &responder)
+{
+    const auto report = [&](const RequestError &error) { replyRefusal(*responder, error, call.requestId); };
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(target, parseServiceTarget(call.request.path));
+            const Service *service = this->context.configuration.findService(target.service);
+            if (!service) {
+                // The sender knows the service, so this process lags behind with its configuration.
+                return boost::leaf::new_error(RequestError{Verdict::NotRun,
+                                                           503,
+                                                           "not-configured",
+                                                           "the key's owner does not know the service yet",
+                                                           std::chrono::seconds(1)});
+            }
+            CallInfo info;
+            info.requestId = call.requestId;
+            info.clientAccount = call.clientAccount;
+            info.service = *service;
+            info.received = std::chrono::steady_clock::now();
+            info.deadline = info.received + call.timeLeft;
+            info.isForwarded = true;
+            std::make_shared<TransactionalCall>(this->context, std::move(info), target.path, call.request, responder)
+                ->start();
+            return {};
+        },
+        report,
+        [&] {
+            report({Verdict::NotRun, 500, "internal-error", "the call was not handled", {}});
+        });
+}
+
 Result<CallInfo> Gateway::admit(const CallerFields &fields,
                                 const ClientAccount &account,
                                 const std::string &service,
@@ -108,6 +135,9 @@
         return refuse(405, "method-not-allowed", "POST is expected at this path");
     BOOST_LEAF_AUTO(completion, parseCompletion(request.body, this->context.settings.limits));
     BOOST_LEAF_AUTO(call, this->admit(fields, account, completion.service, ServiceKind::Model, fields.requestId));
+    if (fields.resume && !completion.stream)
+        return refuse(400, "invalid-last-event-id", "Last-Event-ID: only a streamed answer can be resumed");
+    completion.resume = fields.resume;
     std::make_shared<ModelCall>(this->context, std::move(call), std::move(completion), responder)->start();
     return {};
 }
@@ -130,8 +160,11 @@
 
 void Gateway::replyHealth(HttpResponder &responder) const
 {
-    const bool ready = !this->draining && this->context.configuration.isLoaded();
-    const nlohmann::json body = {{"status", this->draining ? "draining" : ready ? "ready" : "not-configured"}};
+    const bool ready = !this->context.isDraining && this->context.configuration.isLoaded();
+    const nlohmann::json body = {{"status",
+                                  this->context.isDraining ? "draining"
+                                      : ready              ? "ready"
+                                                           : "not-configured"}};
     responder.reply(ready ? 200 : 503, {{"Content-Type", "application/json"}}, body.dump());
 }
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -6,7 +6,8 @@
 
 namespace hemlock {
 
-/// Serves callers: identifies the client account, checks the request and starts the call.
+/// Serves callers: identifies the client account, checks the request and starts the call. While the process drains,
+/// /healthz answers 503 so that the balancer leaves it out.
 class Gateway
 {
 public:
@@ -14,8 +15,8 @@
 
     void handle(const HttpRequest &request, const HttpResponderPtr &responder);
 
-    /// While draining, /healthz answers 503 so that the balancer leaves this process out.
-    void setDraining(bool draining);
+    /// Runs a call of a transactional service that a peer has forwarded.
+    void runPeerCall(const PeerCall &call, const HttpResponderPtr &responder);
 
 private:
     Result<void> route(const HttpRequest &request, const HttpResponderPtr &responder);
@@ -35,7 +36,6 @@
     void replyHealth(HttpResponder &responder) const;
 
     EntryContext &context;
-    bool draining = false;
 };
 
 } // namespace hemlock
