--- a/tests/unit/upstreampooltest.cpp
+++ b/tests/unit/upstreampooltest.cpp
@@ -15,7 +15,8 @@
                           this->make("suspected", UpstreamState::Suspected),
                           this->make("leaving", UpstreamState::Leaving),
                           this->make("joining", UpstreamState::Joining),
-                          this->make("gone", UpstreamState::Gone)});
+                          this->make("gone", UpstreamState::Gone)},
+                         this->now);
     }
 
     static Upstream make(const std::string &id, UpstreamState state)
@@ -23,56 +24,89 @@
         return {.id = id, .service = "model", .address = "127.0.0.1:1", .zone = {"a"}, .state = state};
     }
 
-    std::vector<std::string> names(const std::set<std::string> &excluded = {}) const
+    /// The chosen upstream and the alternatives.
+    std::set<std::string> weighed(const std::set<std::string> &excluded = {})
     {
-        std::vector<std::string> ids;
-        for (const UpstreamView &view : this->pool.candidates("model", excluded, this->now))
-            ids.push_back(view.id);
+        RouteDecision decision =
+            this->pool.choose(this->router, {.service = "model"}, excluded, this->now, this->random);
+        std::set<std::string> ids(decision.alternatives.begin(), decision.alternatives.end());
+        if (!decision.upstream.empty())
+            ids.insert(decision.upstream);
         return ids;
     }
 
     UpstreamPool pool;
+    Router router{"least-in-flight"};
+    RandomEngine random{1};
     UpstreamPool::Time now{std::chrono::hours(1)};
 };
 
-using Names = std::vector<std::string>;
+using Names = std::set<std::string>;
 
 } // namespace
 
 // Guards against new work for an upstream that is leaving or not ready yet.
-TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: all states present: only the serving upstream is a candidate")
+TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: all states present: only the serving upstream is weighed")
 {
-    CHECK(this->names() == Names{"serving"});
+    CHECK(this->weighed() == Names{"serving"});
 }
 
 // Guards against a refusal while an upstream remains that may well be sound.
-TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: no serving upstream left: the suspected one is a candidate")
+TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: no serving upstream left: the suspected one is chosen")
 {
-    CHECK(this->names({"serving"}) == Names{"suspected"});
-    CHECK(this->names({"serving", "suspected"}).empty());
+    CHECK(this->weighed({"serving"}) == Names{"suspected"});
+    CHECK(this->weighed({"serving", "suspected"}).empty());
 }
 
 // Guards against requests that keep going to a dead upstream until the control process notices.
 TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: upstream failed just now: is avoided for a while")
 {
-    this->pool.apply({this->make("a", UpstreamState::Serving), this->make("b", UpstreamState::Serving)});
+    this->pool.apply({this->make("a", UpstreamState::Serving), this->make("b", UpstreamState::Serving)}, this->now);
     this->pool.attemptFailed("a", this->now);
-    CHECK(this->names() == Names{"b"});
-    CHECK(this->names({"b"}) == Names{"a"});
+    CHECK(this->weighed() == Names{"b"});
+    CHECK(this->weighed({"b"}) == Names{"a"});
+    // The list that still names the dead upstream must not end the avoidance.
+    this->pool.apply({this->make("a", UpstreamState::Serving), this->make("b", UpstreamState::Serving)}, this->now);
+    CHECK(this->weighed() == Names{"b"});
     this->now += std::chrono::seconds(2);
-    CHECK(this->names() == Names{"a", "b"});
+    CHECK(this->weighed() == Names{"a", "b"});
     CHECK(this->pool.takeFailures().at("a") == 1);
     CHECK(this->pool.takeFailures().empty());
 }
 
-// Guards against in-flight counts that a new snapshot resets, which would overload busy upstreams.
-TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: new snapshot: in-flight counts stay")
+// Guards against in-flight counts that a new snapshot or an avoidance resets, which would overload busy upstreams.
+TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: list and avoidance change: in-flight counts stay")
 {
-    this->pool.attemptStarted("serving");
-    this->pool.apply({this->make("serving", UpstreamState::Serving)});
-    CHECK(this->pool.candidates("model", {}, this->now).front().inFlight == 1);
-    this->pool.apply({});
-    CHECK(this->pool.inFlight().at("serving") == 1);
-    this->pool.attemptEnded("serving");
+    const std::vector<Upstream> both{this->make("a", UpstreamState::Serving), this->make("b", UpstreamState::Serving)};
+    this->pool.apply(both, this->now);
+    const auto chosen = [this] {
+        return this->pool.choose(this->router, {.service = "model"}, {}, this->now, this->random).upstream;
+    };
+    const std::string busy = chosen();
+    const std::string idle = busy == "a" ? "b" : "a";
+    this->pool.attemptStarted(busy);
+    this->pool.attemptStarted(busy);
+    this->pool.apply(both, this->now);
+    CHECK(chosen() == idle);
+    this->pool.attemptStarted(idle);
+    this->pool.attemptFailed(busy, this->now);
+    this->now += std::chrono::seconds(2);
+    CHECK(chosen() == idle);
+    this->pool.attemptEnded(idle);
+    this->pool.attemptEnded(busy);
+    this->pool.apply({}, this->now);
+    CHECK(this->pool.inFlight().at(busy) == 1);
+    this->pool.attemptEnded(busy);
     CHECK(this->pool.inFlight().empty());
 }
+
+// Guards against deaths that nobody is told of, so that caches and crash suspicions outlive the upstream.
+TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: upstreams left or gone: are reported as removed once")
+{
+    const auto change = this->pool.apply({this->make("suspected", UpstreamState::Gone)}, this->now);
+    Names removed;
+    for (const Upstream &upstream : change.removed)
+        removed.insert(upstream.id);
+    CHECK(removed == Names{"serving", "suspected", "leaving", "joining"});
+    CHECK(this->pool.apply({}, this->now).removed.empty());
+}
