Run the placer in the control process

Cause: Placer had no connection to the cloud API, the configuration and the upstreams' state. Change: the control process passes the placement rules and upstream states to the placer, carries its calls to the cloud API, and releases the role in a graceful shutdown. Only a zone's watcher claims the role.

--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -11,12 +11,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval{20};
+constexpr std::chrono::milliseconds placerInterval{500};
 constexpr std::chrono::milliseconds storeTimeout{1000};
 constexpr std::chrono::milliseconds cloudTimeout{1000};
 /// Covers a round trip between zones several times; a slower peer is as good as unreachable for a control message.
 constexpr std::chrono::milliseconds rpcTimeout{1000};
 /// Any HTTP answer to this path shows that the upstream is there; engines report their load on it.
-constexpr std::string_view probePath = "/load";
+constexpr std::string_view loadPath = "/load";
 constexpr std::chrono::milliseconds probeTimeout{500};
 /// Lets the last messages of a leaving node out.
 constexpr std::chrono::milliseconds leaveTime{100};
@@ -71,6 +72,7 @@
     const std::string address = this->server.start();
     this->nodeSettings.self.controlAddress = address;
     this->node = std::make_unique<ControlNode>(this->nodeSettings, this->nodeIo());
+    this->placer = std::make_unique<Placer>(kvAccess(this->kv), this->nodeSettings.self.id, this->placerIo());
     announceAddress("control", address);
     this->signals.async_wait([this](const std::error_code &error, int) {
         if (!error)
@@ -120,10 +122,84 @@
     this->http.start(std::move(call), std::move(hooks));
 }
 
+PlacerIo ControlProcess::placerIo()
+{
+    PlacerIo io;
+    io.cloud = [this](const std::string &method,
+                      const std::string &path,
+                      const json &body,
+                      std::function<void(const CloudAnswer &)> done) {
+        this->callCloud(method, path, body, std::move(done));
+    };
+    io.readLoad = [this](const std::string &address, std::function<void(std::optional<double>)> done) {
+        this->readLoad(address, std::move(done));
+    };
+    const ControlIo shared = this->nodeIo();
+    io.random = shared.random;
+    io.now = shared.now;
+    io.log = shared.log;
+    return io;
+}
+
+void ControlProcess::callCloud(const std::string &method,
+                               const std::string &path,
+                               const json &body,
+                               std::function<void(const CloudAnswer &)> done)
+{
+    HttpCall call;
+    call.method = method;
+    call.url = endpointUrl(this->settings.at("cloud")) + path;
+    call.body = body.is_null() ? "" : body.dump();
+    call.timeout = cloudTimeout;
+    HttpCallHooks hooks;
+    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
+        CloudAnswer answer;
+        if (!outcome.isComplete()) {
+            // A call that was not sent counts as refused; anything else may have taken effect.
+            answer.status = outcome.verdict == Verdict::NotRun ? 503 : 0;
+            answer.error = outcome.error;
+            return done(answer);
+        }
+        answer.status = outcome.status;
+        answer.body = json::parse(outcome.body, nullptr, false);
+        if (!answer.body.is_object())
+            answer.body = json::object();
+        done(answer);
+    };
+    this->http.start(std::move(call), std::move(hooks));
+}
+
+void ControlProcess::readLoad(const std::string &address, std::function<void(std::optional<double>)> done)
+{
+    HttpCall call;
+    call.url = "http://" + address + std::string(loadPath);
+    call.connectTimeout = probeTimeout;
+    call.timeout = probeTimeout;
+    HttpCallHooks hooks;
+    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
+        const json body = json::parse(outcome.body, nullptr, false);
+        if (outcome.status != 200 || !body.is_object() || !body.contains("inFlight") || !body["inFlight"].is_number())
+            return done(std::nullopt);
+        done(body["inFlight"].get<double>());
+    };
+    this->http.start(std::move(call), std::move(hooks));
+}
+
+void ControlProcess::tickPlacer()
+{
+    const double random = std::uniform_real_distribution<double>(0.0, 1.0)(this->engine);
+    if (!this->placerTask.isDue(std::chrono::steady_clock::now(), placerInterval, random))
+        return;
+    std::vector<PlacementRule> rules;
+    for (const json &rule : this->node->placement())
+        rules.push_back(rule.get<PlacementRule>());
+    this->placer->tick(this->node->isZoneWatcher(), rules, this->node->snapshot().upstreams);
+}
+
 void ControlProcess::probe(const std::string &address, std::function<void(bool)> done)
 {
     HttpCall call;
-    call.url = "http://" + address + std::string(probePath);
+    call.url = "http://" + address + std::string(loadPath);
     call.connectTimeout = probeTimeout;
     call.timeout = probeTimeout;
     HttpCallHooks hooks;
@@ -134,6 +210,7 @@
 void ControlProcess::tick()
 {
     this->node->tick();
+    this->tickPlacer();
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](const std::error_code &error) {
         if (!error)
@@ -144,6 +221,7 @@
 void ControlProcess::stop()
 {
     logEvent(LogLevel::Info, "stopping", json::object());
+    this->placer->release();
     this->node->leave();
     this->timer.expires_after(leaveTime);
     this->timer.async_wait([this](const std::error_code &error) {
--- a/src/control/controlprocess.h
+++ b/src/control/controlprocess.h
@@ -4,6 +4,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "kvclient.h"
+#include "placer.h"
 #include "rpc.h"
 
 #include <nlohmann/json.hpp>
@@ -30,6 +31,13 @@
 private:
     ControlIo nodeIo();
     void cloudGet(const std::string &path, std::function<void(const nlohmann::json &, const std::string &)> done);
+    PlacerIo placerIo();
+    void callCloud(const std::string &method,
+                   const std::string &path,
+                   const nlohmann::json &body,
+                   std::function<void(const CloudAnswer &)> done);
+    void readLoad(const std::string &address, std::function<void(std::optional<double>)> done);
+    void tickPlacer();
     void probe(const std::string &address, std::function<void(bool)> done);
     void tick();
     void stop();
@@ -46,6 +54,8 @@
     asio::steady_timer timer;
     asio::signal_set signals;
     std::unique_ptr<ControlNode> node;
+    std::unique_ptr<Placer> placer;
+    PeriodicTask placerTask;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -337,6 +337,16 @@
     return snapshot;
 }
 
+std::vector<json> ControlNode::placement() const
+{
+    return this->config.keeper().document().placement();
+}
+
+bool ControlNode::isZoneWatcher() const
+{
+    return this->membership.isZoneWatcher();
+}
+
 std::int64_t ControlNode::configVersion() const
 {
     return this->config.keeper().version();
--- a/src/libhemlock/controlnode.h
+++ b/src/libhemlock/controlnode.h
@@ -46,6 +46,13 @@
     void leave();
 
     Snapshot snapshot() const;
+
+    /// Entries of the field "placement" of the configuration in force.
+    std::vector<nlohmann::json> placement() const;
+
+    /// Whether this node may take roles of its zone, such as placing VMs.
+    bool isZoneWatcher() const;
+
     std::int64_t configVersion() const;
 
 private:
