Test calls that may not repeat with real processes

Unit tests with a simulated store do not show faults of the connection between the log, the entry process and the store. Eight tests kill, pause and shut down entry processes, lose answers of the store and switch it off, and check the ledger of the service.

--- /dev/null
+++ b/tests/failure/intenttest.cpp
@@ -0,0 +1,147 @@
+#include "intentcluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace hemlock;
+using namespace std::chrono_literals;
+
+// Guards against a second run after the death of the process that had dispatched the call.
+TEST_CASE_METHOD(IntentCluster, "Intents: entry killed between commit and answer: a retry elsewhere is not run")
+{
+    const EntryVm first = this->startEntry();
+    const EntryVm second = this->startEntry();
+    this->makeOwner(first);
+    this->setServiceFaults({{"answerDelayMs", 60000}});
+    const Pending cutOff = this->start(first, "key");
+    this->waitForRun("key");
+    first.process->kill();
+    CHECK_FALSE(this->wait(cutOff).isComplete());
+
+    this->setServiceFaults({{"answerDelayMs", 0}});
+    const HttpOutcome retry = this->call(second, "key");
+    CHECK(verdictOf(retry) == "may-have-run");
+    CHECK(codeOf(retry) == "outcome-unknown");
+    CHECK(this->runs("key") == 1);
+    CHECK(this->call(second, "another-key").status == 200);
+}
+
+// Guards against a former owner that wakes up and dispatches calls of which another owner has decided.
+TEST_CASE_METHOD(IntentCluster, "Intents: owner paused past its lease and resumed: no call runs twice")
+{
+    const EntryVm first = this->startEntry();
+    const EntryVm second = this->startEntry();
+    this->makeOwner(first);
+    first.process->pause();
+    const Pending stalled = this->start(first, "key");
+    const HttpOutcome retry = this->call(second, "key");
+    CHECK(retry.status == 200);
+    second.process->waitForEvent("slot-claimed", [](const nlohmann::json &line) { return line.at("takeover"); });
+
+    first.process->resume();
+    const HttpOutcome late = this->wait(stalled);
+    CHECK(late.status == 200);
+    CHECK(late.body == retry.body);
+    CHECK(this->runs("key") == 1);
+    first.process->waitForEvent("slot-lost");
+}
+
+// Guards against a lost answer that is taken for a failure: the call would be refused, or stay blocked for ever.
+TEST_CASE_METHOD(IntentCluster, "Intents: answer of the store lost: the call runs once and is answered")
+{
+    const EntryVm entry = this->startEntry();
+    this->makeOwner(entry);
+    this->setStoreFaults({{"loseAnswers", 2}});
+    CHECK(this->call(entry, "key").status == 200);
+    CHECK(this->call(entry, "key").status == 200);
+    CHECK(this->runs("key") == 1);
+}
+
+// Guards against a call that is sent without a durable intent, and against one that is lost with the outage.
+TEST_CASE_METHOD(IntentCluster, "Intents: store outage and its end: calls are refused as not run or run afterwards")
+{
+    const EntryVm entry = this->startEntry();
+    this->makeOwner(entry);
+    this->setStoreFaults({{"outage", true}});
+    const Pending patient = this->start(entry, "patient");
+    const HttpOutcome hasty = this->wait(this->start(entry, "hasty", 300ms));
+    CHECK(hasty.status == 503);
+    CHECK(verdictOf(hasty) == "not-run");
+    CHECK(hasty.headers.has("Retry-After"));
+    CHECK(this->ledger().size() == 1);
+
+    this->setStoreFaults({{"outage", false}});
+    CHECK(this->wait(patient).status == 200);
+    CHECK(this->runs("patient") == 1);
+    CHECK(this->runs("hasty") == 0);
+    CHECK(this->call(entry, "hasty").status == 200);
+}
+
+// Guards against a retry that overtakes the first attempt at another entry process.
+TEST_CASE_METHOD(IntentCluster, "Intents: retry to another entry VM while the first attempt runs: gets its answer")
+{
+    const EntryVm first = this->startEntry();
+    const EntryVm second = this->startEntry();
+    this->makeOwner(first);
+    this->setServiceFaults({{"answerDelayMs", 1500}});
+    const Pending attempt = this->start(first, "key");
+    this->waitForRun("key");
+    const Pending retry = this->start(second, "key");
+    const HttpOutcome attemptOutcome = this->wait(attempt);
+    const HttpOutcome retryOutcome = this->wait(retry);
+    CHECK(attemptOutcome.status == 200);
+    CHECK(retryOutcome.status == 200);
+    CHECK(retryOutcome.body == attemptOutcome.body);
+    CHECK(this->runs("key") == 1);
+}
+
+// Guards against two owners of one slot. The delay lets both processes read the empty slot before either claims it.
+TEST_CASE_METHOD(IntentCluster, "Intents: two entry VMs claim one slot: one of them runs the call")
+{
+    const EntryVm first = this->startEntry();
+    const EntryVm second = this->startEntry();
+    this->setStoreFaults({{"delayMs", 100}});
+    const Pending a = this->start(first, "key");
+    const Pending b = this->start(second, "key");
+    const HttpOutcome aOutcome = this->wait(a);
+    const HttpOutcome bOutcome = this->wait(b);
+    CHECK(aOutcome.status == 200);
+    CHECK(bOutcome.status == 200);
+    CHECK(aOutcome.body == bOutcome.body);
+    CHECK(this->runs("key") == 1);
+}
+
+// Guards against a graceful shutdown that cuts off a call or leaves its key to the end of a lease.
+TEST_CASE_METHOD(IntentCluster, "Intents: owner shut down with a call in progress: answers it and hands the slot over")
+{
+    const EntryVm first = this->startEntry();
+    const EntryVm second = this->startEntry();
+    this->makeOwner(first);
+    this->setServiceFaults({{"answerDelayMs", 500}});
+    const Pending attempt = this->start(first, "key");
+    this->waitForRun("key");
+    first.process->signal(SIGTERM);
+    const HttpOutcome outcome = this->wait(attempt);
+    CHECK(outcome.status == 200);
+    CHECK(first.process->waitForExit() == 0);
+    const HttpOutcome retry = this->call(second, "key");
+    CHECK(retry.status == 200);
+    CHECK(retry.body == outcome.body);
+    CHECK(this->runs("key") == 1);
+    const auto claim = second.process->waitForEvent("slot-claimed");
+    CHECK_FALSE(claim.at("takeover").get<bool>());
+}
+
+// Guards against calls that an outsider injects at the control address.
+TEST_CASE_METHOD(IntentCluster, "Intents: unsigned peer call: is refused and not run")
+{
+    const EntryVm entry = this->startEntry();
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + entry.control + "/peer/call";
+    call.body = "{}";
+    const HttpOutcome outcome = this->http().call(call);
+    CHECK(outcome.status == 403);
+    CHECK(verdictOf(outcome) == "not-run");
+}
