Add randomized failure runs for calls that may not repeat

Single scenarios miss combinations of failures. Each seed sends calls of two client accounts with the same keys and retries them at random entry VMs, while entry processes are killed and paused and the store and the service get faults; the service's ledger and all answers are checked at the end. HEMLOCK_RANDOMIZED_SEEDS and HEMLOCK_RANDOMIZED_CALLS make it a long run.

--- a/tests/failure/intentcluster.cpp
+++ b/tests/failure/intentcluster.cpp
@@ -103,6 +103,8 @@
     call.body = body;
     // A paused process keeps connections open; later calls must not share them.
     call.closesConnection = true;
+    // A process that stays paused never answers; its caller gives up some time after the deadline.
+    call.timeout = timeLeft + std::chrono::seconds(1);
     return this->testHttp.start(std::move(call));
 }
 
--- /dev/null
+++ b/tests/failure/randomizedtest.cpp
@@ -0,0 +1,39 @@
+#include "randomizedrun.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace hemlock;
+
+namespace {
+
+void checkSeed(std::uint32_t seed, int calls)
+{
+    const RandomizedReport report = RandomizedRun(seed, calls).run();
+    const nlohmann::json line = {{"seed", seed}, {"report", report}};
+    std::cout << line.dump() << std::endl;
+    INFO(line.dump());
+    CHECK(report.doubleRuns == 0);
+    CHECK(report.falseNotRun == 0);
+    CHECK(report.wrongAnswers == 0);
+}
+
+int numberFromEnvironment(const char *name, int otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
+}
+
+} // namespace
+
+// Guards against combinations of failures that no single scenario has. HEMLOCK_RANDOMIZED_SEEDS and
+// HEMLOCK_RANDOMIZED_CALLS turn it into a long run: seeds 1 to N with as many calls each.
+TEST_CASE("Intents: randomized failures: no double run, no false not-run, no answer to another caller")
+{
+    const int seeds = numberFromEnvironment("HEMLOCK_RANDOMIZED_SEEDS", 3);
+    const int calls = numberFromEnvironment("HEMLOCK_RANDOMIZED_CALLS", 40);
+    for (int seed = 1; seed <= seeds; ++seed)
+        checkSeed(static_cast<std::uint32_t>(seed), calls);
+}
