Measure single commit against group commit

The choice of group commit needs figures. measure-intents puts calls on an intent log at a fixed mean rate and prints one JSON line per figure; scripts/measure-intents runs it against a store of 500 writes/s with 2 ms answers, with an outage of 3 s, and for the size of a record. The hooks of the log move from the entry process to the library, since both programs use them.

Unit tests "IntentLog*": 19 cases pass.

--- a/src/entry/intentgate.cpp
+++ b/src/entry/intentgate.cpp
@@ -1,6 +1,7 @@
 #include "intentgate.h"
 
 #include "encoding.h"
+#include "intenthooks.h"
 #include "logger.h"
 #include "refusal.h"
 
@@ -8,7 +9,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <random>
 
 namespace hemlock {
 
@@ -146,41 +146,11 @@
 
 IntentGate::~IntentGate() = default;
 
-IntentLogHooks IntentGate::makeHooks()
-{
-    IntentLogHooks hooks;
-    hooks.range = [this](const std::string &key, const std::function<void(const KvRangeResult &)> &done) {
-        this->store.range(key, false, done);
-    };
-    hooks.txn = [this](const KvTxn &txn, const std::function<void(const KvTxnResult &)> &done) {
-        this->store.txn(txn, done);
-    };
-    hooks.grantLease = [this](std::chrono::seconds ttl, const std::function<void(const KvLeaseResult &)> &done) {
-        this->store.grantLease(ttl, done);
-    };
-    hooks.keepLeaseAlive = [this](std::int64_t lease, const std::function<void(const KvLeaseResult &)> &done) {
-        this->store.keepLeaseAlive(lease, done);
-    };
-    hooks.revokeLease = [this](std::int64_t lease, const std::function<void(const KvLeaseResult &)> &done) {
-        this->store.revokeLease(lease, done);
-    };
-    hooks.now = [] { return std::chrono::steady_clock::now(); };
-    hooks.wallNow = [] { return std::chrono::system_clock::now(); };
-    hooks.after = [this](std::chrono::steady_clock::duration delay, std::function<void()> expired) {
-        startTimer(this->loop, delay, std::move(expired));
-    };
-    hooks.random = [generator = std::make_shared<std::mt19937>(std::random_device()())] {
-        return std::uniform_real_distribution<>(0, 1)(*generator);
-    };
-    hooks.uniqueId = makeUniqueId;
-    return hooks;
-}
-
 void IntentGate::start(const std::string &controlAddress)
 {
     this->settings.log.instance = this->settings.vm + "/" + makeUniqueId();
     this->settings.log.address = controlAddress;
-    this->log = std::make_shared<IntentLog>(this->settings.log, this->makeHooks());
+    this->log = std::make_shared<IntentLog>(this->settings.log, makeIntentLogHooks(this->loop, this->store));
 }
 
 void IntentGate::submit(const IntentRequest &request, std::function<void(const IntentDecision &)> decided)
--- a/src/entry/intentgate.h
+++ b/src/entry/intentgate.h
@@ -57,8 +57,6 @@
 private:
     class Forwarding;
 
-    IntentLogHooks makeHooks();
-
     asio::io_context &loop;
     HttpClient &http;
     IntentGateSettings settings;
--- /dev/null
+++ b/src/measure/main.cpp
@@ -0,0 +1,72 @@
+#include "intentload.h"
+#include "programoptions.h"
+#include "settings.h"
+#include "slotrecord.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+using nlohmann::json;
+
+namespace {
+
+/// Size of one commit by the number of open intents, without completions.
+void printRecordSizes()
+{
+    for (const std::size_t count : {0, 10, 100, 1000, 5000}) {
+        hemlock::SlotRecord record;
+        record.owner = std::string(48, 'x');
+        record.ownerAddress = "127.0.0.1:65535";
+        record.commitId = std::string(32, 'x');
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string key = hemlock::hashKey("account", std::to_string(i));
+            record.intents.push_back({key, std::string(32, '0'), hemlock::WallTime(std::chrono::hours(490000))});
+        }
+        std::cout << json{{"figure", "intents.record-bytes"},
+                          {"openIntents", count},
+                          {"value", hemlock::encodeSlotRecord(record).size()},
+                          {"unit", "bytes"}}
+                         .dump()
+                  << "\n";
+    }
+}
+
+void run(const json &settings)
+{
+    if (settings.at("mode") == "record-size") {
+        printRecordSizes();
+        return;
+    }
+    hemlock::IntentLoadSettings load;
+    settings.at("store").get_to(load.store);
+    settings.at("mode").get_to(load.mode);
+    settings.at("rate").get_to(load.rate);
+    load.segmentBytes = settings.value("segmentBytes", load.segmentBytes);
+    load.seed = settings.value("seed", load.seed);
+    load.duration = std::chrono::milliseconds(settings.value("durationMs", load.duration.count()));
+    load.outageStart = std::chrono::milliseconds(settings.value("outageStartMs", load.outageStart.count()));
+    load.outage = std::chrono::milliseconds(settings.value("outageMs", load.outage.count()));
+    for (const json &figure : hemlock::IntentLoad(load).run())
+        std::cout << figure.dump() << "\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    int exitCode = 0;
+    const auto options = hemlock::parseProgramOptions(
+        argc, argv, "Measures what the log of calls that may not repeat adds to them", exitCode);
+    if (!options)
+        return exitCode;
+    try {
+        const json settings = hemlock::loadSettings(options->settings, "measure-intents.json");
+        if (!options->checksOnly)
+            run(settings);
+    } catch (const std::exception &error) {
+        std::cerr << "measure-intents: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
