--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <chrono>
 #include <ctime>
+#include <fstream>
 #include <iostream>
 #include <stdexcept>
 
@@ -60,18 +61,68 @@
     return isCommitted ? 0 : 1;
 }
 
-ConfigRecords requireConfig(Session &session)
+std::int64_t revisionOf(const ConfigRecords &records, const std::string &section)
 {
-    const ConfigRead read = session.readConfig();
-    if (read.status != KvStatus::Ok)
-        throw std::runtime_error("the key-value store does not answer: " + read.error);
-    if (!read.records)
-        throw std::runtime_error(read.error.empty() ? "the store holds no configuration; use init first" : read.error);
-    return *read.records;
+    const auto match = records.manifest.sections.find(section);
+    return match == records.manifest.sections.end() ? 0 : match->second.revision;
+}
+
+std::string controlKey(const CommandOptions &options)
+{
+    if (options.controlKeyFile.empty())
+        return options.controlKey;
+    std::ifstream stream(options.controlKeyFile);
+    std::string key;
+    if (!std::getline(stream, key))
+        throw std::runtime_error(options.controlKeyFile + ": found no line with the control key");
+    return key;
+}
+
+void printTable(const json &rows, const std::vector<std::string> &columns)
+{
+    const auto text = [](const json &value) { return value.is_string() ? value.get<std::string>() : value.dump(); };
+    std::vector<std::size_t> widths;
+    for (const std::string &column : columns) {
+        std::size_t width = column.size();
+        for (const json &row : rows)
+            width = std::max(width, text(row.at(column)).size());
+        widths.push_back(width);
+    }
+    const auto printRow = [&](const auto &cell) {
+        std::string line = " ";
+        for (std::size_t i = 0; i < columns.size(); ++i) {
+            std::string value = cell(columns[i]);
+            value.resize(i + 1 < columns.size() ? widths[i] : value.size(), ' ');
+            line += " " + value;
+        }
+        std::cout << line << "\n";
+    };
+    printRow([](const std::string &column) { return column; });
+    for (const json &row : rows)
+        printRow([&](const std::string &column) { return text(row.at(column)); });
 }
 
 } // namespace
 
+int runValidate(const CommandOptions &options)
+{
+    Document document;
+    if (options.section.empty()) {
+        document = Document::fromJson(readJsonFile(options.file));
+    } else {
+        document = StoreSession(options.store).readConfig().document();
+        document.setSection(options.section, readJsonFile(options.file));
+    }
+    const auto problems = document.check(documentSchema());
+    if (options.printsJson)
+        std::cout << json{{"valid", problems.empty()}, {"problems", problems}}.dump() << "\n";
+    else if (problems.empty())
+        std::cout << "valid\n";
+    else
+        std::cerr << formatProblems(problems) << "\n";
+    return problems.empty() ? 0 : 1;
+}
+
 int runInit(const CommandOptions &options)
 {
     const Document document = Document::fromJson(readJsonFile(options.file));
@@ -80,15 +131,13 @@
     for (const auto &[name, section] : document.sections())
         commit.edits.push_back({name, section, 0});
     if (commit.edits.empty())
-        throw std::runtime_error(options.file + ": the document has no sections");
-    Session session(options.store);
-    return reportCommit(options, session.commit(commit, documentSchema()));
+        throw std::runtime_error(options.file + ": found no section; allowed: one or more in \"sections\"");
+    return reportCommit(options, StoreSession(options.store).commit(commit, documentSchema()));
 }
 
 int runGet(const CommandOptions &options)
 {
-    Session session(options.store);
-    const ConfigRecords records = requireConfig(session);
+    const ConfigRecords records = StoreSession(options.store).readConfig();
     const json document = records.document().toJson();
     if (options.section.empty()) {
         json shown = document;
@@ -100,16 +149,115 @@
         std::cout << shown.dump(options.printsJson ? -1 : 4) << "\n";
         return 0;
     }
-    const auto reference = records.manifest.sections.find(options.section);
-    if (reference == records.manifest.sections.end())
+    const std::int64_t revision = revisionOf(records, options.section);
+    if (revision == 0)
         throw std::runtime_error("section " + options.section + ": found none of this name in configuration version "
                                  + std::to_string(records.manifest.version));
     const json &section = document.at("sections").at(options.section);
     if (options.printsJson)
-        std::cout << json{{"section", section}, {"revision", reference->second.revision}}.dump() << "\n";
+        std::cout << json{{"section", section}, {"revision", revision}}.dump() << "\n";
     else
         std::cout << section.dump(4) << "\n";
     return 0;
 }
 
+int runDiff(const CommandOptions &options)
+{
+    const ConfigRecords records = StoreSession(options.store).readConfig();
+    const Document document = records.document();
+    const auto match = document.sections().find(options.section);
+    const json before = match == document.sections().end() ? json::object() : match->second;
+    const json changes = json::diff(before, readJsonFile(options.file));
+    const std::int64_t revision = revisionOf(records, options.section);
+    if (options.printsJson) {
+        std::cout << json{{"section", options.section}, {"revision", revision}, {"changes", changes}}.dump() << "\n";
+        return 0;
+    }
+    std::cout << "section " << options.section << ", revision " << revision << ": " << changes.size() << " changes\n";
+    for (const json &change : changes) {
+        const std::string pointer = change.at("path");
+        const json::json_pointer path(pointer);
+        if (before.contains(path))
+            std::cout << "- " << pointer << ": " << before.at(path).dump() << "\n";
+        if (change.contains("value"))
+            std::cout << "+ " << pointer << ": " << change.at("value").dump() << "\n";
+    }
+    return 0;
+}
+
+int runSet(const CommandOptions &options)
+{
+    const json section = readJsonFile(options.file);
+    StoreSession session(options.store);
+    SectionCommit commit = startCommit(options);
+    commit.edits.push_back({options.section, section, options.expect.value()});
+    return reportCommit(options, session.commit(commit, documentSchema()));
+}
+
+int runHistory(const CommandOptions &options)
+{
+    json rows = json::array();
+    for (const SectionRevision &revision : StoreSession(options.store).history(options.section))
+        rows.push_back({{"revision", revision.revision},
+                        {"time", revision.time},
+                        {"author", revision.author},
+                        {"commit", revision.commitId}});
+    if (options.printsJson)
+        std::cout << json{{"section", options.section}, {"revisions", rows}}.dump() << "\n";
+    else
+        printTable(rows, {"revision", "time", "author", "commit"});
+    return rows.empty() ? 1 : 0;
+}
+
+int runStatus(const CommandOptions &options)
+{
+    const json status = callProcess(options.control, controlKey(options), "status", json::object());
+    if (options.printsJson) {
+        std::cout << status.dump() << "\n";
+        return 0;
+    }
+    std::cout << "control process " << status.at("id").get<std::string>() << " in zone "
+              << status.at("zone").get<std::string>() << ", configuration version " << status.at("configVersion")
+              << ", store " << (status.at("storeReachable").get<bool>() ? "reachable" : "not reachable") << "\n";
+    if (const std::string error = status.at("configError"); !error.empty())
+        std::cout << "latest configuration refused: " << error << "\n";
+    std::cout << "\nservices\n";
+    printTable(status.at("services"), {"id", "kind", "fencing"});
+    std::cout << "\nupstreams\n";
+    printTable(status.at("upstreams"), {"id", "service", "zone", "address", "state"});
+    std::cout << "\nentry VMs\n";
+    printTable(status.at("entryVms"), {"id", "zone", "controlAddress", "live"});
+    return 0;
+}
+
+int runDrain(const CommandOptions &options)
+{
+    const json result =
+        callProcess(options.control, controlKey(options), "drainUpstream", {{"upstream", options.upstream}});
+    if (options.printsJson)
+        std::cout << result.dump() << "\n";
+    else
+        std::cout << "upstream " << options.upstream << " is " << result.at("state").get<std::string>() << "; told "
+                  << result.at("peersTold") << " other entry VMs\n";
+    return 0;
+}
+
+int runExplain(const CommandOptions &options)
+{
+    const json result = callProcess(options.entry, controlKey(options), "explain", {{"request", options.request}});
+    const json &decisions = result.at("decisions");
+    if (options.printsJson) {
+        std::cout << result.dump() << "\n";
+        return 0;
+    }
+    if (decisions.empty()) {
+        std::cerr << "request " << options.request << ": found no decision; the entry process at " << options.entry
+                  << " did not handle it or has forgotten it\n";
+        return 1;
+    }
+    for (const json &decision : decisions)
+        std::cout << decision.dump(4) << "\n";
+    return 0;
+}
+
 } // namespace hemlock
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -3,29 +3,69 @@
 #include <CLI/CLI.hpp>
 
 #include <exception>
+#include <functional>
 #include <iostream>
 
+namespace {
+
+using hemlock::CommandOptions;
+using Command = std::function<int(const CommandOptions &)>;
+
+/// Adds all subcommands; the one that is given sets @p chosen.
+void addCommands(CLI::App &app, CommandOptions &options, Command &chosen)
+{
+    const auto add = [&](const std::string &name, const std::string &description, int (*run)(const CommandOptions &)) {
+        CLI::App *command = app.add_subcommand(name, description);
+        command->fallthrough();
+        command->callback([&chosen, run] { chosen = run; });
+        return command;
+    };
+    CLI::App *validate =
+        add("validate", "Check a document, or a section with the others in the store", hemlock::runValidate);
+    validate->add_option("FILE", options.file, "File with {\"sections\": ...}, or with one section")->required();
+    validate->add_option("--section", options.section, "The file holds this section only");
+    CLI::App *init = add("init", "Put a first document into an empty store", hemlock::runInit);
+    init->add_option("DOCUMENT", options.file, "File with {\"sections\": ...}")->required();
+    CLI::App *get = add("get", "Print the document, or one section", hemlock::runGet);
+    get->add_option("SECTION", options.section, "Name of the section");
+    CLI::App *diff = add("diff", "Show what a file would change in a section", hemlock::runDiff);
+    CLI::App *set = add("set", "Replace a section", hemlock::runSet);
+    for (CLI::App *command : {diff, set}) {
+        command->add_option("SECTION", options.section, "Name of the section")->required();
+        command->add_option("FILE", options.file, "File with the new section")->required();
+    }
+    set->add_option("--expect", options.expect, "Revision that the file is based on; 0 for a new section")->required();
+    CLI::App *history = add("history", "List the kept revisions of a section", hemlock::runHistory);
+    history->add_option("SECTION", options.section, "Name of the section")->required();
+    add("status", "Show services, upstreams and entry VMs", hemlock::runStatus);
+    CLI::App *drain = add("drain", "Give an upstream no new work", hemlock::runDrain);
+    drain->add_option("UPSTREAM", options.upstream, "Identifier of the upstream's VM")->required();
+    CLI::App *explain =
+        add("explain", "Show the decisions that an entry process took for a request", hemlock::runExplain);
+    explain->add_option("REQUEST-ID", options.request, "The X-Request-Id of the answer")->required();
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     CLI::App app("Operators' command line of hemlockflow");
     app.require_subcommand(1);
-    hemlock::CommandOptions options;
+    CommandOptions options;
+    Command chosen;
     app.add_flag("--json", options.printsJson, "Print one JSON object instead of text");
     app.add_option("--store", options.store, "Key-value store, ADDRESS:PORT")->envname("HEMLOCK_STORE");
+    app.add_option("--control", options.control, "Control process, ADDRESS:PORT")->envname("HEMLOCK_CONTROL");
+    app.add_option("--entry", options.entry, "Control address of an entry process")->envname("HEMLOCK_ENTRY");
+    // A key on the command line would be visible to other users of the machine.
+    app.add_option("--control-key-file", options.controlKeyFile, "File with the control key in its first line");
     app.add_option("--author", options.author, "Name kept with a change")->envname("USER");
-
-    CLI::App *init = app.add_subcommand("init", "Put a first document into an empty store");
-    init->add_option("DOCUMENT", options.file, "File with {\"sections\": ...}")->required();
-    CLI::App *get = app.add_subcommand("get", "Print the document, or one section");
-    get->add_option("SECTION", options.section, "Name of the section");
-    for (CLI::App *command : {init, get})
-        command->fallthrough();
-
+    addCommands(app, options, chosen);
     CLI11_PARSE(app, argc, argv);
+    if (const char *key = std::getenv("HEMLOCK_CONTROL_KEY"))
+        options.controlKey = key;
     try {
-        if (init->parsed())
-            return hemlock::runInit(options);
-        return hemlock::runGet(options);
+        return chosen(options);
     } catch (const std::exception &error) {
         std::cerr << "hemlockctl: " << error.what() << "\n";
         return 1;
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -3,60 +3,77 @@
 #include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <stdexcept>
 
 namespace hemlock {
 
 namespace {
 
 constexpr std::chrono::milliseconds storeTimeout{3000};
+constexpr std::chrono::milliseconds rpcTimeout{3000};
 
 std::string endpointUrl(const std::string &endpoint)
 {
     return endpoint.starts_with("http://") ? endpoint : "http://" + endpoint;
 }
 
+/// Runs the loop until @p result has a value.
+template <class T>
+T await(asio::io_context &loop, const std::optional<T> &result)
+{
+    loop.restart();
+    while (!result && loop.run_one() > 0)
+        continue;
+    return result.value();
+}
+
 } // namespace
 
-Session::Session(const std::string &store)
+StoreSession::StoreSession(const std::string &store)
     : http(this->loop)
     , kv(this->http, endpointUrl(store), storeTimeout)
     , engine(std::random_device()())
     , config(kvAccess(this->kv), this->configHooks())
 {
+    if (store.empty())
+        throw std::runtime_error("the key-value store is not named: use --store ADDRESS:PORT or HEMLOCK_STORE");
 }
 
-ConfigRead Session::readConfig()
+ConfigRecords StoreSession::readConfig()
 {
-    ConfigRead answer;
-    bool isDone = false;
-    this->config.read({}, [&](const ConfigRead &read) {
-        answer = read;
-        isDone = true;
-    });
-    this->runUntilDone(isDone);
-    return answer;
+    std::optional<ConfigRead> answer;
+    this->config.read({}, [&answer](const ConfigRead &read) { answer = read; });
+    const ConfigRead read = await(this->loop, answer);
+    if (read.status != KvStatus::Ok)
+        throw std::runtime_error("the key-value store does not answer: " + read.error);
+    if (!read.records)
+        throw std::runtime_error(read.error.empty() ? "the store holds no configuration; use init first" : read.error);
+    return *read.records;
 }
 
-CommitOutcome Session::commit(const SectionCommit &commit, const nlohmann::json &schema)
+CommitOutcome StoreSession::commit(const SectionCommit &commit, const nlohmann::json &schema)
 {
-    CommitOutcome answer;
-    bool isDone = false;
-    this->config.commit(commit, schema, [&](const CommitOutcome &outcome) {
-        answer = outcome;
-        isDone = true;
-    });
-    this->runUntilDone(isDone);
-    return answer;
+    std::optional<CommitOutcome> answer;
+    this->config.commit(commit, schema, [&answer](const CommitOutcome &outcome) { answer = outcome; });
+    return await(this->loop, answer);
 }
 
-void Session::runUntilDone(const bool &isDone)
+std::vector<SectionRevision> StoreSession::history(const std::string &section)
 {
-    this->loop.restart();
-    while (!isDone && this->loop.run_one() > 0)
-        continue;
+    std::optional<std::vector<SectionRevision>> answer;
+    std::string problem;
+    this->config.history(section,
+                         [&](KvStatus status, const std::vector<SectionRevision> &revisions, const std::string &error) {
+                             problem = status == KvStatus::Ok ? "" : error;
+                             answer = revisions;
+                         });
+    std::vector<SectionRevision> revisions = await(this->loop, answer);
+    if (!problem.empty())
+        throw std::runtime_error("the key-value store does not answer: " + problem);
+    return revisions;
 }
 
-ConfigStore::Hooks Session::configHooks()
+ConfigStore::Hooks StoreSession::configHooks()
 {
     ConfigStore::Hooks hooks;
     hooks.wait = [this](std::chrono::milliseconds delay, std::function<void()> next) {
@@ -67,4 +84,24 @@
     return hooks;
 }
 
+nlohmann::json callProcess(const std::string &address,
+                           const std::string &controlKey,
+                           const std::string &method,
+                           const nlohmann::json &params)
+{
+    if (address.empty())
+        throw std::runtime_error("the process to ask is not named: use --control or --entry with ADDRESS:PORT");
+    if (controlKey.empty())
+        throw std::runtime_error("the control key is missing: use HEMLOCK_CONTROL_KEY or --control-key-file FILE");
+    asio::io_context loop;
+    HttpClient http(loop);
+    RpcClient client(http, ControlAuth(controlKey));
+    std::optional<RpcOutcome> answer;
+    client.call(address, method, params, rpcTimeout, [&answer](const RpcOutcome &outcome) { answer = outcome; });
+    const RpcOutcome outcome = await(loop, answer);
+    if (!outcome.succeeded)
+        throw std::runtime_error(address + " refused " + method + " or does not answer: " + outcome.error);
+    return outcome.result;
+}
+
 } // namespace hemlock
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -3,27 +3,31 @@
 #include "configstore.h"
 #include "httpclient.h"
 #include "kvclient.h"
+#include "rpc.h"
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace hemlock {
 
-/// The connections of one run of hemlockctl; each call blocks until its answer is there.
-class Session
+/// Connection to the key-value store for one run of hemlockctl; each call blocks until its answer is there.
+class StoreSession
 {
 public:
     /// @p store is "ADDRESS:PORT" or "http://ADDRESS:PORT".
-    explicit Session(const std::string &store);
+    explicit StoreSession(const std::string &store);
 
-    ConfigRead readConfig();
+    /// The configuration in the store. Throws std::runtime_error when there is none or the store does not answer.
+    ConfigRecords readConfig();
     CommitOutcome commit(const SectionCommit &commit, const nlohmann::json &schema);
+    std::vector<SectionRevision> history(const std::string &section);
 
 private:
-    void runUntilDone(const bool &isDone);
     ConfigStore::Hooks configHooks();
 
     asio::io_context loop;
@@ -33,4 +37,10 @@
     ConfigStore config;
 };
 
+/// Calls a method of a control or entry process. Throws std::runtime_error when it fails.
+nlohmann::json callProcess(const std::string &address,
+                           const std::string &controlKey,
+                           const std::string &method,
+                           const nlohmann::json &params);
+
 } // namespace hemlock
--- a/src/libhemlock/document.cpp
+++ b/src/libhemlock/document.cpp
@@ -114,13 +114,25 @@
     return text;
 }
 
+/// Name of the field in valijson's message about a field that the schema does not know; empty for other messages.
+std::string unknownField(const std::string &message)
+{
+    const std::size_t end = message.rfind('\'');
+    if (message.find("'additionalProperties'") == std::string::npos || end == std::string::npos || end == 0)
+        return {};
+    const std::size_t start = message.rfind('\'', end - 1);
+    return start == std::string::npos ? "" : message.substr(start + 1, end - start - 1);
+}
+
 /// Splits "/sections/NAME/services/0" into the section's name and the pointer within it.
 DocumentProblem toDocumentProblem(const SettingsProblem &problem, const json &schema)
 {
     DocumentProblem converted{"", problem.pointer, problem.found, problem.allowed};
     const std::string allowed = describeAllowed(findSchema(schema, problem.pointer));
     if (!allowed.empty())
-        converted.allowed = problem.allowed + " Allowed: " + allowed;
+        converted.allowed = allowed;
+    if (const std::string field = unknownField(problem.allowed); !field.empty())
+        converted.found = "the unknown field " + quoted(field);
     if (!problem.pointer.starts_with(sectionsPointer))
         return converted;
     const std::string rest = problem.pointer.substr(sectionsPointer.size());
--- a/tests/unit/documenttest.cpp
+++ b/tests/unit/documenttest.cpp
@@ -65,5 +65,7 @@
     const auto problems = this->document({{"team", "access"}, {"rule", json::array()}}).check(this->schema);
     REQUIRE(!problems.empty());
     CHECK(problems[0].section == "access");
-    CHECK_THAT(formatProblems(problems), Catch::Contains("clientAccounts, placement, rules, services, team"));
+    CHECK(formatProblems(problems)
+          == "section access, /: found the unknown field \"rule\"; allowed: object; fields clientAccounts, placement, "
+             "rules, services, team; required team");
 }
