Add models of the configuration commit and of the drain of an upstream

configcommit.pml covers racing editors, a lost answer and a node that restarts; drain.pml covers a reclaim seen by two entry VMs while the platform's list still shows the upstream as live. The scripts also check that mutations are caught and that drain.pml has the states of charts/upstream.json.

--- /dev/null
+++ b/tests/models/configcommit.pml
@@ -0,0 +1,205 @@
+/*
+ * Commit and distribution of the configuration, verified in two parts since their product has too many states. The
+ * commit: two editors of different sections, one that races on the first
+ * section, and answers that get lost. The distribution (-DDISTRIBUTION): a node that reads the store or its peers and
+ * restarts without memory while the store's version grows.
+ *
+ * transition in this model          function in the code
+ * --------------------------------  -----------------------------------------------------------------
+ * editor: read                      ConfigStore::Reader::start, readManifest (configstore.cpp)
+ * editor: settled by identifier     ConfigStore::Committer::isCommittedIn
+ * editor: conflict                  ConfigStore::Committer::join, settleConflict, settleByRecord
+ * editor: compare and swap          ConfigStore::Committer::swap; KvClient::txn
+ * editor: answer lost               ConfigStore::Committer::settle (KvStatus::Unknown)
+ * node: offer from the store        ConfigFeed::applyRead, ConfigKeeper::offer
+ * node: offer from a peer           ConfigFeed::hear, pull; ConfigKeeper::offerDelta
+ * node: ask all peers               ConfigFeed::recoverFromPeers
+ * node: ready                       ConfigFeed::isReady
+ * node: serve                       ControlNode::pushSnapshot
+ * entry process: apply              ActiveSnapshot::apply (activesnapshot.cpp)
+ *
+ * Mutations (spin -D): APPLY_OLDER lets a node apply any manifest; BLIND_WRITE drops the compare of the swap;
+ * NO_SETTLE does not recognise an own commit whose answer was lost; SERVE_EARLY serves what the first peer has after a
+ * restart; ENTRY_REVERTS lets the entry process take any snapshot.
+ */
+
+#define EDITORS 3
+#define PEERS 2
+
+byte version;            /* of the manifest in the store */
+byte revision[2];        /* of each section in the manifest */
+byte writer[2];          /* commit identifier of each section's last change: editor + 1 */
+byte committed[2];       /* successful swaps that changed each section */
+byte reported[2];        /* commits of each section that were reported as done */
+byte conflicts;          /* edits reported as conflicts */
+byte finished;
+byte lossesLeft = 1;
+
+byte peerApplied[PEERS]; /* version in force on each peer */
+byte applied;            /* version that the observed node holds in memory; 0 after a start */
+byte asked;              /* highest version of a peer at the node's latest start, all of them reachable */
+byte entryVersion;       /* version of the observed node's entry process, which outlives the control process */
+byte highestServed;
+byte restartsLeft = 1;
+
+/* Editors 0 and 2 change section 0 and start from the same revision; editor 1 changes section 1. */
+proctype Editor(byte id; byte section)
+{
+    byte seenVersion, seenRevision, seenWriter, otherRevision, otherWriter;
+    byte expected = 0;
+
+read:
+    atomic {
+        seenVersion = version;
+        seenRevision = revision[section];
+        seenWriter = writer[section];
+        otherRevision = revision[1 - section];
+        otherWriter = writer[1 - section];
+    }
+    if
+#ifndef NO_SETTLE
+    :: seenWriter == id + 1 ->
+        reported[section]++;
+        goto done
+#endif
+    :: seenRevision != expected && seenWriter != id + 1 ->
+        conflicts++;
+        goto done
+#ifdef NO_SETTLE
+    :: seenWriter == id + 1 ->
+        conflicts++;
+        goto done
+#endif
+    :: else -> skip
+    fi;
+    atomic {
+        if
+#ifdef BLIND_WRITE
+        :: true ->
+#else
+        :: version == seenVersion ->
+#endif
+            version = seenVersion + 1;
+            revision[section] = expected + 1;
+            writer[section] = id + 1;
+            revision[1 - section] = otherRevision;
+            writer[1 - section] = otherWriter;
+            committed[section]++;
+            if
+            :: lossesLeft > 0 ->
+                lossesLeft--;
+                goto read
+            :: true ->
+                reported[section]++;
+                goto done
+            fi
+        :: else -> goto read
+        fi
+    }
+done:
+    finished++
+}
+
+/* Offers a version to a node; only newer ones are applied. */
+inline offer(mine, offered)
+{
+    atomic {
+        if
+#ifdef APPLY_OLDER
+        :: true ->
+#else
+        :: offered > mine ->
+#endif
+            assert(offered >= mine);
+            mine = offered
+        :: else -> skip
+        fi
+    }
+}
+
+/* Commits two configurations. */
+proctype Writer()
+{
+    version++;
+    version++
+}
+
+/* Reads the store; the answer may be slow, so that another read overtakes it. */
+proctype Peer(byte id)
+{
+    byte answer, steps;
+
+    do
+    :: steps < 2 - id -> atomic { steps++; answer = version }; offer(peerApplied[id], answer)
+    :: steps == 2 - id -> break
+    od
+}
+
+proctype Node()
+{
+    byte storeAnswer, peerAnswer, steps;
+    bool isReady, isAsking;
+
+    do
+    :: atomic { steps < 6 -> steps++ };
+        if
+        :: atomic { !isAsking -> storeAnswer = version; isAsking = true }
+        :: atomic { isAsking -> isAsking = false }; offer(applied, storeAnswer); isReady = isReady || applied > 0
+        :: peerAnswer = peerApplied[0]; offer(applied, peerAnswer);
+#ifdef SERVE_EARLY
+           isReady = isReady || applied > 0
+#endif
+        :: !isReady ->
+           peerAnswer = peerApplied[0]; offer(applied, peerAnswer);
+           peerAnswer = peerApplied[1]; offer(applied, peerAnswer);
+           isReady = applied > 0
+        :: restartsLeft > 0 ->
+           atomic {
+               restartsLeft--;
+               isReady = false;
+               isAsking = false;
+               applied = 0;
+               asked = (peerApplied[0] > peerApplied[1] -> peerApplied[0] : peerApplied[1])
+           }
+        :: isReady ->
+           atomic {
+               assert(applied >= asked);
+               if
+#ifdef ENTRY_REVERTS
+               :: true ->
+#else
+               :: applied >= entryVersion ->
+#endif
+                   entryVersion = applied
+               :: else -> skip
+               fi;
+               assert(entryVersion >= highestServed);
+               highestServed = entryVersion
+           }
+        fi
+    :: steps == 6 -> break
+    od
+}
+
+init {
+#ifdef DISTRIBUTION
+    atomic {
+        run Writer();
+        run Peer(0);
+        run Peer(1);
+        run Node()
+    }
+#else
+    atomic {
+        run Editor(0, 0);
+        run Editor(1, 1);
+        run Editor(2, 0)
+    }
+    finished == EDITORS;
+    /* No section is lost, each committed edit is reported once, and a race on one section ends in one conflict. */
+    assert(revision[0] == committed[0] && revision[1] == committed[1]);
+    assert(committed[0] == 1 && committed[1] == 1);
+    assert(reported[0] == 1 && reported[1] == 1);
+    assert(conflicts == 1)
+#endif
+}
--- /dev/null
+++ b/tests/models/configcommit.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Commit and distribution of the configuration: nothing committed is lost and nothing in force reverts.
+source "$(dirname "$0")/common.sh"
+
+expect_holds configcommit
+for mutation in BLIND_WRITE NO_SETTLE; do
+    expect_caught configcommit "${mutation}"
+done
+expect_holds configcommit DISTRIBUTION
+for mutation in APPLY_OLDER SERVE_EARLY ENTRY_REVERTS; do
+    expect_caught configcommit "${mutation}" DISTRIBUTION
+done
+exit "${status}"
--- /dev/null
+++ b/tests/models/drain.pml
@@ -0,0 +1,117 @@
+/*
+ * Drain and reclaim of one upstream, as two entry VMs (control node and entry process) see it. The platform announces
+ * the reclaim and may end the upstream at any time after that, also before the announced deadline. Its list lags and
+ * shows the upstream as live all along. The direct message between the VMs may be lost.
+ *
+ * transition in this model       function in the code
+ * -----------------------------  -------------------------------------------------------------------
+ * probe-answered, suspicion      UpstreamLifecycle::applyProbe, judge (upstreamlifecycle.cpp)
+ * dispatch                       UpstreamPool::candidates (upstreampool.cpp), Gateway of the entry process
+ * poll of notices                VmFeed::readNotices, ControlNode::applyNotices
+ * direct message                 ControlNode::spreadLeaving, answerLeaving
+ * list shows it as live          UpstreamLifecycle::applyList
+ * deadline-passed, unlisted      UpstreamLifecycle::expire, applyList
+ * replay                         ModelCall of the entry process (modelcall.cpp), after a broken connection
+ *
+ * The bound is over when each VM has polled the notices once after the announcement, or got the direct message.
+ *
+ * Mutations (spin -D): LIST_REVIVES lets the list bring a leaving upstream back; NEWS_IGNORED leaves a suspected
+ * upstream as it is when it is announced; NO_REPLAY drops the streams of an ended upstream.
+ */
+
+#define NODES 2
+#define REQUESTS 3
+
+/* Same names as the states of charts/upstream.json; drain.sh compares them. */
+mtype = { joining, serving, suspected, leaving, gone };
+
+mtype view[NODES];
+bool isTold[NODES];
+bool isAnnounced, isEnded, isBoundOver;
+chan direct[NODES] = [1] of { bool };
+
+byte accepted, answered;
+byte open[NODES];      /* streams on the upstream */
+byte elsewhere[NODES]; /* streams replayed on another upstream */
+byte suspicionsLeft = 2;
+
+inline learnLeaving(id)
+{
+    isTold[id] = true;
+    if
+#ifdef NEWS_IGNORED
+    :: view[id] == joining || view[id] == serving -> view[id] = leaving
+#else
+    :: view[id] == joining || view[id] == serving || view[id] == suspected -> view[id] = leaving
+#endif
+    :: else -> skip
+    fi
+}
+
+proctype Node(byte id)
+{
+    bool hasPolled;
+
+    do
+    :: atomic { view[id] == joining && !isEnded -> view[id] = serving }
+    :: atomic { view[id] == serving && suspicionsLeft > 0 -> suspicionsLeft--; view[id] = suspected }
+    :: atomic { view[id] == suspected && !isEnded -> view[id] = serving }
+    :: atomic {
+           (view[id] == serving || view[id] == suspected) && accepted < REQUESTS ->
+           assert(!isBoundOver);
+           accepted++;
+           if
+           :: isEnded -> elsewhere[id]++ /* not sent, so another upstream gets it */
+           :: else -> open[id]++
+           fi
+       }
+    :: atomic { open[id] > 0 && !isEnded -> open[id]--; answered++ }
+    :: atomic {
+           open[id] > 0 && isEnded -> open[id]--;
+#ifndef NO_REPLAY
+           elsewhere[id]++
+#endif
+       }
+    :: atomic { elsewhere[id] > 0 -> elsewhere[id]--; answered++ }
+    :: atomic {
+           isAnnounced && !hasPolled ->
+           hasPolled = true;
+           learnLeaving(id);
+           if
+           :: direct[1 - id]!true
+           :: true -> skip /* lost */
+           fi
+       }
+    :: atomic { direct[id]?_ -> learnLeaving(id) }
+#ifdef LIST_REVIVES
+    :: atomic { view[id] == leaving -> view[id] = serving }
+#endif
+    :: atomic { view[id] == leaving && isEnded -> view[id] = gone }
+    :: view[id] == gone && open[id] == 0 && elsewhere[id] == 0 && hasPolled -> break
+    od
+}
+
+proctype Platform()
+{
+    isAnnounced = true;
+    isEnded = true
+}
+
+proctype Bound()
+{
+    isTold[0] && isTold[1];
+    isBoundOver = true
+}
+
+init {
+    atomic {
+        view[0] = joining;
+        view[1] = joining;
+        run Node(0);
+        run Node(1);
+        run Platform();
+        run Bound()
+    }
+    _nr_pr == 1;
+    assert(answered == accepted)
+}
