--- /dev/null
+++ b/src/entry/entryprocess.cpp
@@ -0,0 +1,260 @@
+#include "entryprocess.h"
+
+#include "logger.h"
+#include "refusal.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hemlock {
+
+namespace {
+
+// The last answers are still on their way to the sockets when the last call has ended.
+constexpr std::chrono::milliseconds flushTime{200};
+
+// A VM that is reclaimed before its streams end loses at most the tokens of this time, which are generated again.
+constexpr std::chrono::milliseconds handoverInterval{500};
+
+constexpr std::chrono::seconds progressInterval{1};
+
+HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t maxBodyBytes)
+{
+    HttpServerSettings settings;
+    settings.address = endpoint.address;
+    settings.port = endpoint.port;
+    settings.maxBodyBytes = maxBodyBytes;
+    return settings;
+}
+
+// A snapshot of 12,000 upstreams has about 2 MB.
+constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+EntryProcess::EntryProcess(asio::io_context &loop, const EntrySettings &settings)
+    : loop(loop)
+    , context(loop, settings)
+    , gateway(this->context)
+    , rpc(ControlAuth(settings.controlKey))
+    , peers(this->context.http, ControlAuth(settings.controlKey))
+    , handover(this->context, this->peers)
+    , callers(loop,
+              serverSettings(settings.listen, settings.maxBodyBytes),
+              [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                  this->gateway.handle(request, responder);
+              })
+    , control(loop,
+              serverSettings(settings.control, maxControlBodyBytes),
+              [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                  this->handleControl(request, responder);
+              })
+    , signals(loop, SIGTERM, SIGINT)
+    , drainTimer(loop)
+    , handoverTimer(loop)
+    , progressTimer(loop)
+{
+    this->addMethods();
+    this->useDefaultIntents();
+    if (!settings.store.empty())
+        this->intents = std::make_unique<IntentGate>(
+            loop,
+            this->context.http,
+            IntentGateSettings{settings.store, settings.controlKey, settings.id, settings.intents});
+    this->context.calls.setEmptied([this] { this->stopWhenIdle(); });
+}
+
+void EntryProcess::start()
+{
+    this->awaitSignal();
+    this->checkProgress();
+    const std::string controlAddress = this->control.start();
+    if (this->intents) {
+        this->intents->start(controlAddress);
+        this->useIntentLog();
+    }
+    announceAddress("listen", this->callers.start());
+    announceAddress("control", controlAddress);
+}
+
+void EntryProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    if (request.path == rpcPath) {
+        this->rpc.handle(request, responder);
+        return;
+    }
+    if (this->intents && request.path.starts_with("/peer/")) {
+        this->intents->handlePeer(request, responder, [this](const PeerCall &call, const HttpResponderPtr &responder) {
+            this->gateway.runPeerCall(call, responder);
+        });
+        return;
+    }
+    replyRefusal(*responder,
+                 {Verdict::NotRun, 404, "unknown-path", "nothing is served at this path", {}},
+                 requestIdOf(request.headers));
+}
+
+void EntryProcess::addMethods()
+{
+    this->rpc.addMethod("applySnapshot", [this](const nlohmann::json &params) { return this->applySnapshot(params); });
+    this->rpc.addMethod("holdStreams", [this](const nlohmann::json &params) { return this->handover.hold(params); });
+    this->rpc.addMethod("findStream", [this](const nlohmann::json &params) { return this->handover.find(params); });
+    this->rpc.addMethod("quarantineDelta",
+                        [this](const nlohmann::json &params) { return this->quarantineDelta(params); });
+    this->rpc.addMethod("applyQuarantine",
+                        [this](const nlohmann::json &params) { return this->applyQuarantine(params); });
+    this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
+    this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
+}
+
+nlohmann::json EntryProcess::applySnapshot(const nlohmann::json &params)
+{
+    this->context.configuration.apply(params.get<Snapshot>());
+    const Snapshot &snapshot = this->context.configuration.snapshot();
+    this->context.dispatcher.applyUpstreams(snapshot.upstreams);
+    logEvent(LogLevel::Info,
+             "snapshot-applied",
+             {{"manifestVersion", snapshot.manifestVersion},
+              {"sequence", snapshot.sequence},
+              {"services", snapshot.services.size()},
+              {"upstreams", snapshot.upstreams.size()},
+              {"peers", snapshot.peers.size()}});
+    return {{"manifestVersion", snapshot.manifestVersion}, {"sequence", snapshot.sequence}};
+}
+
+nlohmann::json EntryProcess::report()
+{
+    return {{"inFlight", this->context.dispatcher.upstreams().inFlight()},
+            {"failures", this->context.dispatcher.upstreams().takeFailures()},
+            {"openCalls", this->context.calls.size()},
+            {"draining", this->context.isDraining}};
+}
+
+nlohmann::json EntryProcess::explain(const nlohmann::json &params) const
+{
+    return {{"decisions", this->context.dispatcher.decisions().find(params.at("request").get<std::string>())}};
+}
+
+nlohmann::json EntryProcess::quarantineDelta(const nlohmann::json &params)
+{
+    return this->context.dispatcher.quarantine().delta(params.value("after", std::uint64_t{0}),
+                                                       std::chrono::steady_clock::now());
+}
+
+nlohmann::json EntryProcess::applyQuarantine(const nlohmann::json &params)
+{
+    this->context.dispatcher.quarantine().applyDelta(params, std::chrono::steady_clock::now());
+    return nlohmann::json::object();
+}
+
+void EntryProcess::useDefaultIntents()
+{
+    this->context.submitIntent = [this](const IntentRequest &,
+                                        const std::function<void(const IntentDecision &)> &decided) {
+        IntentDecision decision;
+        if (this->context.settings.unsafeIntents)
+            decision.action = IntentAction::Dispatch;
+        decision.refusal = {Verdict::NotRun,
+                            503,
+                            "intent-log-unavailable",
+                            "the call may not be repeated and its intent cannot be recorded",
+                            std::chrono::seconds(1)};
+        decided(decision);
+    };
+    this->context.findHandedStream = [this](const StreamPosition &stream,
+                                            const std::function<void(const HandedTokens &)> &done) {
+        this->handover.askPeers(stream, done);
+    };
+    this->context.completeIntent = [](const IntentRequest &, Verdict, const StoredAnswer &) {};
+}
+
+void EntryProcess::useIntentLog()
+{
+    this->hasReleasedIntents = false;
+    this->context.submitIntent = [this](const IntentRequest &request,
+                                        const std::function<void(const IntentDecision &)> &decided) {
+        this->intents->submit(request, decided);
+    };
+    this->context.completeIntent = [this](const IntentRequest &request, Verdict verdict, const StoredAnswer &answer) {
+        this->intents->complete(request, verdict, answer);
+    };
+    this->context.forwardCall = [this](const std::string &ownerAddress,
+                                       const IntentRequest &intent,
+                                       const HttpRequest &request,
+                                       const std::function<void(const ForwardOutcome &)> &done) {
+        this->intents->forward(ownerAddress, intent, request, done);
+    };
+}
+
+void EntryProcess::releaseIntents()
+{
+    if (!this->intents)
+        return;
+    this->intents->release(this->context.settings.releaseLimit, [this] {
+        this->hasReleasedIntents = true;
+        this->stopWhenIdle();
+    });
+}
+
+void EntryProcess::awaitSignal()
+{
+    this->signals.async_wait([this](const asio::error_code &error, int) {
+        if (error)
+            return;
+        this->drain();
+        this->awaitSignal();
+    });
+}
+
+void EntryProcess::drain()
+{
+    if (std::exchange(this->context.isDraining, true))
+        return;
+    logEvent(LogLevel::Info, "draining", {{"openCalls", this->context.calls.size()}});
+    this->callers.setDraining(true);
+    this->handOverStreams();
+    this->drainTimer.expires_after(this->context.settings.drainNotice);
+    this->drainTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        this->hasNoticePassed = true;
+        this->callers.stopAccepting();
+        this->releaseIntents();
+        this->stopWhenIdle();
+    });
+}
+
+void EntryProcess::handOverStreams()
+{
+    this->handover.send();
+    this->handoverTimer.expires_after(handoverInterval);
+    this->handoverTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->handOverStreams();
+    });
+}
+
+void EntryProcess::checkProgress()
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->context.calls.forEach([now](OpenCall &call) { call.checkProgress(now); });
+    this->progressTimer.expires_after(progressInterval);
+    this->progressTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->checkProgress();
+    });
+}
+
+void EntryProcess::stopWhenIdle()
+{
+    if (!this->hasNoticePassed || !this->hasReleasedIntents || this->context.calls.size() > 0)
+        return;
+    this->drainTimer.expires_after(flushTime);
+    this->drainTimer.async_wait([this](const asio::error_code &error) {
+        if (error || this->context.calls.size() > 0)
+            return;
+        logEvent(LogLevel::Info, "stopped", nlohmann::json::object());
+        this->loop.stop();
+    });
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/modelcall.cpp
@@ -0,0 +1,390 @@
+#include "modelcall.h"
+
+#include "encoding.h"
+#include "logger.h"
+#include "refusal.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+constexpr std::size_t attemptIdLength = 32;
+constexpr std::string_view completionPath = "/v1/completions";
+constexpr std::string_view attemptsPath = "/v1/attempts/";
+
+// Far beyond the latency targets: an engine that is silent for so long is cut off rather than busy.
+constexpr std::chrono::seconds firstTokenLimit{30};
+constexpr std::chrono::seconds nextTokenLimit{10};
+
+constexpr std::chrono::milliseconds suspectWait{100};
+constexpr std::chrono::milliseconds upstreamWait{250};
+constexpr std::chrono::seconds cancelTimeout{5};
+
+} // namespace
+
+ModelCall::ModelCall(EntryContext &context, CallInfo call, CompletionRequest request, HttpResponderPtr responder)
+    : context(context)
+    , call(std::move(call))
+    , request(std::move(request))
+    , digest(sha256Hex(std::to_string(this->request.maxTokens) + ":" + this->request.prompt))
+    , fingerprint(requestFingerprint(this->call.clientAccount, this->call.service.id, this->digest))
+    , writer(responder, this->call.requestId, this->request.stream, context.settings.maxPendingBytes)
+    , responder(std::move(responder))
+    , timer(context.loop)
+{
+}
+
+void ModelCall::start()
+{
+    const auto &resume = this->request.resume;
+    const auto previous = this->context.calls.find(this->call.clientAccount, this->call.requestId);
+    if (resume && previous)
+        previous->supersede();
+    this->context.calls.add(this->call.clientAccount, this->call.requestId, this->shared_from_this());
+    this->responder->setDisconnected([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->disconnected();
+    });
+    if (!resume) {
+        this->nextAttempt();
+        return;
+    }
+    this->skippedTokens = resume->tokens;
+    const auto engine = this->context.dispatcher.upstreams().find(resume->upstream);
+    if (engine && engine->service == this->call.service.id && engine->state != UpstreamState::Gone)
+        this->resumeAtEngine(*engine, "the caller resumes the stream of this engine");
+    else
+        this->resumeElsewhere();
+}
+
+void ModelCall::resumeAtEngine(const Upstream &upstream, const std::string &reason)
+{
+    ++this->attempts;
+    this->startAttempt(this->context.dispatcher.resume(this->wish(), upstream, reason), true);
+}
+
+void ModelCall::resumeElsewhere()
+{
+    this->hasAskedPeers = true;
+    const StreamPosition position{this->call.clientAccount, this->call.requestId, this->digest, nullptr};
+    this->context.findHandedStream(position, [weak = this->weak_from_this()](const HandedTokens &handed) {
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
+            self->takeHandedTokens(handed);
+    });
+}
+
+void ModelCall::takeHandedTokens(const HandedTokens &handed)
+{
+    const bool isDeterministic = this->call.service.deterministic;
+    if (handed && (isDeterministic || handed->size() >= this->skippedTokens)) {
+        this->tokens = *handed;
+        for (std::size_t number = this->skippedTokens + 1; number <= this->tokens.size(); ++number)
+            this->emitToken(number, this->request.resume->upstream);
+    } else if (!isDeterministic) {
+        this->refuse({Verdict::Ran,
+                      410,
+                      "stream-not-resumable",
+                      "no engine or entry process holds the stream, and the service is not deterministic",
+                      {}});
+        return;
+    }
+    this->nextAttempt();
+}
+
+void ModelCall::nextAttempt()
+{
+    if (this->hasEnded)
+        return;
+    if (this->tokens.size() >= static_cast<std::size_t>(this->request.maxTokens)) {
+        this->complete();
+        return;
+    }
+    if (std::chrono::steady_clock::now() >= this->call.deadline) {
+        this->refuse({Verdict::NotRun, 504, "deadline-exceeded", "the deadline passed before the answer's end", {}});
+        return;
+    }
+    ++this->attempts;
+    AttemptGrant grant = this->context.dispatcher.next(this->wish());
+    if (grant.mustWait) {
+        this->waitAndRetry(suspectWait);
+    } else if (grant.attempt) {
+        this->startAttempt(std::move(grant.attempt), false);
+    } else if (!this->tokens.empty() && grant.refusal->code == "no-upstream") {
+        // An answer that has begun waits for replacements; upstreams that failed it may be back by then.
+        this->failedUpstreams.clear();
+        this->waitAndRetry(upstreamWait);
+    } else {
+        this->refuse(*grant.refusal);
+    }
+}
+
+void ModelCall::waitAndRetry(std::chrono::milliseconds time)
+{
+    this->timer.expires_after(time);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (self && !error)
+            self->nextAttempt();
+    });
+}
+
+AttemptWish ModelCall::wish() const
+{
+    return {.call = this->call,
+            .prompt = this->request.prompt,
+            .fingerprint = this->fingerprint,
+            .excluded = this->failedUpstreams,
+            .number = this->attempts,
+            .mustGoOn = !this->tokens.empty() || this->wasReclaimed,
+            .makeId = [this](const std::string &upstream) { return this->attemptId(upstream); }};
+}
+
+std::string ModelCall::attemptId(const std::string &upstream) const
+{
+    // Derived rather than random, so that any entry VM can ask the engine for the stream that a caller resumes.
+    std::string text;
+    for (const std::string &part : {this->call.clientAccount, this->call.requestId, upstream, this->digest})
+        text += std::to_string(part.size()) + ":" + part;
+    return sha256Hex(text).substr(0, attemptIdLength);
+}
+
+void ModelCall::startAttempt(std::shared_ptr<Attempt> attempt, bool resumesStream)
+{
+    this->attempt = std::move(attempt);
+    this->resumesStream = resumesStream;
+    this->lastProgress = std::chrono::steady_clock::now();
+    this->parser =
+        std::make_unique<EventStreamParser>([this](const ServerSentEvent &event) { this->eventReceived(event); });
+    AttemptHooks hooks;
+    hooks.data = [weak = this->weak_from_this()](std::string_view bytes) {
+        const auto self = weak.lock();
+        if (!self || !self->attempt)
+            return;
+        self->lastProgress = std::chrono::steady_clock::now();
+        if (!self->parser->append(bytes) && self->attempt)
+            self->attempt->reject("the engine sent an overlong line");
+    };
+    hooks.done = [weak = this->weak_from_this()](const HttpOutcome &outcome) {
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
+            self->attemptDone(outcome);
+    };
+    this->attempt->start(
+        this->makeCall(this->attempt->id(), resumesStream), std::string(completionPath), std::move(hooks));
+}
+
+HttpCall ModelCall::makeCall(const std::string &attempt, bool resumesStream) const
+{
+    nlohmann::json body = this->request.body;
+    body["max_tokens"] = this->request.maxTokens;
+    body["stream"] = true;
+    body["priority"] = this->call.priority;
+    body["attempt"] = attempt;
+    // A stream is taken up from its start when its text is not known here, since a later replay needs the whole text.
+    if (resumesStream)
+        body["resume_from"] = this->tokens.size();
+    else
+        body["resume_tokens"] = this->tokens;
+    HttpCall call;
+    call.method = "POST";
+    call.body = dumpJson(body);
+    call.headers = {{"Content-Type", "application/json"}, {std::string(requestIdField), this->call.requestId}};
+    const auto left = this->call.deadline - std::chrono::steady_clock::now();
+    // Zero would mean no limit to the client.
+    call.timeout = std::max(std::chrono::milliseconds(1), std::chrono::ceil<std::chrono::milliseconds>(left));
+    return call;
+}
+
+void ModelCall::eventReceived(const ServerSentEvent &event)
+{
+    if (!this->attempt || this->attempt->isRejected() || this->isGenerated)
+        return;
+    const auto json = nlohmann::json::parse(event.data, nullptr, false);
+    try {
+        if (!json.is_object())
+            this->attempt->reject("the engine sent an event that is not a JSON object");
+        else if (json.value("attempt", this->attempt->id()) != this->attempt->id())
+            this->attempt->reject("the answer belongs to another attempt");
+        else
+            this->engineReported(json);
+    } catch (const nlohmann::json::exception &error) {
+        this->attempt->reject(std::string("the engine sent a malformed event: ") + error.what());
+    }
+}
+
+void ModelCall::engineReported(const nlohmann::json &json)
+{
+    if (const auto text = json.find("text"); text != json.end())
+        this->tokenReceived(json.value("index", this->tokens.size() + 1), text->get<std::string>());
+    if (!json.contains("prompt_tokens"))
+        return;
+    this->usage = json;
+    this->usage.erase("attempt");
+    this->isGenerated = true;
+}
+
+void ModelCall::tokenReceived(std::size_t number, const std::string &text)
+{
+    // Engines count the tokens of the whole answer, so a repeated or missing one shows.
+    if (number <= this->tokens.size())
+        return;
+    if (number > this->tokens.size() + 1) {
+        this->attempt->reject("the engine left out a token");
+        return;
+    }
+    this->tokens.push_back(text);
+    this->emitToken(number, this->attempt->upstream().id);
+    if (!this->writer.isTooSlow())
+        return;
+    // The engine keeps the stream, so that the caller can come back for the rest.
+    this->attempt.reset();
+    this->refuse({Verdict::Ran, 503, "caller-too-slow", "the answer was not read in time; resume the stream", {}});
+}
+
+void ModelCall::emitToken(std::size_t number, const std::string &upstream)
+{
+    if (number > this->skippedTokens)
+        this->writer.writeToken(number, upstream, this->tokens[number - 1]);
+}
+
+void ModelCall::attemptDone(const HttpOutcome &outcome)
+{
+    const auto ended = std::exchange(this->attempt, nullptr);
+    const Upstream &upstream = ended->upstream();
+    if (this->isGenerated) {
+        this->complete();
+        return;
+    }
+    this->worstVerdict = std::max(this->worstVerdict, outcome.verdict);
+    this->wasReclaimed = this->context.dispatcher.upstreams().isLeaving(upstream.id);
+    logEvent(LogLevel::Warning,
+             "attempt-failed",
+             {{"request", this->call.requestId},
+              {"attempt", ended->id()},
+              {"upstream", upstream.id},
+              {"verdict", verdictName(outcome.verdict)},
+              {"status", outcome.status},
+              {"error", outcome.error},
+              {"tokens", this->tokens.size()}});
+    if (std::chrono::steady_clock::now() >= this->call.deadline) {
+        this->cancelAtEngine(*ended);
+        this->nextAttempt();
+        return;
+    }
+    if (this->resumesStream && outcome.status == 404) {
+        // The engine does not hold the stream any more.
+        if (this->tokens.empty() && !this->hasAskedPeers)
+            this->resumeElsewhere();
+        else
+            this->nextAttempt();
+        return;
+    }
+    if (outcome.isComplete() && outcome.status >= 400 && outcome.status < 500) {
+        this->refuse({Verdict::Ran, outcome.status, "upstream-refused", outcome.body, {}});
+        return;
+    }
+    if (outcome.verdict == Verdict::MayHaveRun && !ended->isRejected()) {
+        this->context.dispatcher.examine(
+            this->fingerprint, upstream, [weak = this->weak_from_this(), upstream](bool hasDied) {
+                const auto self = weak.lock();
+                if (self && !self->hasEnded)
+                    self->connectionBroke(upstream, hasDied);
+            });
+        return;
+    }
+    this->failedUpstreams.insert(upstream.id);
+    if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
+        this->resumeElsewhere();
+    else
+        this->nextAttempt();
+}
+
+void ModelCall::connectionBroke(const Upstream &upstream, bool hasDied)
+{
+    // The engine is there and keeps the stream, which saves computing it again; but only once, as the link may be bad.
+    if (!hasDied && this->reconnectedUpstreams.insert(upstream.id).second) {
+        this->resumeAtEngine(upstream, "the engine holds the stream whose connection broke");
+        return;
+    }
+    this->failedUpstreams.insert(upstream.id);
+    if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
+        this->resumeElsewhere();
+    else
+        this->nextAttempt();
+}
+
+void ModelCall::checkProgress(std::chrono::steady_clock::time_point now)
+{
+    const auto limit = this->tokens.empty() ? firstTokenLimit : nextTokenLimit;
+    if (this->attempt && now - this->lastProgress > limit)
+        this->attempt->reject("the engine sent nothing for " + std::to_string(limit.count()) + " s");
+}
+
+std::optional<StreamPosition> ModelCall::streamPosition() const
+{
+    if (!this->request.stream || this->tokens.empty() || this->hasEnded)
+        return std::nullopt;
+    return StreamPosition{this->call.clientAccount, this->call.requestId, this->digest, &this->tokens};
+}
+
+void ModelCall::supersede()
+{
+    if (this->hasEnded)
+        return;
+    this->attempt.reset();
+    this->refuse({Verdict::Ran, 409, "superseded", "the stream was resumed on another connection", {}});
+}
+
+void ModelCall::disconnected()
+{
+    logEvent(LogLevel::Info, "cancelled", {{"request", this->call.requestId}, {"tokens", this->tokens.size()}});
+    const auto ended = std::exchange(this->attempt, nullptr);
+    // Callers leave a draining process to resume elsewhere, so the engine has to keep their streams.
+    if (ended && !this->context.isDraining)
+        this->cancelAtEngine(*ended);
+    this->end();
+}
+
+void ModelCall::cancelAtEngine(const Attempt &attempt)
+{
+    HttpCall call;
+    call.method = "DELETE";
+    call.url = "http://" + attempt.upstream().address + std::string(attemptsPath) + attempt.id();
+    call.timeout = cancelTimeout;
+    this->context.http.start(std::move(call), {.done = [](const HttpOutcome &) {}});
+}
+
+void ModelCall::complete()
+{
+    this->context.dispatcher.quarantine().requestSucceeded(this->fingerprint, std::chrono::steady_clock::now());
+    this->writer.finish(this->usage);
+    this->end();
+}
+
+void ModelCall::refuse(RequestError error)
+{
+    error.verdict = std::max(error.verdict, this->worstVerdict);
+    logEvent(LogLevel::Info,
+             "refused",
+             {{"request", this->call.requestId},
+              {"clientAccount", this->call.clientAccount},
+              {"service", this->call.service.id},
+              {"status", error.status},
+              {"code", error.code},
+              {"verdict", verdictName(error.verdict)}});
+    this->writer.fail(error);
+    this->end();
+}
+
+void ModelCall::end()
+{
+    if (std::exchange(this->hasEnded, true))
+        return;
+    this->timer.cancel();
+    this->context.calls.remove(this->shared_from_this());
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/upstreampool.cpp
@@ -0,0 +1,158 @@
+#include "upstreampool.h"
+
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+// As long as the control process may take to learn of a death and to send a snapshot without the upstream.
+constexpr std::chrono::seconds avoidedAfterFailure{2};
+
+} // namespace
+
+UpstreamPool::Change UpstreamPool::apply(const std::vector<Upstream> &upstreams, Time now)
+{
+    Change change;
+    auto previous = std::exchange(this->upstreams, {});
+    this->idsByService.clear();
+    for (const Upstream &upstream : upstreams) {
+        this->upstreams[upstream.id] = upstream;
+        this->idsByService[upstream.service].push_back(upstream.id);
+    }
+    for (const auto &[id, upstream] : previous) {
+        const auto current = this->upstreams.find(id);
+        const bool isListed = current != this->upstreams.end();
+        if (!isListed || current->second.service != upstream.service)
+            this->soundByService[upstream.service].remove(id);
+        const bool isGone = !isListed || current->second.state == UpstreamState::Gone;
+        if (isGone && upstream.state != UpstreamState::Gone)
+            change.removed.push_back(upstream);
+    }
+    for (const auto &[id, upstream] : this->upstreams)
+        this->refreshCandidate(upstream, now);
+    std::erase_if(this->activities, [this](const auto &activity) {
+        return activity.second.inFlight == 0 && !this->upstreams.contains(activity.first);
+    });
+    return change;
+}
+
+std::optional<Upstream> UpstreamPool::find(const std::string &id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? std::nullopt : std::optional(found->second);
+}
+
+RouteDecision UpstreamPool::choose(const Router &router,
+                                   const RouteQuery &query,
+                                   const std::set<std::string> &excluded,
+                                   Time now,
+                                   RandomEngine &random)
+{
+    this->endAvoidance(now);
+    const auto sound = this->soundByService.find(query.service);
+    if (excluded.empty() && sound != this->soundByService.end() && sound->second.size() > 0)
+        return router.choose(query, sound->second, random);
+    return router.choose(query, this->candidates(query.service, excluded, now), random);
+}
+
+bool UpstreamPool::isAvoided(const std::string &id, Time now) const
+{
+    const auto activity = this->activities.find(id);
+    return activity != this->activities.end() && activity->second.failedAt
+        && now - *activity->second.failedAt < avoidedAfterFailure;
+}
+
+UpstreamView UpstreamPool::view(const Upstream &upstream) const
+{
+    UpstreamView view;
+    view.id = upstream.id;
+    view.zone = upstream.zone;
+    if (const auto activity = this->activities.find(upstream.id); activity != this->activities.end())
+        view.inFlight = activity->second.inFlight;
+    return view;
+}
+
+void UpstreamPool::refreshCandidate(const Upstream &upstream, Time now)
+{
+    CandidateSet &sound = this->soundByService[upstream.service];
+    if (upstream.state == UpstreamState::Serving && !this->isAvoided(upstream.id, now))
+        sound.set(this->view(upstream));
+    else
+        sound.remove(upstream.id);
+}
+
+void UpstreamPool::endAvoidance(Time now)
+{
+    while (!this->avoided.empty() && now - this->avoided.front().first >= avoidedAfterFailure) {
+        const std::string id = std::move(this->avoided.front().second);
+        this->avoided.pop_front();
+        if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+            this->refreshCandidate(upstream->second, now);
+    }
+}
+
+std::vector<UpstreamView>
+UpstreamPool::candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const
+{
+    std::vector<UpstreamView> sound;
+    std::vector<UpstreamView> doubtful;
+    const auto ids = this->idsByService.find(service);
+    if (ids == this->idsByService.end())
+        return sound;
+    for (const std::string &id : ids->second) {
+        const Upstream &upstream = this->upstreams.at(id);
+        const bool isSuspected = upstream.state == UpstreamState::Suspected;
+        if ((upstream.state != UpstreamState::Serving && !isSuspected) || excluded.contains(id))
+            continue;
+        (isSuspected || this->isAvoided(id, now) ? doubtful : sound).push_back(this->view(upstream));
+    }
+    return sound.empty() ? doubtful : sound;
+}
+
+void UpstreamPool::attemptStarted(const std::string &id)
+{
+    ++this->activities[id].inFlight;
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].addInFlight(id, 1);
+}
+
+void UpstreamPool::attemptEnded(const std::string &id)
+{
+    --this->activities[id].inFlight;
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].addInFlight(id, -1);
+}
+
+void UpstreamPool::attemptFailed(const std::string &id, Time now)
+{
+    this->activities[id].failedAt = now;
+    ++this->failures[id];
+    this->avoided.emplace_back(now, id);
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->soundByService[upstream->second.service].remove(id);
+}
+
+bool UpstreamPool::isLeaving(const std::string &id) const
+{
+    const auto upstream = this->upstreams.find(id);
+    return upstream == this->upstreams.end() || upstream->second.state == UpstreamState::Leaving
+        || upstream->second.state == UpstreamState::Gone;
+}
+
+std::map<std::string, int> UpstreamPool::inFlight() const
+{
+    std::map<std::string, int> counts;
+    for (const auto &[id, activity] : this->activities) {
+        if (activity.inFlight > 0)
+            counts[id] = activity.inFlight;
+    }
+    return counts;
+}
+
+std::map<std::string, int> UpstreamPool::takeFailures()
+{
+    return std::exchange(this->failures, {});
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/upstreampool.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "candidateset.h"
+#include "router.h"
+#include "upstream.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlock {
+
+/// The upstreams of an entry process: which may take requests, and how many requests each works on.
+class UpstreamPool
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /// What a new list of upstreams changed.
+    struct Change
+    {
+        std::vector<Upstream> removed; ///< Gone from the list or in the state "gone", as they were before.
+    };
+
+    /// Replaces the known upstreams; in-flight counts stay.
+    Change apply(const std::vector<Upstream> &upstreams, Time now);
+
+    std::optional<Upstream> find(const std::string &id) const;
+
+    /// Chooses among the serving upstreams of the query's service that did not fail just now. When there are none, one
+    /// that failed or is suspected is chosen rather than nothing. Costs a pass over the service's upstreams only when
+    /// some are excluded or none is sound.
+    RouteDecision choose(const Router &router,
+                         const RouteQuery &query,
+                         const std::set<std::string> &excluded,
+                         Time now,
+                         RandomEngine &random);
+
+    void attemptStarted(const std::string &id);
+    void attemptEnded(const std::string &id);
+
+    /// Notes that an attempt found the upstream unusable; it is avoided for a short time.
+    void attemptFailed(const std::string &id, Time now);
+
+    /// Whether a reclaim notice or the VM list announced that the upstream goes away.
+    bool isLeaving(const std::string &id) const;
+
+    /// Requests in flight by upstream, without idle upstreams.
+    std::map<std::string, int> inFlight() const;
+
+    /// Failures by upstream since the last call.
+    std::map<std::string, int> takeFailures();
+
+private:
+    struct Activity
+    {
+        int inFlight = 0;
+        std::optional<Time> failedAt;
+    };
+
+    bool isAvoided(const std::string &id, Time now) const;
+    UpstreamView view(const Upstream &upstream) const;
+    void refreshCandidate(const Upstream &upstream, Time now);
+    void endAvoidance(Time now);
+    std::vector<UpstreamView>
+    candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const;
+
+    std::unordered_map<std::string, Upstream> upstreams;
+    std::map<std::string, std::vector<std::string>> idsByService;
+    std::map<std::string, CandidateSet> soundByService; ///< Serving and not avoided.
+    std::unordered_map<std::string, Activity> activities;
+    std::deque<std::pair<Time, std::string>> avoided; ///< In order of failure.
+    std::map<std::string, int> failures;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/standins/engine/answertext.cpp
@@ -0,0 +1,84 @@
+#include "answertext.h"
+
+#include <cctype>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+/// Words between two full stops.
+constexpr std::size_t sentenceLength = 12;
+constexpr std::size_t maxPromptWords = 200;
+
+constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
+
+std::uint64_t hashText(std::string_view text)
+{
+    std::uint64_t hash = fnvOffset;
+    for (const char byte : text)
+        hash = (hash ^ static_cast<unsigned char>(byte)) * fnvPrime;
+    return hash;
+}
+
+/// Finaliser of SplitMix64.
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+/// Whether a byte is part of a word. Bytes beyond ASCII are, so that no character is cut in two.
+bool isWordByte(char byte)
+{
+    const auto value = static_cast<unsigned char>(byte);
+    return value >= 0x80U || std::isalnum(value) != 0;
+}
+
+std::vector<std::string> splitWords(std::string_view text)
+{
+    std::vector<std::string> words;
+    std::string word;
+    for (const char byte : text) {
+        if (isWordByte(byte)) {
+            word += byte;
+            continue;
+        }
+        if (!word.empty())
+            words.push_back(std::exchange(word, {}));
+        if (words.size() == maxPromptWords)
+            return words;
+    }
+    if (!word.empty())
+        words.push_back(word);
+    return words;
+}
+
+} // namespace
+
+std::size_t countTokens(std::string_view text)
+{
+    return (text.size() + bytesPerToken - 1) / bytesPerToken;
+}
+
+AnswerText::AnswerText(std::string_view prompt, const std::vector<std::string> &vocabulary)
+    : words(splitWords(prompt))
+    , seed(hashText(prompt))
+{
+    this->words.insert(this->words.end(), vocabulary.begin(), vocabulary.end());
+    if (this->words.empty())
+        this->words.emplace_back("nothing");
+}
+
+std::string AnswerText::token(std::size_t index) const
+{
+    std::string text = index > 1 ? " " : "";
+    text += this->words[mix(this->seed + index) % this->words.size()];
+    if (index % sentenceLength == 0)
+        text += ".";
+    return text;
+}
+
+} // namespace hemlock
