Add the experiments of hemlock-load in virtual time

hemlock-load experiment runs a seeded scenario against several policies with the real router, queue, limits, placement and reclaim plan between fake engines and callers; hemlock-load routing measures the decision time.

--- a/src/libhemlock/prefixaffinity.cpp
+++ b/src/libhemlock/prefixaffinity.cpp
@@ -105,16 +105,14 @@
     this->index.removeUpstream(upstream);
 }
 
-void PrefixAffinityPolicy::noteCached(const std::string &upstream, const std::string &prefix)
+void PrefixAffinityPolicy::noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks)
 {
-    this->index.add(prefixBlocks(prefix), upstream);
+    this->index.add(blocks, upstream);
 }
 
-void PrefixAffinityPolicy::noteEvicted(const std::string &upstream, const std::string &prefix)
+void PrefixAffinityPolicy::noteEvicted(const std::string &upstream, std::uint64_t block)
 {
-    const auto blocks = prefixBlocks(prefix);
-    if (!blocks.empty())
-        this->index.remove(blocks.back(), upstream);
+    this->index.remove(block, upstream);
 }
 
 } // namespace hemlock
--- a/src/libhemlock/prefixaffinity.h
+++ b/src/libhemlock/prefixaffinity.h
@@ -32,8 +32,8 @@
 
     RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) override;
     void removeUpstream(const std::string &upstream) override;
-    void noteCached(const std::string &upstream, const std::string &prefix) override;
-    void noteEvicted(const std::string &upstream, const std::string &prefix) override;
+    void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks) override;
+    void noteEvicted(const std::string &upstream, std::uint64_t block) override;
 
 private:
     PrefixAffinitySettings settings;
--- a/src/libhemlock/router.cpp
+++ b/src/libhemlock/router.cpp
@@ -86,11 +86,11 @@
 {
 }
 
-void RoutePolicy::noteCached(const std::string &, const std::string &)
+void RoutePolicy::noteCached(const std::string &, const std::vector<std::uint64_t> &)
 {
 }
 
-void RoutePolicy::noteEvicted(const std::string &, const std::string &)
+void RoutePolicy::noteEvicted(const std::string &, std::uint64_t)
 {
 }
 
@@ -122,14 +122,14 @@
     this->policy->removeUpstream(upstream);
 }
 
-void Router::noteCached(const std::string &upstream, const std::string &prefix) const
+void Router::noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks) const
 {
-    this->policy->noteCached(upstream, prefix);
+    this->policy->noteCached(upstream, blocks);
 }
 
-void Router::noteEvicted(const std::string &upstream, const std::string &prefix) const
+void Router::noteEvicted(const std::string &upstream, std::uint64_t block) const
 {
-    this->policy->noteEvicted(upstream, prefix);
+    this->policy->noteEvicted(upstream, block);
 }
 
 void Router::registerPolicy(const std::string &name, std::function<std::unique_ptr<RoutePolicy>()> factory)
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -39,9 +39,9 @@
     virtual RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) = 0;
     /// An upstream left or lost its cache.
     virtual void removeUpstream(const std::string &upstream);
-    /// A cache event: the upstream now holds this beginning of a prompt, or dropped the last block of it.
-    virtual void noteCached(const std::string &upstream, const std::string &prefix);
-    virtual void noteEvicted(const std::string &upstream, const std::string &prefix);
+    /// A cache event: the upstream now holds these blocks (as by prefixBlocks) of a prompt, or dropped one block.
+    virtual void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks);
+    virtual void noteEvicted(const std::string &upstream, std::uint64_t block);
 };
 
 /// Chooses upstreams by a policy that is registered under a name.
@@ -61,8 +61,8 @@
     /// Tells the policy that an upstream left or lost its cache.
     void removeUpstream(const std::string &upstream) const;
     /// Tells the policy of a cache event, which may be late.
-    void noteCached(const std::string &upstream, const std::string &prefix) const;
-    void noteEvicted(const std::string &upstream, const std::string &prefix) const;
+    void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks) const;
+    void noteEvicted(const std::string &upstream, std::uint64_t block) const;
 
     /// Makes a policy available under a name; the factory runs once for each router.
     static void registerPolicy(const std::string &name, std::function<std::unique_ptr<RoutePolicy>()> factory);
--- /dev/null
+++ b/src/load/entrymodel.cpp
@@ -0,0 +1,205 @@
+#include "entrymodel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+constexpr double millisecondsPerSecond = 1000.0;
+
+} // namespace
+
+int ModelRequest::cost() const
+{
+    return this->promptTokens + this->traffic.answerTokens;
+}
+
+EntryModel::EntryModel(
+    EventLoop &loop, const Scenario &scenario, const PolicyRow &policy, int number, std::uint64_t seed, SendHook send)
+    : router(policy.routing)
+    , limiter("entry-" + std::to_string(number))
+    , zone{scenario.zones[static_cast<std::size_t>(number) % scenario.zones.size()]}
+    , loop(loop)
+    , scenario(scenario)
+    , policy(policy)
+    , send(std::move(send))
+    , random(seed * 100 + static_cast<std::uint64_t>(number))
+{
+    for (const TrafficRow &row : scenario.traffic)
+        this->limiter.setLimit(row.clientAccount, scenario.limitTokensPerS, loop.now());
+    this->limiter.setMembers(static_cast<std::size_t>(scenario.entryVms), loop.now());
+}
+
+void EntryModel::arrive(ModelRequest &request)
+{
+    const TrafficRow &row = this->scenario.traffic[request.traffic.row];
+    if (this->limiter.take(row.clientAccount, request.cost(), this->loop.now()).count() > 0) {
+        request.isRefused = true;
+        return;
+    }
+    if (this->policy.queue == "fifo") {
+        this->fifo.push_back(&request);
+        this->pump();
+        return;
+    }
+    QueuedRequest entry;
+    entry.requestId = std::to_string(request.id);
+    entry.clientAccount = row.clientAccount;
+    entry.weight = row.weight;
+    entry.priority = row.priority;
+    entry.cost = request.cost();
+    const double slackMs = std::max(0.0, this->scenario.firstTokenMs - this->firstTokenWaitMs);
+    entry.latestStart = this->loop.now() + fromSeconds(slackMs / millisecondsPerSecond);
+    this->queued[entry.requestId] = &request;
+    this->refuse(this->queue.push(std::move(entry), this->loop.now()));
+    this->pump();
+}
+
+void EntryModel::replay(ModelRequest &request)
+{
+    if (this->candidates.size() == 0) {
+        constexpr auto retryInterval = std::chrono::milliseconds(100);
+        this->loop.after(retryInterval, [this, &request] { this->replay(request); });
+        return;
+    }
+    this->dispatch(request);
+}
+
+void EntryModel::firstTokenSeen(const ModelRequest &request)
+{
+    constexpr double smoothing = 0.05;
+    const double waitMs = toSeconds(request.firstToken - request.dispatched) * millisecondsPerSecond;
+    this->firstTokenWaitMs += smoothing * (waitMs - this->firstTokenWaitMs);
+}
+
+void EntryModel::requestEnded(const std::string &upstream)
+{
+    --this->totalInFlight;
+    this->candidates.addInFlight(upstream, -1);
+    this->pump();
+}
+
+void EntryModel::requestMoved(const std::string &from, const std::string &to)
+{
+    this->candidates.addInFlight(from, -1);
+    this->candidates.addInFlight(to, 1);
+}
+
+void EntryModel::upstreamJoined(const std::string &upstream, const AvailabilityZone &zone)
+{
+    this->candidates.set({upstream, zone});
+    this->pump();
+}
+
+void EntryModel::upstreamLeft(const std::string &upstream)
+{
+    this->candidates.remove(upstream);
+    this->router.removeUpstream(upstream);
+}
+
+int EntryModel::inFlight(const std::string &upstream) const
+{
+    const UpstreamView *view = this->candidates.find(upstream);
+    return view == nullptr ? 0 : view->inFlight;
+}
+
+void EntryModel::loadReported(const std::string &upstream,
+                              double load,
+                              double inFlightAtReport,
+                              EventLoop::Duration age)
+{
+    const UpstreamView *known = this->candidates.find(upstream);
+    if (known == nullptr)
+        return;
+    UpstreamView view = *known;
+    view.reportedLoad = load;
+    view.inFlightAtReport = inFlightAtReport;
+    view.reportAge = std::chrono::duration_cast<std::chrono::milliseconds>(age);
+    this->candidates.set(view);
+}
+
+void EntryModel::pump()
+{
+    while (this->hasRoom()) {
+        ModelRequest *next = this->nextQueued();
+        if (next == nullptr)
+            return;
+        this->dispatch(*next);
+    }
+}
+
+bool EntryModel::hasRoom() const
+{
+    if (this->candidates.size() == 0)
+        return false;
+    // The own part of all batch slots is used without regard to the others, whose load is known late; more of them
+    // only while the upstreams have room by the last reports.
+    const double slots = this->scenario.engine.maxBatch * static_cast<double>(this->candidates.size());
+    if (this->totalInFlight < slots / this->scenario.entryVms)
+        return true;
+    constexpr double spareRoom = 0.75;
+    return this->candidates.meanLoad() < spareRoom * this->scenario.engine.maxBatch;
+}
+
+ModelRequest *EntryModel::nextQueued()
+{
+    if (this->policy.queue == "fifo") {
+        if (this->fifo.empty())
+            return nullptr;
+        ModelRequest *next = this->fifo.front();
+        this->fifo.pop_front();
+        return next;
+    }
+    std::vector<QueueRefusal> refusals;
+    const auto next = this->queue.pop(this->loop.now(), refusals);
+    this->refuse(refusals);
+    if (!next)
+        return nullptr;
+    // The drain rate counts only while requests wait; otherwise it would be the arrival rate.
+    constexpr double intervalS = 0.5;
+    const double elapsed = toSeconds(this->loop.now() - this->drainedSince);
+    if (this->queue.size() == 0) {
+        this->drainedSince = this->loop.now();
+        this->drainedTokens = 0.0;
+    } else if (elapsed >= intervalS) {
+        this->queue.setDrainRate(this->drainedTokens / elapsed);
+        this->drainedSince = this->loop.now();
+        this->drainedTokens = 0.0;
+    }
+    this->drainedTokens += next->cost;
+    const auto found = this->queued.find(next->requestId);
+    ModelRequest *request = found->second;
+    this->queued.erase(found);
+    return request;
+}
+
+void EntryModel::refuse(const std::vector<QueueRefusal> &refusals)
+{
+    for (const QueueRefusal &refusal : refusals) {
+        const auto found = this->queued.find(refusal.request.requestId);
+        found->second->isRefused = true;
+        this->queued.erase(found);
+    }
+}
+
+void EntryModel::dispatch(ModelRequest &request)
+{
+    const TrafficRow &row = this->scenario.traffic[request.traffic.row];
+    RouteQuery query;
+    query.requestId = std::to_string(request.id);
+    query.service = "model";
+    query.prompt = request.prompt;
+    query.zone = this->zone;
+    query.priority = row.priority;
+    request.upstream = this->router.choose(query, this->candidates, this->random).upstream;
+    request.dispatched = this->loop.now();
+    ++request.attempts;
+    if (request.attempts == 1)
+        ++this->totalInFlight;
+    this->candidates.addInFlight(request.upstream, 1);
+    this->send(request);
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,58 @@
+#include "experiment.h"
+#include "routingbench.h"
+#include "settings.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+#include <iostream>
+
+using namespace hemlock;
+
+namespace {
+
+int experiment(const std::string &file, const ExperimentOptions &options, bool onlyChecks, bool isStrict)
+{
+    const Scenario scenario = readScenario(file);
+    if (onlyChecks)
+        return 0;
+    const bool allMet = runExperiment(scenario, options, std::cout);
+    return allMet || !isStrict ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Load generator and experiments of hemlockflow"};
+    app.require_subcommand(1);
+
+    std::string scenarioFile;
+    ExperimentOptions options;
+    bool onlyChecks = false;
+    bool isStrict = false;
+    CLI::App *experimentCommand = app.add_subcommand("experiment", "Runs a scenario in virtual time against policies");
+    experimentCommand->add_option("scenario", scenarioFile, "JSON file")->required();
+    experimentCommand->add_option("--seeds", options.seeds, "Number of seeds")->check(CLI::PositiveNumber);
+    experimentCommand->add_option("--first-seed", options.firstSeed, "First seed");
+    experimentCommand->add_flag("--check", onlyChecks, "Only checks the scenario file");
+    experimentCommand->add_flag("--strict", isStrict, "Fails when a target is missed");
+
+    std::vector<int> upstreams{1000, 4000, 12000};
+    std::uint64_t seed = 1;
+    CLI::App *routingCommand = app.add_subcommand("routing", "Measures the time of a routing decision");
+    routingCommand->add_option("--upstreams", upstreams, "Numbers of known upstreams");
+    routingCommand->add_option("--seed", seed, "Seed");
+
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (experimentCommand->parsed())
+            return experiment(scenarioFile, options, onlyChecks, isStrict);
+        if (routingCommand->parsed())
+            measureRouting(upstreams, seed, std::cout);
+        return 0;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/load/traffic.cpp
@@ -0,0 +1,79 @@
+#include "traffic.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlock {
+
+namespace {
+
+std::string randomText(std::uint64_t seed, int tokens)
+{
+    std::mt19937_64 random(seed);
+    std::string text(static_cast<std::size_t>(tokens) * bytesPerToken, ' ');
+    constexpr std::size_t charactersPerDraw = 8;
+    for (std::size_t at = 0; at < text.size(); at += charactersPerDraw) {
+        std::uint64_t bits = random();
+        for (std::size_t i = at; i < std::min(at + charactersPerDraw, text.size()); ++i, bits >>= 8U)
+            text[i] = static_cast<char>('a' + (bits & 0xffU) % 26);
+    }
+    return text;
+}
+
+int between(const int (&range)[2], std::mt19937_64 &random)
+{
+    return std::uniform_int_distribution<int>(range[0], std::max(range[0], range[1]))(random);
+}
+
+} // namespace
+
+std::vector<TrafficRequest>
+generateTraffic(const Scenario &scenario, std::uint64_t seed, double loadFactor, bool withFloods)
+{
+    struct Document
+    {
+        std::uint64_t id;
+        int tokens;
+    };
+    std::vector<TrafficRequest> requests;
+    for (std::size_t index = 0; index < scenario.traffic.size(); ++index) {
+        const TrafficRow &row = scenario.traffic[index];
+        if (row.isFlood && !withFloods)
+            continue;
+        // Each row draws from its own engine, so that leaving one out does not change the others.
+        std::mt19937_64 random(seed * 1000 + index);
+        std::uniform_int_distribution<int> entryVm(0, scenario.entryVms - 1);
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        std::exponential_distribution<double> gap(row.ratePerS * loadFactor);
+        std::vector<Document> documents;
+        const auto newDocument = [&] { return Document{random() | 1U, between(row.documentTokens, random)}; };
+        for (int i = 0; i < row.documents; ++i)
+            documents.push_back(newDocument());
+        for (double at = row.fromS + gap(random); at < row.toS; at += gap(random)) {
+            TrafficRequest request;
+            request.atS = at;
+            request.row = index;
+            if (!documents.empty()) {
+                Document &document = documents[random() % documents.size()];
+                if (chance(random) < 1.0 / row.questionsPerDocument)
+                    document = newDocument();
+                request.document = document.id;
+                request.documentTokens = document.tokens;
+            }
+            request.questionTokens = between(row.questionTokens, random);
+            request.answerTokens = std::max(1, between(row.answerTokens, random));
+            request.entryVm = entryVm(random);
+            request.seed = random();
+            requests.push_back(request);
+        }
+    }
+    std::sort(requests.begin(), requests.end(), [](const auto &a, const auto &b) { return a.atS < b.atS; });
+    return requests;
+}
+
+std::string promptText(const TrafficRequest &request)
+{
+    return randomText(request.document, request.documentTokens) + randomText(request.seed, request.questionTokens);
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/load/world.cpp
@@ -0,0 +1,308 @@
+#include "world.h"
+
+#include "prefixindex.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+constexpr int tokensPerBlock = static_cast<int>(prefixBlockBytes / bytesPerToken);
+constexpr auto shareExchangeInterval = std::chrono::milliseconds(500);
+constexpr auto placementInterval = std::chrono::seconds(5);
+constexpr auto peerDelay = std::chrono::milliseconds(3);
+
+} // namespace
+
+World::World(const Scenario &scenario, const PolicyRow &policy, std::uint64_t seed)
+    : scenario(scenario)
+    , policy(policy)
+    , seed(seed)
+    , random(seed)
+    , placement(1)
+{
+    this->loop.runUntil(EventLoop::TimePoint(std::chrono::hours(1)));
+    for (int i = 0; i < scenario.entryVms; ++i) {
+        this->entries.push_back(std::make_unique<EntryModel>(
+            this->loop, scenario, policy, i, seed, [this](ModelRequest &request) { this->send(request); }));
+    }
+    // The parts of a limit grow to their steady size within a lease, before the scenario starts.
+    this->loop.runUntil(this->loop.now() + std::chrono::seconds(10));
+    this->passedBySecond.resize(static_cast<std::size_t>(scenario.durationS) + 2);
+}
+
+Outcome World::run()
+{
+    const EventLoop::TimePoint start = this->loop.now();
+    if (this->policy.placement == "none") {
+        for (int i = 0; i < this->scenario.workers; ++i) {
+            VmOffer offer;
+            offer.zone.name = this->scenario.zones[static_cast<std::size_t>(i) % this->scenario.zones.size()];
+            this->join(this->addVm(offer, VmRole::Starting));
+        }
+    } else {
+        this->place();
+        for (Vm &vm : this->vms) {
+            if (vm.role == VmRole::Starting)
+                vm.isSpare ? void(vm.role = VmRole::Warm) : this->join(vm);
+        }
+        this->loop.every(placementInterval, [this] { this->place(); });
+    }
+    std::uint64_t nextId = 0;
+    for (const TrafficRequest &traffic :
+         generateTraffic(this->scenario, this->seed, this->policy.loadFactor, !this->policy.quiet)) {
+        this->loop.at(start + fromSeconds(traffic.atS), [this, traffic, id = ++nextId] {
+            ModelRequest &request = this->requests.emplace_back();
+            request.id = id;
+            request.traffic = traffic;
+            request.prompt = promptText(traffic);
+            request.blocks = prefixBlocks(request.prompt);
+            request.promptTokens = traffic.documentTokens + traffic.questionTokens;
+            request.arrived = this->loop.now();
+            if (traffic.document != 0) {
+                auto &blocks = this->documentBlocks[traffic.document];
+                blocks = request.blocks;
+                blocks.resize(static_cast<std::size_t>(traffic.documentTokens / tokensPerBlock));
+            }
+            this->entries[static_cast<std::size_t>(traffic.entryVm)]->arrive(request);
+            if (!request.isRefused)
+                this->countPassed(request.cost());
+        });
+    }
+    for (const ScenarioEvent &event : this->scenario.events)
+        this->loop.at(start + fromSeconds(event.atS), [this, event] { this->startEvent(event); });
+    this->loop.every(fromSeconds(this->scenario.loadReportS), [this] { this->reportLoads(); });
+    this->loop.every(shareExchangeInterval, [this] { this->exchangeShares(); });
+    constexpr auto pumpInterval = std::chrono::milliseconds(20);
+    this->loop.every(pumpInterval, [this] {
+        for (const auto &entry : this->entries)
+            entry->pump();
+    });
+    this->loop.runUntil(start + fromSeconds(this->scenario.durationS));
+    for (Vm &vm : this->vms)
+        this->pay(vm);
+    // Requests of the last seconds get time to finish; they count as unfinished otherwise.
+    constexpr auto grace = std::chrono::seconds(30);
+    this->loop.runUntil(this->loop.now() + grace);
+    return this->outcome();
+}
+
+void World::send(ModelRequest &request)
+{
+    Vm *vm = this->vmById.at(request.upstream);
+    const EntryModel &entry = *this->entries[static_cast<std::size_t>(request.traffic.entryVm)];
+    const int attempt = request.attempts;
+    this->loop.after(this->linkDelay(entry.zone, vm->offer.zone), [this, &request, vm, attempt] {
+        if (attempt == request.attempts)
+            this->deliver(request, *vm, false);
+    });
+}
+
+void World::deliver(ModelRequest &request, Vm &vm, bool hasCache)
+{
+    if (vm.isGone) {
+        this->lost(request);
+        return;
+    }
+    EngineRequest work;
+    work.id = request.id;
+    work.blocks = request.blocks;
+    work.promptTokens = request.promptTokens + request.emitted;
+    work.answerTokens = request.traffic.answerTokens - request.emitted;
+    work.priority = this->scenario.traffic[request.traffic.row].priority;
+    work.hasCache = hasCache;
+    vm.requests.insert(request.id);
+    if (request.traffic.document != 0)
+        ++vm.documentUses[request.traffic.document];
+    vm.engine->submit(std::move(work));
+}
+
+void World::lost(ModelRequest &request)
+{
+    // A broken connection is noticed at once, or by its lack of progress.
+    constexpr auto detection = std::chrono::milliseconds(50);
+    EntryModel &entry = *this->entries[static_cast<std::size_t>(request.traffic.entryVm)];
+    this->loop.after(detection, [&entry, &request] { entry.replay(request); });
+}
+
+EngineHooks World::engineHooks(Vm &vm)
+{
+    EngineHooks hooks;
+    hooks.token = [this, &vm](std::uint64_t id) {
+        ModelRequest &request = this->requests[id - 1];
+        EntryModel &entry = *this->entries[static_cast<std::size_t>(request.traffic.entryVm)];
+        request.lastToken = this->loop.now() + this->linkDelay(vm.offer.zone, entry.zone);
+        if (++request.emitted == 1) {
+            request.firstToken = request.lastToken;
+            entry.firstTokenSeen(request);
+        }
+    };
+    hooks.done = [this, &vm](std::uint64_t id) {
+        ModelRequest &request = this->requests[id - 1];
+        vm.requests.erase(id);
+        request.isDone = true;
+        this->entries[static_cast<std::size_t>(request.traffic.entryVm)]->requestEnded(vm.id);
+    };
+    hooks.admitted = [this](const EngineRequest &request, std::size_t cachedBlocks, int prefillTokens) {
+        this->count(request, cachedBlocks, prefillTokens);
+    };
+    hooks.cached = [this, &vm](const std::vector<std::uint64_t> &blocks) {
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        for (const auto &entry : this->entries) {
+            if (chance(this->random) < this->scenario.cacheEventLoss)
+                continue;
+            this->loop.after(fromSeconds(this->scenario.cacheEventLagS), [&vm, &entry, blocks] {
+                if (vm.role == VmRole::Serving)
+                    entry->router.noteCached(vm.id, blocks);
+            });
+        }
+    };
+    hooks.evicted = [this, &vm](std::uint64_t block) {
+        for (const auto &entry : this->entries) {
+            this->loop.after(fromSeconds(this->scenario.cacheEventLagS),
+                             [&vm, &entry, block] { entry->router.noteEvicted(vm.id, block); });
+        }
+    };
+    return hooks;
+}
+
+EventLoop::Duration World::linkDelay(const AvailabilityZone &a, const AvailabilityZone &b)
+{
+    double milliseconds = this->scenario.sameZoneMs;
+    if (a.name != b.name) {
+        milliseconds = this->scenario.crossZoneMs;
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        if (this->scenario.linkLoss > 0.0 && chance(this->random) < this->scenario.linkLoss)
+            milliseconds += this->scenario.crossZoneRetryMs;
+    }
+    return fromSeconds(milliseconds / 1000.0);
+}
+
+void World::reportLoads()
+{
+    const EventLoop::Duration lag = fromSeconds(this->scenario.loadLagS);
+    for (Vm &vm : this->vms) {
+        if (vm.role != VmRole::Serving)
+            continue;
+        const int load = vm.engine->load();
+        for (const auto &entry : this->entries) {
+            this->loop.after(lag, [&entry, id = vm.id, load, own = entry->inFlight(vm.id), lag] {
+                entry->loadReported(id, load, own, lag);
+            });
+        }
+    }
+}
+
+void World::exchangeShares()
+{
+    for (std::size_t from = 0; from < this->entries.size(); ++from) {
+        if (this->cutOff.count(static_cast<int>(from)) > 0)
+            continue;
+        for (const ShareRequest &request : this->entries[from]->limiter.requests(this->loop.now())) {
+            for (std::size_t to = 0; to < this->entries.size(); ++to) {
+                if (to == from || this->cutOff.count(static_cast<int>(to)) > 0)
+                    continue;
+                this->loop.after(peerDelay, [this, from, to, request] {
+                    const auto grant = this->entries[to]->limiter.answer(request, this->loop.now());
+                    if (!grant || this->cutOff.count(static_cast<int>(from)) > 0)
+                        return;
+                    this->loop.after(peerDelay, [this, from, grant] {
+                        this->entries[from]->limiter.accept(*grant, this->loop.now());
+                    });
+                });
+            }
+        }
+    }
+}
+
+bool World::isMeasured(const ModelRequest &request) const
+{
+    return request.traffic.atS >= this->scenario.measureFromS && request.traffic.atS < this->scenario.measureToS;
+}
+
+bool World::isAfterReclaim() const
+{
+    return std::any_of(this->reclaimedUntil.begin(), this->reclaimedUntil.end(), [this](EventLoop::TimePoint until) {
+        return this->loop.now() < until;
+    });
+}
+
+void World::count(const EngineRequest &work, std::size_t cachedBlocks, int prefillTokens)
+{
+    const ModelRequest &request = this->requests[work.id - 1];
+    int again = 0;
+    if (!work.hasCache) {
+        for (std::size_t i = 0; i < work.blocks.size(); ++i) {
+            if (!this->everComputed.insert(work.blocks[i]).second && i >= cachedBlocks)
+                again += tokensPerBlock;
+        }
+        // Emitted tokens, and the part of the prompt that fills no block, were computed by the upstream that was lost.
+        if (request.attempts > 1)
+            again += request.emitted + request.promptTokens % tokensPerBlock;
+    }
+    if (!this->isMeasured(request))
+        return;
+    this->result.prefillTokens += prefillTokens;
+    this->result.recomputedTokens += again;
+    if (this->isAfterReclaim())
+        this->result.recomputedAfterReclaim += again;
+}
+
+void World::countPassed(double tokens)
+{
+    const auto second = static_cast<std::size_t>(this->requests.back().traffic.atS);
+    this->passedBySecond[std::min(second, this->passedBySecond.size() - 1)] += tokens;
+}
+
+Outcome World::outcome()
+{
+    Outcome &outcome = this->result;
+    outcome.policy = this->policy.name;
+    outcome.seed = this->seed;
+    outcome.windowS = this->scenario.measureToS - this->scenario.measureFromS;
+    for (const ModelRequest &request : this->requests) {
+        if (!this->isMeasured(request))
+            continue;
+        const TrafficRow &row = this->scenario.traffic[request.traffic.row];
+        AccountOutcome &account = outcome.accounts[row.clientAccount];
+        account.isFlood = account.isFlood || row.isFlood;
+        account.weight = row.weight;
+        ++account.offered;
+        account.offeredTokens += request.cost();
+        if (request.isRefused) {
+            ++account.refused;
+            continue;
+        }
+        if (!request.isDone) {
+            ++outcome.unfinished;
+            continue;
+        }
+        ++account.completed;
+        account.servedTokens += request.cost();
+        const double firstMs = toSeconds(request.firstToken - request.arrived) * 1000.0;
+        const double gaps = std::max(1, request.traffic.answerTokens - 1);
+        const double betweenMs = toSeconds(request.lastToken - request.firstToken) * 1000.0 / gaps;
+        account.firstTokenMs.push_back(firstMs);
+        outcome.betweenTokensMs.push_back(betweenMs);
+        if (firstMs <= this->scenario.firstTokenMs && betweenMs <= this->scenario.betweenTokensMs)
+            ++account.inTime;
+    }
+    constexpr std::size_t overshootWindowS = 10;
+    if (this->scenario.limitTokensPerS > 0.0) {
+        const auto from = static_cast<std::size_t>(this->scenario.measureFromS);
+        const auto to = static_cast<std::size_t>(this->scenario.measureToS);
+        for (std::size_t first = from; first + overshootWindowS <= to; ++first) {
+            double passed = 0.0;
+            for (std::size_t second = first; second < first + overshootWindowS; ++second)
+                passed += this->passedBySecond[second];
+            const double allowed = this->scenario.limitTokensPerS * overshootWindowS;
+            outcome.limitOvershoot = std::max(outcome.limitOvershoot, passed / allowed - 1.0);
+        }
+    }
+    return outcome;
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/load/world.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "enginemodel.h"
+#include "entrymodel.h"
+#include "eventloop.h"
+#include "outcome.h"
+#include "placement.h"
+#include "scenario.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace hemlock {
+
+/// One run of a scenario with one policy and seed.
+class World
+{
+public:
+    World(const Scenario &scenario, const PolicyRow &policy, std::uint64_t seed);
+
+    Outcome run();
+
+private:
+    struct Vm
+    {
+        std::string id;
+        VmOffer offer;
+        VmRole role = VmRole::Starting;
+        bool isSpare = false;
+        bool isGone = false;
+        std::unique_ptr<EngineModel> engine;
+        std::set<std::uint64_t> requests;
+        std::map<std::uint64_t, int> documentUses;
+        EventLoop::TimePoint paidFrom;
+    };
+
+    // Fleet.
+    Vm &addVm(const VmOffer &offer, VmRole role);
+    void join(Vm &vm);
+    void announceLeaving(Vm &vm, EventLoop::Duration delay);
+    void kill(Vm &vm);
+    void pay(Vm &vm);
+    void reclaim(Vm &vm, EventLoop::Duration notice);
+    void exportFrom(Vm &vm, EventLoop::TimePoint deadline);
+    void moveStream(Vm &vm, std::uint64_t id, Vm &target);
+    void movePrefix(std::uint64_t document, Vm &target);
+    void place();
+    void carryOut(const PlacementOrder &order);
+    bool isStartRefused(const VmOffer &offer) const;
+
+    // Requests.
+    void send(ModelRequest &request);
+    void deliver(ModelRequest &request, Vm &vm, bool hasCache);
+    void lost(ModelRequest &request);
+    EngineHooks engineHooks(Vm &vm);
+    EventLoop::Duration linkDelay(const AvailabilityZone &a, const AvailabilityZone &b);
+
+    // Messages between processes.
+    void reportLoads();
+    void exchangeShares();
+    void startEvent(const ScenarioEvent &event);
+
+    // Figures.
+    bool isMeasured(const ModelRequest &request) const;
+    bool isAfterReclaim() const;
+    void count(const EngineRequest &request, std::size_t cachedBlocks, int prefillTokens);
+    void countPassed(double tokens);
+    Outcome outcome();
+
+    const Scenario &scenario;
+    const PolicyRow &policy;
+    std::uint64_t seed;
+    RandomEngine random;
+    EventLoop loop;
+    std::deque<ModelRequest> requests;
+    std::vector<std::unique_ptr<EntryModel>> entries;
+    std::deque<Vm> vms;
+    std::map<std::string, Vm *> vmById;
+    Placement placement;
+    std::vector<RefusedStart> refusals;
+    std::vector<ScenarioEvent> activeRefusals;
+    std::set<int> cutOff;
+    std::unordered_set<std::uint64_t> everComputed;
+    std::map<std::uint64_t, std::vector<std::uint64_t>> documentBlocks;
+    std::vector<EventLoop::TimePoint> reclaimedUntil;
+    std::vector<double> passedBySecond;
+    Outcome result;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/load/worldfleet.cpp
@@ -0,0 +1,269 @@
+#include "world.h"
+
+#include "prefixindex.h"
+#include "reclaimplan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+constexpr double secondsPerHour = 3600.0;
+// News that an upstream leaves reaches all entry VMs directly; the target is 2 s.
+constexpr auto leavingNewsDelay = std::chrono::milliseconds(200);
+// After a reclaim's deadline its recomputed tokens are counted for this long.
+constexpr auto reclaimAftermath = std::chrono::seconds(20);
+
+} // namespace
+
+World::Vm &World::addVm(const VmOffer &offer, VmRole role)
+{
+    Vm &vm = this->vms.emplace_back();
+    vm.id = "vm-" + std::to_string(this->vms.size());
+    vm.offer = offer;
+    vm.role = role;
+    vm.paidFrom = this->loop.now();
+    vm.engine = std::make_unique<EngineModel>(this->loop, this->scenario.engine, this->engineHooks(vm));
+    this->vmById[vm.id] = &vm;
+    if (offer.reclaimable && offer.reclaimsPerHour > 0.0) {
+        std::exponential_distribution<double> hours(offer.reclaimsPerHour);
+        constexpr auto notice = std::chrono::seconds(30);
+        this->loop.after(fromSeconds(hours(this->random) * secondsPerHour),
+                         [this, &vm, notice] { this->reclaim(vm, notice); });
+    }
+    return vm;
+}
+
+void World::join(Vm &vm)
+{
+    vm.role = VmRole::Serving;
+    for (const auto &entry : this->entries)
+        entry->upstreamJoined(vm.id, vm.offer.zone);
+}
+
+void World::announceLeaving(Vm &vm, EventLoop::Duration delay)
+{
+    vm.role = VmRole::Leaving;
+    this->loop.after(delay, [this, &vm] {
+        for (const auto &entry : this->entries)
+            entry->upstreamLeft(vm.id);
+    });
+}
+
+void World::kill(Vm &vm)
+{
+    if (vm.isGone)
+        return;
+    vm.isGone = true;
+    this->pay(vm);
+    vm.engine->stop();
+    if (vm.role != VmRole::Leaving)
+        this->announceLeaving(vm, leavingNewsDelay);
+    for (const std::uint64_t id : std::exchange(vm.requests, {}))
+        this->lost(this->requests[id - 1]);
+}
+
+void World::pay(Vm &vm)
+{
+    if (vm.paidFrom == EventLoop::TimePoint::max())
+        return;
+    this->result.cost += vm.offer.pricePerHour * toSeconds(this->loop.now() - vm.paidFrom) / secondsPerHour;
+    vm.paidFrom = EventLoop::TimePoint::max();
+}
+
+void World::reclaim(Vm &vm, EventLoop::Duration notice)
+{
+    if (vm.role == VmRole::Leaving || vm.isGone)
+        return;
+    const EventLoop::TimePoint deadline = this->loop.now() + notice;
+    this->announceLeaving(vm, leavingNewsDelay);
+    this->reclaimedUntil.push_back(deadline + reclaimAftermath);
+    if (this->policy.reclaim == "export")
+        this->loop.after(leavingNewsDelay, [this, &vm, deadline] { this->exportFrom(vm, deadline); });
+    this->loop.at(deadline, [this, &vm] { this->kill(vm); });
+}
+
+void World::exportFrom(Vm &vm, EventLoop::TimePoint deadline)
+{
+    ReclaimInput input;
+    input.zone = vm.offer.zone;
+    input.bytesPerSecond = this->scenario.exportBytesPerS;
+    input.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->loop.now());
+    const double bytesPerToken = this->scenario.bytesPerCachedToken;
+    std::map<std::string, std::uint64_t> documents;
+    for (const auto &[document, uses] : vm.documentUses) {
+        const auto &blocks = this->documentBlocks[document];
+        if (blocks.empty() || !vm.engine->holds(blocks.back()))
+            continue;
+        CacheItem item;
+        item.id = "d" + std::to_string(document);
+        const double tokens = static_cast<double>(blocks.size()) * prefixBlockBytes / hemlock::bytesPerToken;
+        item.savedTokens = tokens * uses;
+        item.bytes = tokens * bytesPerToken;
+        documents[item.id] = document;
+        input.items.push_back(item);
+    }
+    for (const std::uint64_t id : vm.requests) {
+        const ModelRequest &request = this->requests[id - 1];
+        CacheItem item;
+        item.id = std::to_string(id);
+        item.isStream = true;
+        const std::string prefix = "d" + std::to_string(request.traffic.document);
+        const bool hasPrefix = documents.count(prefix) > 0;
+        item.savedTokens = request.emitted + (hasPrefix ? request.traffic.questionTokens : request.promptTokens);
+        item.bytes = item.savedTokens * bytesPerToken;
+        item.prefix = hasPrefix ? prefix : std::string();
+        const int left = request.traffic.answerTokens - request.emitted;
+        item.timeToFinish = std::chrono::milliseconds(static_cast<int>(left * this->scenario.betweenTokensMs));
+        item.priority = this->scenario.traffic[request.traffic.row].priority;
+        input.items.push_back(item);
+    }
+    for (const Vm &other : this->vms) {
+        if (other.role != VmRole::Serving)
+            continue;
+        const double freeTokens = this->scenario.engine.cacheTokens * 0.5;
+        input.targets.push_back(
+            {other.id, other.offer.zone, freeTokens * bytesPerToken, static_cast<double>(other.engine->load())});
+    }
+    std::map<std::string, double> bytesByItem;
+    for (const CacheItem &item : input.items)
+        bytesByItem[item.id] = item.bytes;
+    EventLoop::TimePoint at = this->loop.now();
+    for (const ReclaimStep &step : planReclaim(input)) {
+        if (step.action != ReclaimAction::Export)
+            continue;
+        at += fromSeconds(bytesByItem[step.item] / input.bytesPerSecond) + input.timePerExport;
+        Vm *target = this->vmById.at(step.target);
+        const auto document = documents.find(step.item);
+        if (document != documents.end()) {
+            this->loop.at(at, [this, id = document->second, target] { this->movePrefix(id, *target); });
+            continue;
+        }
+        this->loop.at(at, [this, &vm, id = std::stoull(step.item), target] { this->moveStream(vm, id, *target); });
+    }
+}
+
+void World::moveStream(Vm &vm, std::uint64_t id, Vm &target)
+{
+    ModelRequest &request = this->requests[id - 1];
+    if (vm.isGone || request.isDone || vm.requests.count(id) == 0 || target.role != VmRole::Serving)
+        return;
+    vm.engine->cancel(id);
+    vm.requests.erase(id);
+    request.upstream = target.id;
+    ++request.attempts;
+    this->entries[static_cast<std::size_t>(request.traffic.entryVm)]->requestMoved(vm.id, target.id);
+    this->deliver(request, target, true);
+}
+
+void World::movePrefix(std::uint64_t document, Vm &target)
+{
+    if (target.role != VmRole::Serving)
+        return;
+    target.engine->importBlocks(this->documentBlocks[document]);
+    // The process that ordered the export tells the entry VMs; it need not wait for the engine's events.
+    for (const auto &entry : this->entries)
+        entry->router.noteCached(target.id, this->documentBlocks[document]);
+}
+
+void World::startEvent(const ScenarioEvent &event)
+{
+    if (event.kind == "refuse-starts") {
+        this->activeRefusals.push_back(event);
+        this->loop.after(fromSeconds(event.untilS - event.atS),
+                         [this] { this->activeRefusals.erase(this->activeRefusals.begin()); });
+        return;
+    }
+    if (event.kind == "cut-off") {
+        this->cutOff.insert(event.entryVm);
+        this->loop.after(fromSeconds(event.untilS - event.atS),
+                         [this, entry = event.entryVm] { this->cutOff.erase(entry); });
+        return;
+    }
+    for (Vm &vm : this->vms) {
+        if (vm.offer.zone.name != event.zone || vm.isGone)
+            continue;
+        if (event.kind == "lose-zone")
+            this->kill(vm);
+        else if (vm.offer.reclaimable)
+            this->reclaim(vm, fromSeconds(event.noticeS));
+    }
+}
+
+bool World::isStartRefused(const VmOffer &offer) const
+{
+    return std::any_of(
+        this->activeRefusals.begin(), this->activeRefusals.end(), [&offer](const ScenarioEvent &refusal) {
+            return refusal.zone.empty() ? offer.reclaimable : refusal.zone == offer.zone.name;
+        });
+}
+
+void World::place()
+{
+    PlacementInput input;
+    input.service = "model";
+    input.demand = this->scenario.demandWorkers;
+    input.refusals = this->refusals;
+    for (const VmOffer &offer : this->scenario.offers) {
+        if (this->policy.placement == "mixed" || !offer.reclaimable)
+            input.offers.push_back(offer);
+    }
+    for (const Vm &vm : this->vms) {
+        if (!vm.isGone)
+            input.vms.push_back({vm.id, vm.offer, vm.role, vm.isSpare});
+    }
+    for (const PlacementOrder &order : this->placement.plan(input, this->loop.now()))
+        this->carryOut(order);
+}
+
+void World::carryOut(const PlacementOrder &order)
+{
+    switch (order.kind) {
+    case OrderKind::Start:
+    case OrderKind::Warm: {
+        if (this->isStartRefused(order.offer)) {
+            const auto same = std::find_if(this->refusals.begin(), this->refusals.end(), [&](const RefusedStart &old) {
+                return old.zone.name == order.offer.zone.name && old.vmClass == order.offer.vmClass
+                    && old.reclaimable == order.offer.reclaimable;
+            });
+            if (same == this->refusals.end()) {
+                this->refusals.push_back(
+                    {order.offer.zone, order.offer.vmClass, order.offer.reclaimable, this->loop.now()});
+            } else {
+                same->at = this->loop.now();
+                ++same->inSuccession;
+            }
+            return;
+        }
+        std::erase_if(this->refusals, [&](const RefusedStart &old) {
+            return old.zone.name == order.offer.zone.name && old.vmClass == order.offer.vmClass
+                && old.reclaimable == order.offer.reclaimable;
+        });
+        Vm &vm = this->addVm(order.offer, VmRole::Starting);
+        vm.isSpare = order.kind == OrderKind::Warm;
+        this->loop.after(fromSeconds(this->scenario.startS), [this, &vm] {
+            if (vm.isGone || vm.role != VmRole::Starting)
+                return;
+            if (vm.isSpare)
+                vm.role = VmRole::Warm;
+            else
+                this->join(vm);
+        });
+        return;
+    }
+    case OrderKind::Activate:
+        this->join(*this->vmById.at(order.vm));
+        return;
+    case OrderKind::Stop: {
+        Vm &vm = *this->vmById.at(order.vm);
+        constexpr auto drainTime = std::chrono::seconds(30);
+        this->announceLeaving(vm, leavingNewsDelay);
+        this->loop.after(drainTime, [this, &vm] { this->kill(vm); });
+        return;
+    }
+    }
+}
+
+} // namespace hemlock
--- a/tests/unit/prefixaffinitytest.cpp
+++ b/tests/unit/prefixaffinitytest.cpp
@@ -88,7 +88,7 @@
 TEST_CASE_METHOD(PrefixAffinityFixture, "PrefixAffinity: cache event of another entry VM's request: is followed")
 {
     const std::string inventory = prompt("inventory");
-    this->router.noteCached("vm-7", inventory);
+    this->router.noteCached("vm-7", prefixBlocks(inventory));
     CHECK(this->choose(inventory, this->router).upstream == "vm-7");
 }
 
