Let entry VMs agree on a prompt's place and choose holders by chance

The place on the hash ring counts as likely to hold a prompt's beginning, since another entry VM may have sent it there; of the holders two random ones are weighed, and eight holders of a block are kept instead of four. An upstream whose slots are taken is passed over.

--- a/src/libhemlock/candidateset.h
+++ b/src/libhemlock/candidateset.h
@@ -24,6 +24,8 @@
     /// Of the requests in the report, those of this process, which inFlight counts already; 0 when unknown.
     double inFlightAtReport = 0.0;
 
+    int slots = 0; ///< Requests that the upstream runs at once, others wait there; 0 when unknown.
+
     /// Estimate of the requests in progress: the own ones as they are now, those of others as last reported.
     double load() const;
 };
--- a/src/libhemlock/prefixaffinity.h
+++ b/src/libhemlock/prefixaffinity.h
@@ -15,15 +15,17 @@
     /// No upstream gets more than this multiple of the mean load, plus boundSlack requests.
     double loadBound = 1.5;
     double boundSlack = 2.0;
+    /// Chance that the upstream at a prompt's place on the ring holds its beginning although the index does not say so.
+    double homeCredit = 0.6;
     std::size_t homeBlocks = 4; ///< Blocks of the prompt that decide its place on the hash ring.
     std::size_t maxBlocks = 100'000; ///< Size of the prefix index.
 };
 
 /// Prefix affinity with bounded load.
 ///
-/// Weighs a handful of upstreams, whatever their number: the longest holders of the prompt's beginning, the upstreams
-/// at its place on the hash ring (so that entry VMs agree on a place without telling each other), two random ones of
-/// the own zone and two of all. The one with the lowest sum of recomputed tokens, load and link price wins. Urgent
+/// Weighs a handful of upstreams, whatever their number: two random ones of the holders of the prompt's beginning,
+/// those at its place on the hash ring (so that entry VMs agree on a place without telling each other), two random ones
+/// of the own zone and two of all. The one with the lowest sum of recomputed tokens, load and link price wins. Urgent
 /// requests give load more weight.
 class PrefixAffinityPolicy : public RoutePolicy
 {
--- a/src/libhemlock/prefixindex.h
+++ b/src/libhemlock/prefixindex.h
@@ -44,13 +44,14 @@
     std::size_t size() const;
 
 private:
-    static constexpr std::size_t holdersPerBlock = 4;
+    static constexpr std::size_t holdersPerBlock = 8;
     static constexpr std::uint32_t none = 0xffffffff;
 
     struct Block
     {
         std::uint64_t hash = 0;
-        std::uint32_t holders[holdersPerBlock] = {none, none, none, none}; ///< The latest first.
+        std::uint32_t holders[holdersPerBlock] = {
+            none, none, none, none, none, none, none, none}; ///< The latest first.
         std::uint32_t previous = none; ///< More recently used.
         std::uint32_t next = none;
     };
--- a/src/load/enginemodel.h
+++ b/src/load/enginemodel.h
@@ -48,9 +48,12 @@
     void stop();
 
     int load() const;
-    /// Blocks in the cache that no other cached block continues are not told apart: all are listed.
     bool holds(std::uint64_t block) const;
     int cachedTokens() const;
+    const std::list<std::uint64_t> &cachedBlocks() const
+    {
+        return this->cacheOrder;
+    }
 
 private:
     struct Sequence
--- a/src/load/entrymodel.cpp
+++ b/src/load/entrymodel.cpp
@@ -89,7 +89,9 @@
 
 void EntryModel::upstreamJoined(const std::string &upstream, const AvailabilityZone &zone)
 {
-    this->candidates.set({upstream, zone});
+    UpstreamView view{upstream, zone};
+    view.slots = this->scenario.engine.maxBatch;
+    this->candidates.set(view);
     this->pump();
 }
 
--- a/src/load/outcome.h
+++ b/src/load/outcome.h
@@ -33,7 +33,7 @@
     std::vector<double> betweenTokensMs; ///< Mean of each request.
     double prefillTokens = 0.0; ///< Computed prompt tokens.
     double recomputedTokens = 0.0; ///< Computed prompt and answer tokens that some upstream had computed before.
-    double recomputedAfterReclaim = 0.0; ///< Of these, of requests that a reclaim moved.
+    double recomputedAfterReclaim = 0.0; ///< Of these, what a reclaimed VM held, shortly after.
     int unfinished = 0; ///< Accepted, but not complete at the end.
     double cost = 0.0;
     double limitOvershoot = 0.0; ///< Highest over 10 s windows, relative to the limit.
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -39,6 +39,7 @@
     int documentTokens[2] = {0, 0}; ///< Least and most.
     int questionTokens[2] = {20, 60};
     int answerTokens[2] = {40, 160};
+    int entryVm = -1; ///< Where the requests arrive; -1 for all entry VMs in equal parts.
     bool isFlood = false; ///< Left out by the policies with "quiet".
 };
 
@@ -57,6 +58,9 @@
 {
     std::string name;
     std::string routing = "prefix-affinity";
+    double tokensPerRequest = 0.0; ///< Settings of "prefix-affinity" that differ from the default; 0 for none.
+    double loadBound = 0.0;
+    double boundSlack = -1.0;
     std::string queue = "fair"; ///< Or "fifo", without bounds and deadlines.
     std::string reclaim = "export"; ///< Or "replay".
     std::string placement = "none"; ///< "none" keeps the first workers, "mixed" or "on-demand" place them.
--- a/src/load/traffic.cpp
+++ b/src/load/traffic.cpp
@@ -62,7 +62,7 @@
             }
             request.questionTokens = between(row.questionTokens, random);
             request.answerTokens = std::max(1, between(row.answerTokens, random));
-            request.entryVm = entryVm(random);
+            request.entryVm = row.entryVm >= 0 ? row.entryVm : entryVm(random);
             request.seed = random();
             requests.push_back(request);
         }
--- a/src/load/world.h
+++ b/src/load/world.h
@@ -88,6 +88,7 @@
     std::unordered_set<std::uint64_t> everComputed;
     std::map<std::uint64_t, std::vector<std::uint64_t>> documentBlocks;
     std::vector<EventLoop::TimePoint> reclaimedUntil;
+    std::unordered_set<std::uint64_t> reclaimedBlocks; ///< That reclaimed VMs held when their notice came.
     std::vector<double> passedBySecond;
     Outcome result;
 };
--- a/src/load/worldfleet.cpp
+++ b/src/load/worldfleet.cpp
@@ -80,6 +80,8 @@
     const EventLoop::TimePoint deadline = this->loop.now() + notice;
     this->announceLeaving(vm, leavingNewsDelay);
     this->reclaimedUntil.push_back(deadline + reclaimAftermath);
+    const auto &held = vm.engine->cachedBlocks();
+    this->reclaimedBlocks.insert(held.begin(), held.end());
     if (this->policy.reclaim == "export")
         this->loop.after(leavingNewsDelay, [this, &vm, deadline] { this->exportFrom(vm, deadline); });
     this->loop.at(deadline, [this, &vm] { this->kill(vm); });
