--- a/src/libhemlock/prefixaffinity.cpp
+++ b/src/libhemlock/prefixaffinity.cpp
@@ -116,7 +116,8 @@
     double bestScore = 0.0;
     bool bestIsWithin = false;
     for (const Option &option : options.all) {
-        const double load = option.view->load();
+        const double sentSinceReport = std::max(0.0, option.view->inFlight - option.view->inFlightAtReport);
+        const double load = option.view->load() + sentSinceReport * (query.entryVms - 1) * this->settings.assumedAlike;
         // Beyond its slots a request waits at the upstream for another one to end.
         const bool hasSlot = option.view->slots == 0 || load + 1.0 <= option.view->slots;
         const bool isWithin = load <= bound && hasSlot;
--- a/src/libhemlock/prefixaffinity.h
+++ b/src/libhemlock/prefixaffinity.h
@@ -15,6 +15,9 @@
     /// No upstream gets more than this multiple of the mean load, plus boundSlack requests.
     double loadBound = 1.5;
     double boundSlack = 2.0;
+    /// Part of the requests that this process has sent since the last report that each other entry VM is assumed to
+    /// have sent as well: a popular beginning comes in everywhere at once.
+    double assumedAlike = 1.0;
     /// Chance that the upstream at a prompt's place on the ring holds its beginning although the index does not say so.
     double homeCredit = 0.6;
     std::size_t homeBlocks = 4; ///< Blocks of the prompt that decide its place on the hash ring.
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -19,6 +19,7 @@
     std::string prompt; ///< Empty for a transactional service.
     AvailabilityZone zone; ///< Zone of this process.
     int priority = 5;
+    int entryVms = 1; ///< Entry processes that choose among the same upstreams, this one included.
 };
 
 /// The choice of an upstream, with what the log line shows.
--- a/src/load/entrymodel.cpp
+++ b/src/load/entrymodel.cpp
@@ -195,6 +195,7 @@
     query.prompt = request.prompt;
     query.zone = this->zone;
     query.priority = row.priority;
+    query.entryVms = this->scenario.entryVms;
     request.upstream = this->router.choose(query, this->candidates, this->random).upstream;
     request.dispatched = this->loop.now();
     ++request.attempts;
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -18,7 +18,8 @@
 std::string routingName(const PolicyRow &policy)
 {
     PrefixAffinitySettings settings;
-    const bool isChanged = policy.tokensPerRequest > 0.0 || policy.loadBound > 0.0 || policy.boundSlack >= 0.0;
+    const bool isChanged = policy.tokensPerRequest > 0.0 || policy.loadBound > 0.0 || policy.boundSlack >= 0.0
+        || policy.assumedAlike >= 0.0;
     if (policy.routing != "prefix-affinity" || !isChanged)
         return policy.routing;
     if (policy.tokensPerRequest > 0.0)
@@ -27,6 +28,8 @@
         settings.loadBound = policy.loadBound;
     if (policy.boundSlack >= 0.0)
         settings.boundSlack = policy.boundSlack;
+    if (policy.assumedAlike >= 0.0)
+        settings.assumedAlike = policy.assumedAlike;
     const std::string name = "prefix-affinity of " + policy.name;
     Router::registerPolicy(name, [settings] { return std::make_unique<PrefixAffinityPolicy>(settings); });
     return name;
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -61,6 +61,7 @@
     double tokensPerRequest = 0.0; ///< Settings of "prefix-affinity" that differ from the default; 0 for none.
     double loadBound = 0.0;
     double boundSlack = -1.0;
+    double assumedAlike = -1.0;
     std::string queue = "fair"; ///< Or "fifo", without bounds and deadlines.
     std::string reclaim = "export"; ///< Or "replay".
     std::string placement = "none"; ///< "none" keeps the first workers, "mixed" or "on-demand" place them.
