--- a/src/libhemlock/fairqueue.cpp
+++ b/src/libhemlock/fairqueue.cpp
@@ -71,9 +71,9 @@
     const bool wasEmpty = account.isEmpty();
     const int flowIndex = request.cost >= this->settings.longCost ? 1 : 0;
     Flow &flow = account.flows[flowIndex];
-    // An account or flow that was idle joins at the present virtual time: idle time earns no credit.
+    // An account that was idle joins near the present virtual time: idle time earns no more than a small credit.
     if (wasEmpty)
-        account.start = std::max(account.start, this->virtualTime);
+        account.start = std::max(account.start, this->virtualTime - this->settings.catchUpTokens);
     if (flow.requests.empty())
         flow.start = std::max(flow.start, account.flowTime);
     account.weight = request.weight;
@@ -91,12 +91,53 @@
 }
 
 std::optional<QueuedRequest> FairQueue::pop(TimePoint now, std::vector<QueueRefusal> &refused)
+{
+    return this->popWhere(false, now, refused);
+}
+
+std::optional<QueuedRequest> FairQueue::popUnderserved(TimePoint now, std::vector<QueueRefusal> &refused)
+{
+    return this->popWhere(true, now, refused);
+}
+
+void FairQueue::finished(const QueuedRequest &request)
+{
+    const auto found = this->accounts.find(request.clientAccount);
+    if (found == this->accounts.end())
+        return;
+    Account &account = found->second;
+    account.requestsInService = std::max(0, account.requestsInService - 1);
+    const double before = account.inService;
+    // Sums of doubles drift; an account without requests starts again from zero.
+    account.inService = account.requestsInService == 0 ? 0.0 : std::max(0.0, before - request.cost);
+    this->totalInService = std::max(0.0, this->totalInService - (before - account.inService));
+    this->dropEmptyAccount(request.clientAccount);
+}
+
+bool FairQueue::isUnderserved(const Account &account) const
+{
+    double weights = 0.0;
+    for (const auto &[id, other] : this->accounts) {
+        if (!other.isEmpty() || other.requestsInService > 0)
+            weights += other.weight;
+    }
+    return account.inService * weights < this->totalInService * account.weight;
+}
+
+std::optional<QueuedRequest>
+FairQueue::popWhere(bool onlyUnderserved, TimePoint now, std::vector<QueueRefusal> &refused)
 {
     while (!this->places.empty()) {
-        const auto first =
-            std::min_element(this->accounts.begin(), this->accounts.end(), [](const auto &a, const auto &b) {
-                return std::pair(a.second.isEmpty(), a.second.start) < std::pair(b.second.isEmpty(), b.second.start);
-            });
+        auto first = this->accounts.end();
+        for (auto candidate = this->accounts.begin(); candidate != this->accounts.end(); ++candidate) {
+            const Account &account = candidate->second;
+            if (account.isEmpty() || (onlyUnderserved && !this->isUnderserved(account)))
+                continue;
+            if (first == this->accounts.end() || account.start < first->second.start)
+                first = candidate;
+        }
+        if (first == this->accounts.end())
+            return std::nullopt;
         Account &account = first->second;
         const int flowIndex = account.nextFlow();
         Flow &flow = account.flows[flowIndex];
@@ -107,11 +148,13 @@
             this->dropEmptyAccount(place.account);
             continue;
         }
-        this->virtualTime = account.start;
+        this->virtualTime = std::max(this->virtualTime, account.start);
         account.start += request.cost / request.weight;
         account.flowTime = flow.start;
         flow.start += request.cost;
-        this->dropEmptyAccount(place.account);
+        account.inService += request.cost;
+        ++account.requestsInService;
+        this->totalInService += request.cost;
         return request;
     }
     return std::nullopt;
@@ -200,9 +243,10 @@
 void FairQueue::dropEmptyAccount(const std::string &id)
 {
     const auto found = this->accounts.find(id);
-    if (found == this->accounts.end() || !found->second.isEmpty())
+    if (found == this->accounts.end() || !found->second.isEmpty() || found->second.requestsInService > 0)
         return;
-    if (found->second.start <= this->virtualTime || this->accounts.size() > keptIdleAccounts)
+    if (found->second.start <= this->virtualTime - this->settings.catchUpTokens
+        || this->accounts.size() > keptIdleAccounts)
         this->accounts.erase(found);
 }
 
--- a/src/libhemlock/fairqueue.h
+++ b/src/libhemlock/fairqueue.h
@@ -30,6 +30,9 @@
     std::size_t maxRequests = 2000; ///< Over all accounts.
     double maxTokens = 4e6; ///< Summed cost over all accounts.
     double longCost = 1000.0; ///< Tokens from which a request counts as long.
+    /// Tokens, for each unit of weight, that an account may lag behind its share and catch up. Without it an account
+    /// that waits for single callers, whose queue is empty at times, never reaches its share.
+    double catchUpTokens = 400.0;
 };
 
 /// Why a request left the queue without being dispatched; it has not run.
@@ -66,6 +69,13 @@
     /// The next request in turn; those that can no longer start in time are appended to refused.
     std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused);
 
+    /// As pop, but only of accounts that use less than their share of the capacity in use. With little room left this
+    /// keeps it for them: a flood that takes all room makes each other request wait for one of its own to end.
+    std::optional<QueuedRequest> popUnderserved(TimePoint now, std::vector<QueueRefusal> &refused);
+
+    /// Notes that a request which pop returned has ended.
+    void finished(const QueuedRequest &request);
+
     /// Removes a request whose caller went away. Returns whether it was queued.
     bool cancel(const std::string &requestId);
 
@@ -94,6 +104,8 @@
         double start = 0.0; ///< Virtual start time of the account's next request.
         double flowTime = 0.0; ///< Virtual time of the account's flows.
         double weight = 1.0;
+        double inService = 0.0; ///< Tokens of requests that were dispatched and have not ended.
+        int requestsInService = 0;
 
         bool isEmpty() const;
         int nextFlow() const;
@@ -107,6 +119,8 @@
         Position position;
     };
 
+    bool isUnderserved(const Account &account) const;
+    std::optional<QueuedRequest> popWhere(bool onlyUnderserved, TimePoint now, std::vector<QueueRefusal> &refused);
     QueuedRequest remove(const Place &place);
     QueueRefusal displace();
     void dropEmptyAccount(const std::string &id);
@@ -116,6 +130,7 @@
     double drainRate = 0.0;
     double virtualTime = 0.0;
     double totalTokens = 0.0;
+    double totalInService = 0.0;
     std::uint64_t arrivals = 0;
     std::map<std::string, Account> accounts;
     std::unordered_map<std::string, Place> places;
--- a/src/libhemlock/prefixaffinity.h
+++ b/src/libhemlock/prefixaffinity.h
@@ -14,7 +14,7 @@
     double crossZoneTokens = 40.0; ///< Price of the link to another zone.
     /// No upstream gets more than this multiple of the mean load, plus boundSlack requests.
     double loadBound = 1.5;
-    double boundSlack = 2.0;
+    double boundSlack = 5.0;
     /// Part of the requests that this process has sent since the last report that each other entry VM is assumed to
     /// have sent as well: a popular beginning comes in everywhere at once.
     double assumedAlike = 1.0;
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -62,6 +62,7 @@
     double loadBound = 0.0;
     double boundSlack = -1.0;
     double assumedAlike = -1.0;
+    double homeCredit = -1.0;
     std::string queue = "fair"; ///< Or "fifo", without bounds and deadlines.
     std::string reclaim = "export"; ///< Or "replay".
     std::string placement = "none"; ///< "none" keeps the first workers, "mixed" or "on-demand" place them.
