--- a/src/entry/callinfo.h
+++ b/src/entry/callinfo.h
@@ -14,6 +14,7 @@
     std::string clientAccount;
     Service service;
     int priority = 5;
+    bool isForwarded = false; ///< A peer passed it on, so it is not passed on again.
     std::chrono::steady_clock::time_point received;
     std::chrono::steady_clock::time_point deadline;
 };
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -3,6 +3,7 @@
 #include "entrycontext.h"
 #include "gateway.h"
 #include "httpserver.h"
+#include "intentgate.h"
 #include "rpc.h"
 #include "streamhandover.h"
 
@@ -31,6 +32,8 @@
     nlohmann::json applyQuarantine(const nlohmann::json &params);
     nlohmann::json explain(const nlohmann::json &params) const;
     void useDefaultIntents();
+    void useIntentLog();
+    void releaseIntents();
     void awaitSignal();
     void handOverStreams();
     void checkProgress();
@@ -39,6 +42,7 @@
     asio::io_context &loop;
     EntryContext context;
     Gateway gateway;
+    std::unique_ptr<IntentGate> intents; ///< Absent without a store.
     RpcServer rpc;
     RpcClient peers;
     StreamHandover handover;
@@ -48,6 +52,7 @@
     asio::steady_timer drainTimer;
     asio::steady_timer handoverTimer;
     asio::steady_timer progressTimer;
+    bool hasReleasedIntents = true;
     bool hasNoticePassed = false; ///< The balancer had the time to see that this process drains.
 };
 
