--- a/src/entry/crashprobe.cpp
+++ b/src/entry/crashprobe.cpp
@@ -7,10 +7,15 @@
 // Several round trips between zones; a caller waits for this before its request goes to another upstream.
 constexpr std::chrono::milliseconds connectTimeout{500};
 
+// The system still accepts connections for a process that is ending, and then resets them.
+constexpr std::chrono::milliseconds retryDelay{50};
+constexpr int maxTries = 4;
+
 } // namespace
 
-CrashProbe::CrashProbe(HttpClient &http)
-    : http(http)
+CrashProbe::CrashProbe(asio::io_context &loop, HttpClient &http)
+    : loop(loop)
+    , http(http)
 {
 }
 
@@ -18,17 +23,29 @@
 {
     auto &waiting = this->waiting[upstream.address];
     waiting.push_back(std::move(done));
-    if (waiting.size() > 1)
-        return;
+    if (waiting.size() == 1)
+        this->probe(upstream.address, maxTries);
+}
+
+void CrashProbe::probe(const std::string &address, int triesLeft)
+{
     HttpCall call;
-    call.url = "http://" + upstream.address + "/healthz";
+    call.url = "http://" + address + "/healthz";
     call.connectTimeout = connectTimeout;
     call.timeout = connectTimeout * 2;
     call.closesConnection = true;
     HttpCallHooks hooks;
-    hooks.done = [this, address = upstream.address](const HttpOutcome &outcome) {
-        // Only an upstream that takes no connection counts as dead; a slow answer does not.
-        this->finish(address, outcome.verdict == Verdict::NotRun);
+    hooks.done = [this, address, triesLeft](const HttpOutcome &outcome) {
+        if (outcome.verdict != Verdict::MayHaveRun || triesLeft <= 1) {
+            // Only an upstream that takes no connection counts as dead.
+            this->finish(address, outcome.verdict == Verdict::NotRun);
+            return;
+        }
+        const auto timer = std::make_shared<asio::steady_timer>(this->loop, retryDelay);
+        timer->async_wait([this, timer, address, triesLeft](const asio::error_code &error) {
+            if (!error)
+                this->probe(address, triesLeft - 1);
+        });
     };
     this->http.start(std::move(call), std::move(hooks));
 }
--- a/src/entry/crashprobe.h
+++ b/src/entry/crashprobe.h
@@ -3,6 +3,8 @@
 #include "httpclient.h"
 #include "upstream.h"
 
+#include <asio.hpp>
+
 #include <functional>
 #include <map>
 #include <string>
@@ -15,14 +17,16 @@
 class CrashProbe
 {
 public:
-    explicit CrashProbe(HttpClient &http);
+    CrashProbe(asio::io_context &loop, HttpClient &http);
 
     /// Calls back later; probes of one upstream that overlap share one connection.
     void start(const Upstream &upstream, std::function<void(bool hasDied)> done);
 
 private:
+    void probe(const std::string &address, int triesLeft);
     void finish(const std::string &address, bool hasDied);
 
+    asio::io_context &loop;
     HttpClient &http;
     std::map<std::string, std::vector<std::function<void(bool)>>> waiting; ///< By address.
 };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -44,7 +44,7 @@
     , zone(settings.zone)
     , router(settings.policy)
     , random(std::random_device()())
-    , probe(http)
+    , probe(loop, http)
 {
 }
 
--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -6,6 +6,7 @@
 #include "entrysettings.h"
 #include "httpclient.h"
 #include "idempotency.h"
+#include "metrics.h"
 #include "peercall.h"
 
 #include <asio.hpp>
@@ -46,6 +47,7 @@
     ActiveSnapshot configuration;
     Dispatcher dispatcher;
     CallTable calls;
+    Metrics metrics;
     SubmitIntent submitIntent;
     CompleteIntent completeIntent;
     ForwardCall forwardCall;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -82,6 +82,10 @@
         this->rpc.handle(request, responder);
         return;
     }
+    if (request.path == "/metrics") {
+        responder->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.prometheusText());
+        return;
+    }
     if (this->intents && request.path.starts_with("/peer/")) {
         this->intents->handlePeer(request, responder, [this](const PeerCall &call, const HttpResponderPtr &responder) {
             this->gateway.runPeerCall(call, responder);
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -40,6 +40,8 @@
         logEvent(LogLevel::Info,
                  "refused",
                  {{"request", requestId}, {"path", request.path}, {"status", error.status}, {"code", error.code}});
+        // Names that callers make up would grow the number of series without bound.
+        this->context.metrics.addRequest({}, {error.verdict, error.status});
         replyRefusal(*responder, error, requestId);
     };
     boost::leaf::try_handle_all([&] { return this->route(identified, responder); },
--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds upstreamWait{250};
 constexpr std::chrono::seconds cancelTimeout{5};
 
+// Counted in the metrics only; no answer is sent.
+constexpr int callerLeftStatus = 499;
+
 } // namespace
 
 ModelCall::ModelCall(EntryContext &context, CallInfo call, CompletionRequest request, HttpResponderPtr responder)
@@ -221,8 +224,10 @@
         this->tokenReceived(json.value("index", this->tokens.size() + 1), text->get<std::string>());
     if (!json.contains("prompt_tokens"))
         return;
-    this->usage = json;
-    this->usage.erase("attempt");
+    // Callers see the usage, and metrics count it.
+    this->usage = {{"prompt_tokens", json.at("prompt_tokens").get<std::uint64_t>()},
+                   {"cached_tokens", json.value("cached_tokens", std::uint64_t{0})},
+                   {"recomputed_tokens", json.value("recomputed_tokens", std::uint64_t{0})}};
     this->isGenerated = true;
 }
 
@@ -236,6 +241,8 @@
         return;
     }
     this->tokens.push_back(text);
+    if (number > this->skippedTokens)
+        this->measureToken();
     this->emitToken(number, this->attempt->upstream().id);
     if (!this->writer.isTooSlow())
         return;
@@ -244,6 +251,17 @@
     this->refuse({Verdict::Ran, 503, "caller-too-slow", "the answer was not read in time; resume the stream", {}});
 }
 
+void ModelCall::measureToken()
+{
+    const MetricLabels labels{this->call.service.id, this->call.clientAccount};
+    const auto now = std::chrono::steady_clock::now();
+    if (this->lastToken)
+        this->context.metrics.addTokenGap(labels, now - *this->lastToken);
+    else
+        this->context.metrics.addFirstToken(labels, now - this->call.received);
+    this->lastToken = now;
+}
+
 void ModelCall::emitToken(std::size_t number, const std::string &upstream)
 {
     if (number > this->skippedTokens)
@@ -345,7 +363,7 @@
     // Callers leave a draining process to resume elsewhere, so the engine has to keep their streams.
     if (ended && !this->context.isDraining)
         this->cancelAtEngine(*ended);
-    this->end();
+    this->end(ended ? Verdict::MayHaveRun : this->worstVerdict, callerLeftStatus);
 }
 
 void ModelCall::cancelAtEngine(const Attempt &attempt)
@@ -361,7 +379,7 @@
 {
     this->context.dispatcher.quarantine().requestSucceeded(this->fingerprint, std::chrono::steady_clock::now());
     this->writer.finish(this->usage);
-    this->end();
+    this->end(Verdict::Ran, 200);
 }
 
 void ModelCall::refuse(RequestError error)
@@ -376,14 +394,19 @@
               {"code", error.code},
               {"verdict", verdictName(error.verdict)}});
     this->writer.fail(error);
-    this->end();
+    this->end(error.verdict, error.status);
 }
 
-void ModelCall::end()
+void ModelCall::end(Verdict verdict, int status)
 {
     if (std::exchange(this->hasEnded, true))
         return;
     this->timer.cancel();
+    const std::size_t sent = this->tokens.size() - std::min(this->skippedTokens, this->tokens.size());
+    const auto recomputed = this->usage.find("recomputed_tokens");
+    this->context.metrics.addRequest(
+        {this->call.service.id, this->call.clientAccount},
+        {verdict, status, sent, recomputed != this->usage.end() ? recomputed->get<std::uint64_t>() : 0});
     this->context.calls.remove(this->shared_from_this());
 }
 
--- a/src/entry/modelcall.h
+++ b/src/entry/modelcall.h
@@ -46,6 +46,7 @@
     void engineReported(const nlohmann::json &json);
     void tokenReceived(std::size_t number, const std::string &text);
     void emitToken(std::size_t number, const std::string &upstream);
+    void measureToken();
     void attemptDone(const HttpOutcome &outcome);
     void connectionBroke(const Upstream &upstream, bool hasDied);
 
@@ -53,7 +54,7 @@
     void cancelAtEngine(const Attempt &attempt);
     void complete();
     void refuse(RequestError error);
-    void end();
+    void end(Verdict verdict, int status);
 
     EntryContext &context;
     CallInfo call;
@@ -75,6 +76,7 @@
     std::vector<std::string> tokens; ///< Texts of the tokens so far, with those of an earlier stream.
     std::size_t skippedTokens = 0; ///< Tokens that the caller has from an earlier stream.
     std::chrono::steady_clock::time_point lastProgress;
+    std::optional<std::chrono::steady_clock::time_point> lastToken; ///< When a token was last received here.
     nlohmann::json usage = nlohmann::json::object();
     bool isGenerated = false; ///< The engine has sent its last event.
     bool hasEnded = false;
--- a/src/entry/transactionalcall.cpp
+++ b/src/entry/transactionalcall.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::chrono::milliseconds suspectWait{100};
 
+// Counted in the metrics only; no answer is sent.
+constexpr int callerLeftStatus = 499;
+
 /// Fields that reach the upstream; all others concern the exchange with the entry process.
 constexpr std::array<std::string_view, 5> passedFields = {
     "Content-Type", "Accept", "Accept-Language", "Idempotency-Key", requestIdField};
@@ -80,7 +83,7 @@
         return;
     case IntentAction::Replay:
         this->reply(decision.answer);
-        this->finish(Verdict::Ran, decision.answer);
+        this->finish(Verdict::Ran, decision.answer, decision.answer.status);
         return;
     case IntentAction::Refuse:
         this->refuse(decision.refusal);
@@ -97,7 +100,7 @@
         replyRefusal(*this->responder,
                      {Verdict::NotRun, notOwnerStatus, "not-owner", "this process does not own the key's slot", {}},
                      this->call.requestId);
-        this->finish(Verdict::NotRun, {});
+        this->finish(Verdict::NotRun, {}, notOwnerStatus);
         return;
     }
     this->context.forwardCall(
@@ -119,7 +122,7 @@
             headers.add(name, outcome.headers.value(name));
     }
     this->responder->reply(outcome.status, headers, outcome.body);
-    this->finish(Verdict::Ran, {});
+    this->finish(Verdict::Ran, {}, outcome.status);
 }
 
 void TransactionalCall::nextAttempt()
@@ -190,7 +193,7 @@
         const StoredAnswer answer{outcome.status, outcome.headers.value("Content-Type"), outcome.body};
         this->context.dispatcher.quarantine().requestSucceeded(this->fingerprint, std::chrono::steady_clock::now());
         this->reply(answer);
-        this->finish(Verdict::Ran, answer);
+        this->finish(Verdict::Ran, answer, answer.status);
         return;
     }
     logEvent(LogLevel::Warning,
@@ -248,7 +251,7 @@
         return;
     this->attempt.reset();
     logEvent(LogLevel::Info, "cancelled", {{"request", this->call.requestId}});
-    this->finish(this->worstVerdict, {});
+    this->finish(this->worstVerdict, {}, callerLeftStatus);
 }
 
 void TransactionalCall::reply(const StoredAnswer &answer)
@@ -271,14 +274,15 @@
               {"code", error.code},
               {"verdict", verdictName(error.verdict)}});
     replyRefusal(*this->responder, error, this->call.requestId);
-    this->finish(error.verdict, {});
+    this->finish(error.verdict, {}, error.status);
 }
 
-void TransactionalCall::finish(Verdict verdict, const StoredAnswer &answer)
+void TransactionalCall::finish(Verdict verdict, const StoredAnswer &answer, int status)
 {
     if (std::exchange(this->hasEnded, true))
         return;
     this->timer.cancel();
+    this->context.metrics.addRequest({this->call.service.id, this->call.clientAccount}, {verdict, status});
     if (this->hasIntent)
         this->context.completeIntent(this->intent, verdict, answer);
     this->context.calls.remove(this->shared_from_this());
--- a/src/entry/transactionalcall.h
+++ b/src/entry/transactionalcall.h
@@ -37,7 +37,7 @@
     HttpCall makeCall() const;
     void reply(const StoredAnswer &answer);
     void refuse(RequestError error);
-    void finish(Verdict verdict, const StoredAnswer &answer);
+    void finish(Verdict verdict, const StoredAnswer &answer, int status);
 
     EntryContext &context;
     CallInfo call;
--- /dev/null
+++ b/src/libhemlock/metrics.cpp
@@ -0,0 +1,211 @@
+#include "metrics.h"
+
+// GCC 12 takes the quantile's argument, which is set in the constructor of the next base class, for uninitialised.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+
+namespace hemlock {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+constexpr std::array quantiles = {0.5, 0.95, 0.99};
+
+/// Distribution of a time in seconds. The P-square method keeps a few markers, whatever the number of samples.
+class Distribution
+{
+public:
+    void add(std::chrono::nanoseconds time)
+    {
+        const double seconds = std::chrono::duration<double>(time).count();
+        if (this->count() < this->first.size())
+            this->first[this->count()] = seconds;
+        this->samples(seconds);
+    }
+
+    std::size_t count() const
+    {
+        return accumulators::count(this->samples);
+    }
+
+    double sum() const
+    {
+        return accumulators::sum(this->samples);
+    }
+
+    double quantile(double probability) const
+    {
+        if (this->count() <= this->first.size()) {
+            auto sorted = this->first;
+            std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(this->count()));
+            return sorted[static_cast<std::size_t>(std::ceil(probability * static_cast<double>(this->count()))) - 1];
+        }
+        return accumulators::quantile(this->samples, accumulators::quantile_probability = probability);
+    }
+
+private:
+    using Samples = accumulators::accumulator_set<double,
+                                                  accumulators::stats<accumulators::tag::count,
+                                                                      accumulators::tag::sum,
+                                                                      accumulators::tag::extended_p_square_quantile>>;
+
+    // The P-square method has no result before each of its markers has a sample: two per quantile and three more.
+    std::array<double, 2 * quantiles.size() + 3> first{};
+    Samples samples{accumulators::extended_p_square_probabilities = quantiles};
+};
+
+std::string escapeLabel(const std::string &value)
+{
+    std::string escaped;
+    for (const char c : value) {
+        if (c == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (c == '\\' || c == '"')
+            escaped += '\\';
+        escaped += c;
+    }
+    return escaped;
+}
+
+std::string formatLabels(const MetricLabels &labels, const std::string &more = {})
+{
+    return "{service=\"" + escapeLabel(labels.service) + "\",client_account=\"" + escapeLabel(labels.clientAccount)
+        + "\"" + more + "}";
+}
+
+std::string formatNumber(double value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.9g", value);
+    return text.data();
+}
+
+void appendType(std::string &text, const std::string &name, const std::string &type, const std::string &help)
+{
+    text.append("# HELP ").append(name).append(" ").append(help).append("\n");
+    text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void appendSample(std::string &text, const std::string &name, const std::string &labels, const std::string &value)
+{
+    text.append(name).append(labels).append(" ").append(value).append("\n");
+}
+
+} // namespace
+
+class Metrics::Series
+{
+public:
+    std::map<std::pair<Verdict, int>, std::uint64_t> requests;
+    std::uint64_t tokens = 0;
+    std::uint64_t recomputedTokens = 0;
+    std::size_t queueLength = 0;
+    Distribution firstToken;
+    Distribution tokenGap;
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+Metrics::Series &Metrics::series(const MetricLabels &labels)
+{
+    auto &series = this->seriesByLabels[labels];
+    if (!series)
+        series = std::make_unique<Series>();
+    return *series;
+}
+
+void Metrics::addRequest(const MetricLabels &labels, const RequestSample &sample)
+{
+    Series &series = this->series(labels);
+    ++series.requests[{sample.verdict, sample.status}];
+    series.tokens += sample.tokens;
+    series.recomputedTokens += sample.recomputedTokens;
+}
+
+void Metrics::addFirstToken(const MetricLabels &labels, std::chrono::nanoseconds latency)
+{
+    this->series(labels).firstToken.add(latency);
+}
+
+void Metrics::addTokenGap(const MetricLabels &labels, std::chrono::nanoseconds gap)
+{
+    this->series(labels).tokenGap.add(gap);
+}
+
+void Metrics::setQueueLength(const MetricLabels &labels, std::size_t requests)
+{
+    this->series(labels).queueLength = requests;
+}
+
+std::string Metrics::prometheusText() const
+{
+    std::string text;
+    appendType(text, "hemlock_requests_total", "counter", "Requests that ended, by verdict and HTTP status.");
+    for (const auto &[labels, series] : this->seriesByLabels) {
+        for (const auto &[outcome, count] : series->requests) {
+            const std::string more = ",verdict=\"" + std::string(verdictName(outcome.first)) + "\",status=\""
+                + std::to_string(outcome.second) + "\"";
+            appendSample(text, "hemlock_requests_total", formatLabels(labels, more), std::to_string(count));
+        }
+    }
+    const auto appendCounts = [&](const std::string &name,
+                                  const std::string &type,
+                                  const std::string &help,
+                                  const std::function<std::uint64_t(const Series &)> &value) {
+        appendType(text, name, type, help);
+        for (const auto &[labels, series] : this->seriesByLabels)
+            appendSample(text, name, formatLabels(labels), std::to_string(value(*series)));
+    };
+    appendCounts("hemlock_tokens_total", "counter", "Generated tokens sent to callers.", [](const Series &series) {
+        return series.tokens;
+    });
+    appendCounts("hemlock_recomputed_tokens_total",
+                 "counter",
+                 "Tokens of prompts and replays that engines computed again.",
+                 [](const Series &series) { return series.recomputedTokens; });
+    appendCounts("hemlock_queue_length", "gauge", "Requests that wait for their turn.", [](const Series &series) {
+        return std::uint64_t{series.queueLength};
+    });
+    const auto appendTimes = [&](const std::string &name,
+                                 const std::string &help,
+                                 const std::function<const Distribution &(const Series &)> &distribution) {
+        appendType(text, name, "summary", help);
+        for (const auto &[labels, series] : this->seriesByLabels) {
+            const Distribution &times = distribution(*series);
+            if (times.count() == 0)
+                continue;
+            for (const double probability : quantiles) {
+                appendSample(text,
+                             name,
+                             formatLabels(labels, ",quantile=\"" + formatNumber(probability) + "\""),
+                             formatNumber(times.quantile(probability)));
+            }
+            appendSample(text, name + "_sum", formatLabels(labels), formatNumber(times.sum()));
+            appendSample(text, name + "_count", formatLabels(labels), std::to_string(times.count()));
+        }
+    };
+    appendTimes("hemlock_first_token_seconds",
+                "Time from a request's arrival to its first token.",
+                [](const Series &series) -> const Distribution & { return series.firstToken; });
+    appendTimes("hemlock_token_gap_seconds",
+                "Time between two tokens of a stream.",
+                [](const Series &series) -> const Distribution & { return series.tokenGap; });
+    return text;
+}
+
+} // namespace hemlock
