Fail a cancelled transfer within libcurl's callbacks; refuse oversized bodies with 413

Cause: the new test of Attempt showed that the connection of an answer that belongs to another attempt went back to the pool: libcurl read the whole answer in one go before the cancellation was processed. RESTinio closes the connection on an oversized body without an answer. Change: the header and data callbacks fail once their transfer is cancelled, and the head is reported at its end also for answers without a body. The callers' server reads up to four times the limit, and bodies beyond the limit get 413. The retry test reaches both services in turn; before, it also passed with the upstream's own refusal ignored.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -26,6 +26,10 @@
     return settings;
 }
 
+// RESTinio closes a connection without an answer when a body exceeds its limit. Bodies up to this multiple of the
+// callers' limit are read, so that their senders are told.
+constexpr std::size_t readBodyFactor = 4;
+
 // A snapshot of 12,000 upstreams has about 2 MB.
 constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
 
@@ -39,7 +43,7 @@
     , peers(this->context.http, ControlAuth(settings.controlKey))
     , handover(this->context, this->peers)
     , callers(loop,
-              serverSettings(settings.listen, settings.maxBodyBytes),
+              serverSettings(settings.listen, settings.maxBodyBytes * readBodyFactor),
               [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                   this->gateway.handle(request, responder);
               })
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -63,6 +63,9 @@
                                                    "this entry process has no configuration yet",
                                                    std::chrono::seconds(1)});
     }
+    const std::size_t maxBodyBytes = this->context.settings.maxBodyBytes;
+    if (request.body.size() > maxBodyBytes)
+        return refuse(413, "body-too-large", "the body exceeds " + std::to_string(maxBodyBytes) + " bytes");
     BOOST_LEAF_AUTO(fields, parseCallerFields(request.headers, this->context.settings.limits));
     const ClientAccount *account = this->context.configuration.accountOfKey(bearerKey(request.headers));
     if (!account)
--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -58,6 +58,14 @@
         transfer->outcome.status = static_cast<int>(status);
         return line.size();
     }
+    if (line == "\r\n" || line == "\n") {
+        // An interim response (1xx) is followed by another head.
+        if (transfer->outcome.status >= 200)
+            transfer->reportHead();
+        // A cancelled transfer must fail here: libcurl may read the whole answer in one go, and would then keep the
+        // connection for another call.
+        return transfer->cancelled ? 0 : line.size();
+    }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return line.size();
@@ -81,7 +89,7 @@
         transfer->hooks.data(std::string_view(bytes, length));
     else
         transfer->outcome.body.append(bytes, length);
-    return length;
+    return transfer->cancelled ? 0 : length;
 }
 
 /// A socket of libcurl, watched through a descriptor that does not own it.
--- a/tests/failure/entrytest.cpp
+++ b/tests/failure/entrytest.cpp
@@ -188,6 +188,34 @@
     CHECK(this->rpc(entry, "report", json::object()).at("openCalls") == 0);
 }
 
+// Guards against callers whose connection closes without a word, and against refusals without a stable code.
+TEST_CASE_METHOD(EntryFixture, "hemlock-entry: requests that cannot be served: get their own codes and are not run")
+{
+    this->startService();
+    const Node &entry = this->startEntry({{"maxBodyBytes", 4096}, {"maxPromptBytes", 1000}});
+    const auto code = [&](const std::string &path, const std::string &body, const HttpHeaders &headers) {
+        const HttpOutcome outcome = this->http.call(
+            {.method = "POST", .url = "http://" + entry.address + path, .headers = headers, .body = body});
+        CHECK(errorVerdictOf(outcome) == "not-run");
+        return std::to_string(outcome.status) + " " + errorCodeOf(outcome);
+    };
+    const HttpHeaders key = {{"Authorization", "Bearer api key of the test"}};
+    CHECK(code("/v1/completions", "{}", key) == "503 not-configured");
+    this->applySnapshot();
+    CHECK(code("/v1/completions", "{}", {}) == "401 unauthenticated");
+    CHECK(code("/v1/completions", "{", key) == "400 malformed-json");
+    CHECK(code("/v1/completions", std::string(5000, ' '), key) == "413 body-too-large");
+    CHECK(code("/v1/completions", json{{"model", "fixed"}, {"prompt", std::string(1001, 'x')}}.dump(), key)
+          == "413 prompt-too-large");
+    CHECK(code("/v1/completions", R"({"model":"none","prompt":""})", key) == "404 unknown-service");
+    CHECK(code("/v1/completions", R"({"model":"bookings","prompt":""})", key) == "400 wrong-service-kind");
+    CHECK(code("/v1/completions", R"({"model":"fixed","prompt":""})", key) == "503 no-upstream");
+    CHECK(code("/services/bookings/book", "{}", key) == "400 missing-idempotency-key");
+    CHECK(code("/services/bookings", "{}", key) == "400 invalid-path");
+    CHECK(code("/elsewhere", "{}", key) == "404 unknown-path");
+    CHECK(this->serviceRuns() == 0);
+}
+
 // Guards against figures that operators read wrongly: tokens, verdicts and latencies of one client account.
 TEST_CASE_METHOD(EntryFixture, "hemlock-entry: requests ended: the metrics count them by service and account")
 {
@@ -222,7 +250,8 @@
 {
     const Node &first = this->startService();
     const Node &second = this->startService();
-    const Node &entry = this->startEntry();
+    // Two calls in turn reach both services.
+    const Node &entry = this->startEntry({{"policy", "round-robin"}});
     this->applySnapshot();
     for (const Node *service : {&first, &second})
         this->http.post("http://" + service->address + "/faults", {{"refuse", service == &first ? 1 : 0}});
--- /dev/null
+++ b/tests/unit/attempttest.cpp
@@ -0,0 +1,117 @@
+#include "attempt.h"
+
+#include "httpserver.h"
+#include "upstreampool.h"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+/// An upstream in the same loop that answers as the test says.
+class AttemptFixture
+{
+protected:
+    void startUpstream(HttpHandler handler)
+    {
+        this->server = std::make_unique<HttpServer>(
+            this->loop, HttpServerSettings{}, [this, handler](HttpRequest request, const HttpResponderPtr &responder) {
+                this->connections.push_back(request.remoteAddress);
+                handler(std::move(request), responder);
+            });
+        this->upstream.id = "u1";
+        this->upstream.address = this->server->start();
+    }
+
+    /// Runs one exchange to its end.
+    HttpOutcome run(bool isStream = false)
+    {
+        const auto attempt = std::make_shared<Attempt>(this->loop, this->http, this->pool, this->upstream, "attempt-1");
+        std::optional<HttpOutcome> ended;
+        AttemptHooks hooks;
+        if (isStream)
+            hooks.data = [this](std::string_view bytes) { this->received += bytes; };
+        hooks.done = [&ended](const HttpOutcome &outcome) { ended = outcome; };
+        attempt->start({.method = "POST", .body = "{}"}, "/path", std::move(hooks));
+        CHECK(this->pool.inFlight().at("u1") == 1);
+        while (!ended)
+            this->loop.run_one();
+        CHECK(this->pool.inFlight().empty());
+        return *ended;
+    }
+
+    asio::io_context loop;
+    HttpClient http{this->loop};
+    UpstreamPool pool;
+    Upstream upstream;
+    std::unique_ptr<HttpServer> server;
+    std::vector<std::string> connections; ///< Callers' addresses, one for each request.
+    std::string received;
+};
+
+} // namespace
+
+// Guards against a caller who gets the late answer to the request of somebody else.
+TEST_CASE_METHOD(AttemptFixture, "Attempt: answer with another attempt's identifier: is dropped, its connection closed")
+{
+    std::string echoed = "attempt-0";
+    this->startUpstream([&echoed](const HttpRequest &request, const HttpResponderPtr &responder) {
+        CHECK(request.headers.value("X-Attempt-Id") == "attempt-1");
+        responder->reply(200, {{"X-Attempt-Id", echoed}}, "answer");
+    });
+    for (const bool isStream : {false, true}) {
+        const HttpOutcome outcome = this->run(isStream);
+        CHECK(outcome.verdict == Verdict::MayHaveRun);
+        CHECK(outcome.body.empty());
+        CHECK(this->received.empty());
+    }
+    echoed = "attempt-1";
+    CHECK(this->run().body == "answer");
+    CHECK(this->run().body == "answer");
+    REQUIRE(this->connections.size() == 4);
+    CHECK(this->connections[1] != this->connections[0]);
+    CHECK(this->connections[2] != this->connections[1]);
+    // An answer of the attempt itself leaves the connection in use.
+    CHECK(this->connections[3] == this->connections[2]);
+}
+
+// Guards against a call that is given up although the upstream itself says that it did not run.
+TEST_CASE_METHOD(AttemptFixture, "Attempt: upstream's own refusal: counts as not run, other answers as ran")
+{
+    std::string body = R"({"verdict":"not-run"})";
+    int status = 503;
+    this->startUpstream(
+        [&](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(status, {}, body); });
+    CHECK(this->run().verdict == Verdict::NotRun);
+    CHECK(this->run(true).verdict == Verdict::NotRun);
+    status = 200;
+    CHECK(this->run().verdict == Verdict::Ran);
+    status = 503;
+    body = "busy";
+    CHECK(this->run().verdict == Verdict::Ran);
+    CHECK(this->pool.takeFailures().empty());
+}
+
+// Guards against exchanges that go on, and in-flight counts that stay, after their call has ended.
+TEST_CASE_METHOD(AttemptFixture, "Attempt: destroyed within the exchange: the connection closes and no hook runs")
+{
+    HttpResponderPtr open;
+    bool isClosed = false;
+    this->startUpstream([&](const HttpRequest &, const HttpResponderPtr &responder) {
+        responder->setDisconnected([&isClosed] { isClosed = true; });
+        open = responder;
+    });
+    auto attempt = std::make_shared<Attempt>(this->loop, this->http, this->pool, this->upstream, "attempt-1");
+    bool isDone = false;
+    attempt->start({}, "/path", {.done = [&isDone](const HttpOutcome &) { isDone = true; }});
+    while (!open)
+        this->loop.run_one();
+    attempt.reset();
+    CHECK(this->pool.inFlight().empty());
+    while (!isClosed)
+        this->loop.run_one();
+    CHECK_FALSE(isDone);
+}
