--- a/src/control/controlprocess.h
+++ b/src/control/controlprocess.h
@@ -4,6 +4,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "kvclient.h"
+#include "placer.h"
 #include "rpc.h"
 
 #include <nlohmann/json.hpp>
@@ -22,19 +23,27 @@
 {
 public:
     /// @p settings have been checked against schemas/control.json.
-    ControlProcess(const nlohmann::json &settings, nlohmann::json documentSchema);
+    ControlProcess(const nlohmann::json &settings, nlohmann::json documentSchema, nlohmann::json upstreamChart);
 
     /// Runs until SIGTERM or SIGINT.
     void run();
 
 private:
-    ControlNodeIo nodeIo();
+    ControlIo nodeIo();
     void cloudGet(const std::string &path, std::function<void(const nlohmann::json &, const std::string &)> done);
+    PlacerIo placerIo();
+    void callCloud(const std::string &method,
+                   const std::string &path,
+                   const nlohmann::json &body,
+                   std::function<void(const CloudAnswer &)> done);
+    void readLoad(const std::string &address, std::function<void(std::optional<double>)> done);
+    void tickPlacer();
+    void probe(const std::string &address, std::function<void(bool)> done);
     void tick();
     void stop();
 
     nlohmann::json settings;
-    nlohmann::json documentSchema;
+    ControlNodeSettings nodeSettings;
     asio::io_context loop;
     HttpClient http;
     KvClient kv;
@@ -45,6 +54,8 @@
     asio::steady_timer timer;
     asio::signal_set signals;
     std::unique_ptr<ControlNode> node;
+    std::unique_ptr<Placer> placer;
+    PeriodicTask placerTask;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/metrics.h
+++ b/src/libhemlock/metrics.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace hemlock {
 
@@ -16,7 +17,10 @@
     std::string service;
     std::string clientAccount;
 
-    auto operator<=>(const MetricLabels &) const = default;
+    bool operator<(const MetricLabels &other) const
+    {
+        return std::tie(this->service, this->clientAccount) < std::tie(other.service, other.clientAccount);
+    }
 };
 
 /// How a request ended.
