Admit model requests by the fair queue, account limit and concurrency limit

Change: ModelCall waits for Admission before its first attempt; resumed streams go on at once; the queue length appears in the metrics.

--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "activesnapshot.h"
+#include "admission.h"
 #include "calltable.h"
 #include "dispatcher.h"
 #include "entrysettings.h"
@@ -38,6 +39,7 @@
         , settings(settings)
         , http(loop)
         , dispatcher(loop, this->http, settings)
+        , admission(settings.id)
     {
     }
 
@@ -46,6 +48,7 @@
     HttpClient http;
     ActiveSnapshot configuration;
     Dispatcher dispatcher;
+    Admission admission;
     CallTable calls;
     Metrics metrics;
     SubmitIntent submitIntent;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -119,6 +119,7 @@
     this->context.configuration.apply(params.get<Snapshot>());
     const Snapshot &snapshot = this->context.configuration.snapshot();
     this->context.dispatcher.applyUpstreams(snapshot.upstreams);
+    this->context.admission.applySnapshot(snapshot, std::chrono::steady_clock::now());
     logEvent(LogLevel::Info,
              "snapshot-applied",
              {{"manifestVersion", snapshot.manifestVersion},
@@ -245,6 +246,11 @@
 {
     const auto now = std::chrono::steady_clock::now();
     this->context.calls.forEach([now](OpenCall &call) { call.checkProgress(now); });
+    this->context.admission.tick(now);
+    for (const Service &service : this->context.configuration.snapshot().services) {
+        if (service.kind == ServiceKind::Model)
+            this->context.metrics.setQueueLength({service.id, {}}, this->context.admission.queued(service.id));
+    }
     this->progressTimer.expires_after(progressInterval);
     this->progressTimer.async_wait([this](const asio::error_code &error) {
         if (!error)
--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t attemptIdLength = 32;
+
+// Usual for text; the cost of a request need not be exact, since the fair queue compares requests of one service.
+constexpr std::size_t bytesPerPromptToken = 4;
+
 constexpr std::string_view completionPath = "/v1/completions";
 constexpr std::string_view attemptsPath = "/v1/attempts/";
 
@@ -51,9 +55,10 @@
             self->disconnected();
     });
     if (!resume) {
-        this->nextAttempt();
+        this->awaitAdmission();
         return;
     }
+    // A resumed stream was admitted before and has to go on.
     this->skippedTokens = resume->tokens;
     const auto engine = this->context.dispatcher.upstreams().find(resume->upstream);
     if (engine && engine->service == this->call.service.id && engine->state != UpstreamState::Gone)
@@ -62,6 +67,37 @@
         this->resumeElsewhere();
 }
 
+void ModelCall::awaitAdmission()
+{
+    this->admissionId = makeUniqueId();
+    AdmissionRequest admission;
+    admission.requestId = this->admissionId;
+    admission.clientAccount = this->call.clientAccount;
+    admission.service = this->call.service.id;
+    admission.tokens = this->expectedTokens(static_cast<std::size_t>(this->request.maxTokens));
+    admission.priority = this->call.priority;
+    admission.deadline = this->call.deadline;
+    AdmissionHooks hooks;
+    hooks.start = [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->isAdmitted = true;
+        self->nextAttempt();
+    };
+    hooks.refuse = [weak = this->weak_from_this()](const RequestError &error) {
+        const auto self = weak.lock();
+        if (self && !self->hasEnded)
+            self->refuse(error);
+    };
+    this->context.admission.submit(admission, std::move(hooks), std::chrono::steady_clock::now());
+}
+
+double ModelCall::expectedTokens(std::size_t answerTokens) const
+{
+    return static_cast<double>(this->request.prompt.size() / bytesPerPromptToken + answerTokens);
+}
+
 void ModelCall::resumeAtEngine(const Upstream &upstream, const std::string &reason)
 {
     ++this->attempts;
@@ -255,10 +291,12 @@
 {
     const MetricLabels labels{this->call.service.id, this->call.clientAccount};
     const auto now = std::chrono::steady_clock::now();
-    if (this->lastToken)
+    if (this->lastToken) {
         this->context.metrics.addTokenGap(labels, now - *this->lastToken);
-    else
+    } else {
         this->context.metrics.addFirstToken(labels, now - this->call.received);
+        this->context.admission.firstTokenArrived(this->admissionId, now);
+    }
     this->lastToken = now;
 }
 
@@ -407,6 +445,11 @@
     this->context.metrics.addRequest(
         {this->call.service.id, this->call.clientAccount},
         {verdict, status, sent, recomputed != this->usage.end() ? recomputed->get<std::uint64_t>() : 0});
+    const auto now = std::chrono::steady_clock::now();
+    if (this->isAdmitted)
+        this->context.admission.finished(this->admissionId, this->expectedTokens(this->tokens.size()), now);
+    else if (!this->admissionId.empty())
+        this->context.admission.cancel(this->admissionId, now);
     this->context.calls.remove(this->shared_from_this());
 }
 
--- a/src/entry/modelcall.h
+++ b/src/entry/modelcall.h
@@ -32,6 +32,8 @@
     void supersede() override;
 
 private:
+    void awaitAdmission();
+    double expectedTokens(std::size_t answerTokens) const;
     void nextAttempt();
     void waitAndRetry(std::chrono::milliseconds time);
     void resumeAtEngine(const Upstream &upstream, const std::string &reason);
@@ -64,6 +66,8 @@
     CompletionWriter writer;
     HttpResponderPtr responder;
     asio::steady_timer timer;
+    std::string admissionId; ///< Unique in this process, unlike the request identifier; empty when not submitted.
+    bool isAdmitted = false;
     std::shared_ptr<Attempt> attempt;
     std::unique_ptr<EventStreamParser> parser;
     int attempts = 0;
--- a/tests/failure/entrycluster.cpp
+++ b/tests/failure/entrycluster.cpp
@@ -113,7 +113,7 @@
     bookings.kind = ServiceKind::Transactional;
     bookings.calls = {{"POST", "/book", false}};
     snapshot.services.push_back(bookings);
-    snapshot.clientAccounts = {{"account", sha256Hex(apiKey)}};
+    snapshot.clientAccounts = {{"account", sha256Hex(apiKey), 1.0, this->tokensPerSecond}};
     for (const Service &service : snapshot.services)
         snapshot.rules.push_back({"account", service.id});
     snapshot.upstreams = this->upstreams;
--- a/tests/failure/entrycluster.h
+++ b/tests/failure/entrycluster.h
@@ -68,6 +68,7 @@
     std::size_t serviceRuns();
 
     TestHttp http;
+    double tokensPerSecond = 0.0; ///< Limit of the client account in the next snapshot; 0 for none.
     std::string modelService = "fixed"; ///< "fixed", which is declared deterministic, or "free", which is not.
 
 private:
--- a/tests/failure/entrytest.cpp
+++ b/tests/failure/entrytest.cpp
@@ -216,6 +216,22 @@
     CHECK(this->serviceRuns() == 0);
 }
 
+// Guards against limits, queues and concurrency that the entry process has but does not use.
+TEST_CASE_METHOD(EntryFixture, "hemlock-entry: account over its limit: is refused as not run, with a time to come back")
+{
+    this->startEngine("a");
+    const Node &entry = this->startEntry();
+    this->tokensPerSecond = 10.0;
+    this->applySnapshot();
+    // The bucket goes into debt by one request.
+    CHECK(this->complete(entry, prompt, 500).status == 200);
+    const HttpOutcome refused = this->complete(entry, prompt, 500);
+    CHECK(refused.status == 429);
+    CHECK(errorCodeOf(refused) == "rate-limited");
+    CHECK(errorVerdictOf(refused) == "not-run");
+    CHECK_FALSE(refused.headers.value("Retry-After").empty());
+}
+
 // Guards against figures that operators read wrongly: tokens, verdicts and latencies of one client account.
 TEST_CASE_METHOD(EntryFixture, "hemlock-entry: requests ended: the metrics count them by service and account")
 {
