--- /dev/null
+++ b/src/entry/shareexchange.cpp
@@ -0,0 +1,96 @@
+#include "shareexchange.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+/// Enough to find a lender among six peers; more peers are found in later rounds.
+constexpr std::size_t askedPeers = 3;
+/// A late grant is of no use, since the loan runs from the request.
+constexpr std::chrono::milliseconds grantTimeout{500};
+
+json encodeRequest(const ShareRequest &request)
+{
+    return {{"clientAccount", request.clientAccount},
+            {"from", request.from},
+            {"sequence", request.sequence},
+            {"shortage", request.shortage}};
+}
+
+ShareRequest decodeRequest(const json &object)
+{
+    return {object.at("clientAccount"), object.at("from"), object.at("sequence"), object.at("shortage")};
+}
+
+json encodeGrant(const ShareGrant &grant)
+{
+    return {{"clientAccount", grant.clientAccount},
+            {"from", grant.from},
+            {"requestSequence", grant.requestSequence},
+            {"tokensPerSecond", grant.tokensPerSecond}};
+}
+
+ShareGrant decodeGrant(const json &object)
+{
+    return {object.at("clientAccount"), object.at("from"), object.at("requestSequence"), object.at("tokensPerSecond")};
+}
+
+} // namespace
+
+ShareExchange::ShareExchange(RateLimiter &limiter, RpcClient &peers, RandomEngine &random)
+    : limiter(limiter)
+    , peers(peers)
+    , random(random)
+{
+}
+
+void ShareExchange::ask(const std::vector<Peer> &peers, TimePoint now)
+{
+    if (peers.empty())
+        return;
+    json requests = json::array();
+    for (const ShareRequest &request : this->limiter.requests(now))
+        requests.push_back(encodeRequest(request));
+    if (requests.empty())
+        return;
+    std::vector<Peer> asked;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(asked), askedPeers, this->random);
+    for (const Peer &peer : asked) {
+        this->peers.call(peer.entryControlAddress,
+                         "lendShares",
+                         {{"requests", requests}},
+                         grantTimeout,
+                         [this](const RpcOutcome &outcome) {
+                             if (outcome.succeeded)
+                                 this->accept(outcome.result);
+                         });
+    }
+}
+
+json ShareExchange::lend(const json &params, TimePoint now)
+{
+    json grants = json::array();
+    for (const json &request : params.at("requests")) {
+        const auto grant = this->limiter.answer(decodeRequest(request), now);
+        if (grant)
+            grants.push_back(encodeGrant(*grant));
+    }
+    return {{"grants", grants}};
+}
+
+void ShareExchange::accept(const json &result)
+{
+    try {
+        for (const json &grant : result.at("grants"))
+            this->limiter.accept(decodeGrant(grant), std::chrono::steady_clock::now());
+    } catch (const json::exception &) {
+        // A peer of another version lends nothing.
+        return;
+    }
+}
+
+} // namespace hemlock
--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -56,6 +56,7 @@
     , vms(this->io,
           {[this](const std::vector<ListedVm> &listed) { this->lifecycle.applyList(listed, this->io.now()); },
            [this](const std::vector<VmFeed::Notice> &notices) { this->applyNotices(notices); }})
+    , quarantine(this->io, this->settings.self.entryControlAddress, [this] { return this->directPeers(); })
 {
 }
 
@@ -68,6 +69,7 @@
     this->registry.tick(now, role);
     this->config.tick(now, role);
     this->vms.tick(now, role);
+    this->quarantine.tick(now);
     this->lifecycle.expire(now);
     this->probe();
     if (!this->hasUpstreamNews && role.nodes > 1)
--- a/src/libhemlock/controlnode.h
+++ b/src/libhemlock/controlnode.h
@@ -5,6 +5,7 @@
 #include "memberregistry.h"
 #include "membership.h"
 #include "periodictask.h"
+#include "quarantinerelay.h"
 #include "snapshot.h"
 #include "upstreamlifecycle.h"
 #include "vmfeed.h"
@@ -82,6 +83,7 @@
     ConfigFeed config;
     MemberRegistry registry;
     VmFeed vms;
+    QuarantineRelay quarantine;
     PeriodicTask gossipRound;
     PeriodicTask reportPoll;
     PeriodicTask push;
--- /dev/null
+++ b/src/libhemlock/quarantinerelay.cpp
@@ -0,0 +1,54 @@
+#include "quarantinerelay.h"
+
+namespace hemlock {
+
+using nlohmann::json;
+
+namespace {
+
+/// A caller that sends a crashing request again at once reaches one more upstream at most within this time.
+constexpr std::chrono::milliseconds pollInterval{500};
+
+} // namespace
+
+QuarantineRelay::QuarantineRelay(const ControlIo &io,
+                                 std::string entryAddress,
+                                 std::function<std::vector<Peer>()> targets)
+    : io(io)
+    , entryAddress(std::move(entryAddress))
+    , targets(std::move(targets))
+{
+}
+
+void QuarantineRelay::tick(TimePoint now)
+{
+    if (this->isReading || !this->poll.isDue(now, pollInterval, this->io.random()))
+        return;
+    this->isReading = true;
+    this->io.call(this->entryAddress,
+                  "quarantineDelta",
+                  {{"after", this->sentVersion}},
+                  [this, alive = std::weak_ptr<bool>(this->alive)](const RpcOutcome &outcome) {
+                      if (alive.expired())
+                          return;
+                      this->isReading = false;
+                      if (outcome.succeeded && outcome.result.is_object())
+                          this->send(outcome.result);
+                  });
+}
+
+void QuarantineRelay::send(const json &delta)
+{
+    const std::uint64_t version = delta.value("version", std::uint64_t{0});
+    // An entry process that was restarted counts its versions from zero again.
+    if (version < this->sentVersion)
+        this->sentVersion = 0;
+    const json entries = delta.value("entries", json::array());
+    if (entries.empty())
+        return;
+    this->sentVersion = version;
+    for (const Peer &peer : this->targets())
+        this->io.call(peer.entryControlAddress, "applyQuarantine", {{"entries", entries}}, [](const RpcOutcome &) {});
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/tests/unit/quarantinerelaytest.cpp
@@ -0,0 +1,76 @@
+#include "quarantinerelay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+using nlohmann::json;
+
+namespace {
+
+/// One entry process whose news grow, and two peers.
+class QuarantineRelayFixture
+{
+protected:
+    QuarantineRelayFixture()
+    {
+        this->io.random = [] { return 0.5; };
+        this->io.call = [this](const std::string &address,
+                               const std::string &method,
+                               const json &params,
+                               const std::function<void(const RpcOutcome &)> &done) {
+            if (method == "applyQuarantine") {
+                this->applied.push_back(address);
+                return;
+            }
+            const auto after = params.at("after").get<std::uint64_t>();
+            json entries = json::array();
+            if (this->version > after)
+                entries.push_back({{"fingerprint", "f"}, {"crashes", json::array()}});
+            done({true, {{"version", this->version}, {"entries", entries}}, {}});
+        };
+    }
+
+    void run(int rounds)
+    {
+        for (int i = 0; i < rounds; ++i) {
+            this->now += std::chrono::seconds(1);
+            this->relay.tick(this->now);
+        }
+    }
+
+    ControlIo io;
+    std::uint64_t version = 0;
+    std::vector<std::string> applied;
+    QuarantineRelay relay{
+        this->io, "own-entry", [] {
+            return std::vector<Peer>{{"b", {"z"}, "entry-b", "control-b"}, {"c", {"z"}, "entry-c", "control-c"}};
+        }};
+    std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+};
+
+using Addresses = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a crashing request that is tried on two more upstreams by each entry VM that its caller reaches.
+TEST_CASE_METHOD(QuarantineRelayFixture, "QuarantineRelay: entry process learns of a crash: each peer is told once")
+{
+    this->run(3);
+    CHECK(this->applied.empty());
+    this->version = 1;
+    this->run(3);
+    CHECK(this->applied == Addresses{"entry-b", "entry-c"});
+}
+
+// Guards against news that are held back after a restart because the entry process counts from zero again.
+TEST_CASE_METHOD(QuarantineRelayFixture, "QuarantineRelay: entry process restarts: its later news are sent")
+{
+    this->version = 7;
+    this->run(2);
+    this->applied.clear();
+    this->version = 0;
+    this->run(1);
+    this->version = 1;
+    this->run(2);
+    CHECK(this->applied == Addresses{"entry-b", "entry-c"});
+}
