--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "activesnapshot.h"
+#include "admission.h"
 #include "calltable.h"
 #include "dispatcher.h"
 #include "entrysettings.h"
 #include "httpclient.h"
 #include "idempotency.h"
+#include "metrics.h"
 #include "peercall.h"
 
 #include <asio.hpp>
@@ -37,6 +39,7 @@
         , settings(settings)
         , http(loop)
         , dispatcher(loop, this->http, settings)
+        , admission(settings.id)
     {
     }
 
@@ -45,7 +48,9 @@
     HttpClient http;
     ActiveSnapshot configuration;
     Dispatcher dispatcher;
+    Admission admission;
     CallTable calls;
+    Metrics metrics;
     SubmitIntent submitIntent;
     CompleteIntent completeIntent;
     ForwardCall forwardCall;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -26,6 +26,10 @@
     return settings;
 }
 
+// RESTinio closes a connection without an answer when a body exceeds its limit. Bodies up to this multiple of the
+// callers' limit are read, so that their senders are told.
+constexpr std::size_t readBodyFactor = 4;
+
 // A snapshot of 12,000 upstreams has about 2 MB.
 constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
 
@@ -39,7 +43,7 @@
     , peers(this->context.http, ControlAuth(settings.controlKey))
     , handover(this->context, this->peers)
     , callers(loop,
-              serverSettings(settings.listen, settings.maxBodyBytes),
+              serverSettings(settings.listen, settings.maxBodyBytes * readBodyFactor),
               [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                   this->gateway.handle(request, responder);
               })
@@ -82,6 +86,10 @@
         this->rpc.handle(request, responder);
         return;
     }
+    if (request.path == "/metrics") {
+        responder->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.prometheusText());
+        return;
+    }
     if (this->intents && request.path.starts_with("/peer/")) {
         this->intents->handlePeer(request, responder, [this](const PeerCall &call, const HttpResponderPtr &responder) {
             this->gateway.runPeerCall(call, responder);
@@ -111,6 +119,7 @@
     this->context.configuration.apply(params.get<Snapshot>());
     const Snapshot &snapshot = this->context.configuration.snapshot();
     this->context.dispatcher.applyUpstreams(snapshot.upstreams);
+    this->context.admission.applySnapshot(snapshot, std::chrono::steady_clock::now());
     logEvent(LogLevel::Info,
              "snapshot-applied",
              {{"manifestVersion", snapshot.manifestVersion},
@@ -237,6 +246,11 @@
 {
     const auto now = std::chrono::steady_clock::now();
     this->context.calls.forEach([now](OpenCall &call) { call.checkProgress(now); });
+    this->context.admission.tick(now);
+    for (const Service &service : this->context.configuration.snapshot().services) {
+        if (service.kind == ServiceKind::Model)
+            this->context.metrics.setQueueLength({service.id, {}}, this->context.admission.queued(service.id));
+    }
     this->progressTimer.expires_after(progressInterval);
     this->progressTimer.async_wait([this](const asio::error_code &error) {
         if (!error)
--- a/src/entry/modelcall.h
+++ b/src/entry/modelcall.h
@@ -32,6 +32,8 @@
     void supersede() override;
 
 private:
+    void awaitAdmission();
+    double expectedTokens(std::size_t answerTokens) const;
     void nextAttempt();
     void waitAndRetry(std::chrono::milliseconds time);
     void resumeAtEngine(const Upstream &upstream, const std::string &reason);
@@ -46,6 +48,7 @@
     void engineReported(const nlohmann::json &json);
     void tokenReceived(std::size_t number, const std::string &text);
     void emitToken(std::size_t number, const std::string &upstream);
+    void measureToken();
     void attemptDone(const HttpOutcome &outcome);
     void connectionBroke(const Upstream &upstream, bool hasDied);
 
@@ -53,7 +56,7 @@
     void cancelAtEngine(const Attempt &attempt);
     void complete();
     void refuse(RequestError error);
-    void end();
+    void end(Verdict verdict, int status);
 
     EntryContext &context;
     CallInfo call;
@@ -63,6 +66,8 @@
     CompletionWriter writer;
     HttpResponderPtr responder;
     asio::steady_timer timer;
+    std::string admissionId; ///< Unique in this process, unlike the request identifier; empty when not submitted.
+    bool isAdmitted = false;
     std::shared_ptr<Attempt> attempt;
     std::unique_ptr<EventStreamParser> parser;
     int attempts = 0;
@@ -75,6 +80,7 @@
     std::vector<std::string> tokens; ///< Texts of the tokens so far, with those of an earlier stream.
     std::size_t skippedTokens = 0; ///< Tokens that the caller has from an earlier stream.
     std::chrono::steady_clock::time_point lastProgress;
+    std::optional<std::chrono::steady_clock::time_point> lastToken; ///< When a token was last received here.
     nlohmann::json usage = nlohmann::json::object();
     bool isGenerated = false; ///< The engine has sent its last event.
     bool hasEnded = false;
