--- a/tests/unit/kvstoretest.cpp
+++ b/tests/unit/kvstoretest.cpp
@@ -190,7 +190,7 @@
 {
     this->put("a", "1");
     const std::int64_t early = this->store.revision();
-    const std::string large(1024 * 1024, 'x');
+    const std::string large(std::size_t{1024} * 1024, 'x');
     for (int write = 0; write < 40; ++write)
         this->put("large", large);
     CHECK_FALSE(this->store.watch({"a", {}}, early, this->recorder()));
