Keep room for accounts below their share, cost by engine time, faster replacement

FairQueue::pop takes the free part of the capacity; an account beyond its share leaves up to half of it to the others. A prompt token costs 0.05 of a generated one, as in the engine's steps; an idle account may catch up 150 tokens. Placement stops a replaced VM after 60 s instead of 600 s.

The demand-dip test of placement failed while replaced and surplus VMs shared the short time; they are told apart by the stop margin now.

--- a/src/libhemlock/fairqueue.cpp
+++ b/src/libhemlock/fairqueue.cpp
@@ -90,16 +90,6 @@
     return refused;
 }
 
-std::optional<QueuedRequest> FairQueue::pop(TimePoint now, std::vector<QueueRefusal> &refused)
-{
-    return this->popWhere(false, now, refused);
-}
-
-std::optional<QueuedRequest> FairQueue::popUnderserved(TimePoint now, std::vector<QueueRefusal> &refused)
-{
-    return this->popWhere(true, now, refused);
-}
-
 void FairQueue::finished(const QueuedRequest &request)
 {
     const auto found = this->accounts.find(request.clientAccount);
@@ -114,24 +104,27 @@
     this->dropEmptyAccount(request.clientAccount);
 }
 
-bool FairQueue::isUnderserved(const Account &account) const
+double FairQueue::reservedFrom(const Account &account, double activeWeights) const
 {
-    double weights = 0.0;
-    for (const auto &[id, other] : this->accounts) {
-        if (!other.isEmpty() || other.requestsInService > 0)
-            weights += other.weight;
-    }
-    return account.inService * weights < this->totalInService * account.weight;
+    if (this->totalInService <= 0.0)
+        return 0.0;
+    const double overuse = account.inService * activeWeights / (this->totalInService * account.weight);
+    return this->settings.reservedRoom
+        * std::clamp((overuse - 1.0) / (this->settings.fullReserveOveruse - 1.0), 0.0, 1.0);
 }
 
-std::optional<QueuedRequest>
-FairQueue::popWhere(bool onlyUnderserved, TimePoint now, std::vector<QueueRefusal> &refused)
+std::optional<QueuedRequest> FairQueue::pop(TimePoint now, std::vector<QueueRefusal> &refused, double room)
 {
     while (!this->places.empty()) {
+        double weights = 0.0;
+        for (const auto &[id, account] : this->accounts) {
+            if (!account.isEmpty() || account.requestsInService > 0)
+                weights += account.weight;
+        }
         auto first = this->accounts.end();
         for (auto candidate = this->accounts.begin(); candidate != this->accounts.end(); ++candidate) {
             const Account &account = candidate->second;
-            if (account.isEmpty() || (onlyUnderserved && !this->isUnderserved(account)))
+            if (account.isEmpty() || room < this->reservedFrom(account, weights))
                 continue;
             if (first == this->accounts.end() || account.start < first->second.start)
                 first = candidate;
--- a/src/libhemlock/fairqueue.h
+++ b/src/libhemlock/fairqueue.h
@@ -14,13 +14,23 @@
 
 constexpr int lowestPriority = 9;
 
+/// Cost of a prompt token relative to a generated one: an engine computes a prompt in large chunks, but runs one step
+/// of its whole batch for each generated token.
+constexpr double promptTokenCost = 0.05;
+
+/// Cost of a request in generated tokens.
+constexpr double requestCost(double promptTokens, double answerTokens)
+{
+    return promptTokens * promptTokenCost + answerTokens;
+}
+
 /// A request that waits for its turn.
 struct QueuedRequest
 {
     std::string requestId;
     std::string clientAccount;
     double weight = 1.0; ///< Weight of the client account.
-    double cost = 1.0; ///< Expected tokens, of the prompt and the answer together.
+    double cost = 1.0; ///< As by requestCost; the answer counts with the expected or greatest length.
     int priority = 5; ///< 0 is served first among the requests of one account, 9 last.
     std::chrono::steady_clock::time_point latestStart = std::chrono::steady_clock::time_point::max();
 };
@@ -29,10 +39,14 @@
 {
     std::size_t maxRequests = 2000; ///< Over all accounts.
     double maxTokens = 4e6; ///< Summed cost over all accounts.
-    double longCost = 1000.0; ///< Tokens from which a request counts as long.
+    double longCost = 200.0; ///< Tokens from which a request counts as long.
     /// Tokens, for each unit of weight, that an account may lag behind its share and catch up. Without it an account
     /// that waits for single callers, whose queue is empty at times, never reaches its share.
-    double catchUpTokens = 400.0;
+    double catchUpTokens = 150.0;
+    /// Part of the capacity that an account leaves to others when it uses fullReserveOveruse times its share or more;
+    /// less in proportion below that, none at its share.
+    double reservedRoom = 0.5;
+    double fullReserveOveruse = 4.0;
 };
 
 /// Why a request left the queue without being dispatched; it has not run.
@@ -66,12 +80,10 @@
     /// that a full queue displaces (which may be the request itself).
     std::vector<QueueRefusal> push(QueuedRequest request, TimePoint now);
 
-    /// The next request in turn; those that can no longer start in time are appended to refused.
-    std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused);
-
-    /// As pop, but only of accounts that use less than their share of the capacity in use. With little room left this
-    /// keeps it for them: a flood that takes all room makes each other request wait for one of its own to end.
-    std::optional<QueuedRequest> popUnderserved(TimePoint now, std::vector<QueueRefusal> &refused);
+    /// The next request in turn; those that can no longer start in time are appended to refused. The room is the free
+    /// part of the capacity: an account that uses more than its share leaves the last of it to the others, so that
+    /// their requests need not wait for one of a flood's to end.
+    std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused, double room = 1.0);
 
     /// Notes that a request which pop returned has ended.
     void finished(const QueuedRequest &request);
@@ -119,8 +131,7 @@
         Position position;
     };
 
-    bool isUnderserved(const Account &account) const;
-    std::optional<QueuedRequest> popWhere(bool onlyUnderserved, TimePoint now, std::vector<QueueRefusal> &refused);
+    double reservedFrom(const Account &account, double activeWeights) const;
     QueuedRequest remove(const Place &place);
     QueueRefusal displace();
     void dropEmptyAccount(const std::string &id);
--- a/src/libhemlock/placement.cpp
+++ b/src/libhemlock/placement.cpp
@@ -228,7 +228,12 @@
         if (surplus != nullptr) {
             if (!this->placement.surplusSince)
                 this->placement.surplusSince = this->now;
-            if (this->now - *this->placement.surplusSince < this->settings.surplusTime)
+            // What only a replacement made superfluous is no sign of less demand.
+            Capacity rest = this->capacity;
+            rest.add(surplus->offer, -1);
+            const bool isBeyondMargin = this->shortage(rest, 1.0 + this->settings.stopMargin).empty();
+            const auto wait = isBeyondMargin ? this->settings.surplusTime : this->settings.replacedTime;
+            if (this->now - *this->placement.surplusSince < wait)
                 return;
             PlacementOrder order;
             order.kind = OrderKind::Stop;
--- a/src/libhemlock/placement.h
+++ b/src/libhemlock/placement.h
@@ -66,6 +66,7 @@
     int warmSpares = 1;
     double stopMargin = 0.15; ///< A VM stops only when the rest covers the demand with this much more.
     std::chrono::seconds surplusTime{600}; ///< And only when that has held for so long.
+    std::chrono::seconds replacedTime{60}; ///< The same for a VM whose cheaper replacement serves.
     std::chrono::seconds refusalPause{60}; ///< Doubles with each refusal in succession.
     std::chrono::seconds longestRefusalPause{960};
     std::chrono::seconds loadTime{120}; ///< Weights that start loading together are to be loaded within this time.
--- a/src/load/entrymodel.h
+++ b/src/load/entrymodel.h
@@ -36,7 +36,7 @@
     bool isRefused = false;
     bool isDone = false;
 
-    int cost() const;
+    double cost() const;
 };
 
 /// An entry VM of an experiment: the real router, queue and limits between fake callers and fake engines.
@@ -74,7 +74,7 @@
 private:
     void dispatch(ModelRequest &request);
     double room() const;
-    ModelRequest *nextQueued(bool onlyUnderserved);
+    ModelRequest *nextQueued(double room);
     QueuedRequest queueEntry(const ModelRequest &request) const;
     void refuse(const std::vector<QueueRefusal> &refusals);
 
