Lend and borrow parts of account limits between entry processes

Cause: ShareExchange was not connected. Change: the entry process asks peers every 400 ms for what it lacks and answers 'lendShares'.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::chrono::seconds progressInterval{1};
 
+// Several requests fit into the lease of a loan (2 s), so that a lost one does not end it.
+constexpr std::chrono::milliseconds sharesInterval{400};
+
 HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t maxBodyBytes)
 {
     HttpServerSettings settings;
@@ -56,6 +59,9 @@
     , drainTimer(loop)
     , handoverTimer(loop)
     , progressTimer(loop)
+    , sharesTimer(loop)
+    , random(std::random_device()())
+    , shares(this->context.admission.rateLimiter(), this->peers, this->random)
 {
     this->addMethods();
     this->useDefaultIntents();
@@ -71,6 +77,7 @@
 {
     this->awaitSignal();
     this->checkProgress();
+    this->exchangeShares();
     const std::string controlAddress = this->control.start();
     if (this->intents) {
         this->intents->start(controlAddress);
@@ -110,6 +117,9 @@
                         [this](const nlohmann::json &params) { return this->quarantineDelta(params); });
     this->rpc.addMethod("applyQuarantine",
                         [this](const nlohmann::json &params) { return this->applyQuarantine(params); });
+    this->rpc.addMethod("lendShares", [this](const nlohmann::json &params) {
+        return this->shares.lend(params, std::chrono::steady_clock::now());
+    });
     this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
     this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
 }
@@ -242,6 +252,16 @@
     });
 }
 
+void EntryProcess::exchangeShares()
+{
+    this->shares.ask(this->context.configuration.snapshot().peers, std::chrono::steady_clock::now());
+    this->sharesTimer.expires_after(sharesInterval);
+    this->sharesTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->exchangeShares();
+    });
+}
+
 void EntryProcess::checkProgress()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -5,6 +5,7 @@
 #include "httpserver.h"
 #include "intentgate.h"
 #include "rpc.h"
+#include "shareexchange.h"
 #include "streamhandover.h"
 
 #include <asio.hpp>
@@ -37,6 +38,7 @@
     void awaitSignal();
     void handOverStreams();
     void checkProgress();
+    void exchangeShares();
     void stopWhenIdle();
 
     asio::io_context &loop;
@@ -52,6 +54,9 @@
     asio::steady_timer drainTimer;
     asio::steady_timer handoverTimer;
     asio::steady_timer progressTimer;
+    asio::steady_timer sharesTimer;
+    RandomEngine random;
+    ShareExchange shares;
     bool hasReleasedIntents = true;
     bool hasNoticePassed = false; ///< The balancer had the time to see that this process drains.
 };
