--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -17,7 +17,10 @@
 constexpr std::chrono::milliseconds reportInterval{500};
 constexpr std::chrono::milliseconds gossipInterval{1000};
 constexpr std::size_t gossipFanout = 2;
-constexpr std::size_t configFanout = 3;
+/// Peers told at once of a new configuration. Larger fleets have changes more often and bytes to save; regular gossip
+/// reaches whom these messages miss.
+constexpr std::size_t configFanoutSmall = 3;
+constexpr std::size_t configFanoutLarge = 2;
 /// Bounds a message to about a kilobyte in ordinary times.
 constexpr std::size_t membersPerMessage = 40;
 constexpr std::size_t upstreamsPerMessage = 20;
@@ -202,7 +205,8 @@
 {
     this->isChanged = true;
     const auto random = this->io.random;
-    for (const Peer &peer : this->membership.chooseTargets(configFanout, random))
+    const std::size_t fanout = this->membership.size() <= smallFleet ? configFanoutSmall : configFanoutLarge;
+    for (const Peer &peer : this->membership.chooseTargets(fanout, random))
         this->gossipTo(peer, json::array(), json::array());
 }
 
--- a/tests/unit/controlfleet.cpp
+++ b/tests/unit/controlfleet.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tickInterval{20};
 constexpr std::chrono::milliseconds callTimeout{1000};
 /// Head, signature and envelope of a JSON-RPC call and of its answer, with TCP and IP headers.
 constexpr std::int64_t callOverhead = 370;
@@ -83,7 +82,7 @@
     if (this->generations.at(id) != generation)
         return;
     this->vms.at(id).node->tick();
-    this->after(tickInterval, [this, id, generation] { this->tickNode(id, generation); });
+    this->after(this->settings.tick, [this, id, generation] { this->tickNode(id, generation); });
 }
 
 void ControlFleet::after(std::chrono::milliseconds delay, Event event)
@@ -94,7 +93,10 @@
 bool ControlFleet::runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
 {
     const TimePoint end = this->now + limit;
-    while (!condition()) {
+    // Conditions look at the whole fleet, so they are checked once per simulated millisecond.
+    TimePoint checked;
+    while (checked == this->now || !condition()) {
+        checked = this->now;
         if (this->events.empty() || this->events.begin()->first > end) {
             this->now = end;
             return false;
--- a/tests/unit/controlfleet.h
+++ b/tests/unit/controlfleet.h
@@ -20,6 +20,7 @@
     int vmsPerZone = 3;
     unsigned seed = 1;
     std::chrono::milliseconds latency{3}; ///< One way between two nodes, the store and the cloud API.
+    std::chrono::milliseconds tick{20};
 };
 
 /// Control nodes with their entry processes, a store and a cloud API in simulated time.
--- /dev/null
+++ b/tests/unit/upstreamlifecycletest.cpp
@@ -0,0 +1,82 @@
+#include "upstreamlifecycle.h"
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+class UpstreamLifecycleFixture
+{
+protected:
+    void list(bool isLeaving = false)
+    {
+        this->lifecycle.applyList({{{"w1", "chat", "address", {"zone"}}, isLeaving}}, this->now);
+    }
+
+    UpstreamState state() const
+    {
+        return this->lifecycle.find("w1")->state;
+    }
+
+    UpstreamLifecycle::TimePoint now{1h};
+    UpstreamLifecycle lifecycle{readJsonFile(HEMLOCK_SOURCE_DIR "/charts/upstream.json"),
+                                [](const Upstream &, const std::string &, const std::string &) {}};
+};
+
+} // namespace
+
+// Guards against work for an upstream that only the platform's list says to be there.
+TEST_CASE_METHOD(UpstreamLifecycleFixture, "UpstreamLifecycle: listed upstream: serves after a probe is answered")
+{
+    this->list();
+    CHECK(this->state() == UpstreamState::Joining);
+    this->lifecycle.applyProbe("w1", false, "node", {"zone"}, this->now);
+    CHECK(this->state() == UpstreamState::Joining);
+    this->lifecycle.applyProbe("w1", true, "node", {"zone"}, this->now);
+    CHECK(this->state() == UpstreamState::Serving);
+}
+
+// Guards against a notice that is lost because it comes before the lagging list shows the VM.
+TEST_CASE_METHOD(UpstreamLifecycleFixture, "UpstreamLifecycle: notice before the VM is listed: it leaves when listed")
+{
+    this->lifecycle.applyLeaving({{.id = "w1"}, 60s}, "notice", this->now);
+    this->list();
+    CHECK(this->state() == UpstreamState::Leaving);
+}
+
+// Guards against the list that still shows a gone upstream as live, and a probe that its successor answers.
+TEST_CASE_METHOD(UpstreamLifecycleFixture, "UpstreamLifecycle: deadline has passed: stays gone whatever the list says")
+{
+    this->list();
+    this->lifecycle.applyLeaving({{.id = "w1"}, 10s}, "notice", this->now);
+    this->now += 11s;
+    this->lifecycle.expire(this->now);
+    REQUIRE(this->state() == UpstreamState::Gone);
+    this->list();
+    this->lifecycle.applyProbe("w1", true, "node", {"zone"}, this->now);
+    CHECK(this->state() == UpstreamState::Gone);
+    CHECK(this->lifecycle.upstreams().empty());
+}
+
+// Guards against thousands of probes at once after the loss of a zone.
+TEST_CASE_METHOD(UpstreamLifecycleFixture, "UpstreamLifecycle: many upstreams in doubt: probes are bounded")
+{
+    std::vector<ListedVm> vms;
+    for (int i = 0; i < 1000; ++i)
+        vms.push_back({{"w" + std::to_string(i), "chat", "address", {"zone"}}, false});
+    this->lifecycle.applyList(vms, this->now);
+    CHECK(this->lifecycle.takeProbes(this->now).size() == 20);
+    CHECK(this->lifecycle.takeProbes(this->now).empty());
+    CHECK(this->lifecycle.takeProbes(this->now + 600ms).size() == 20);
+}
+
+// Guards against a chart whose transition leads nowhere.
+TEST_CASE_METHOD(UpstreamLifecycleFixture, "StateChart: transition to an unknown state: is refused with its place")
+{
+    const json chart = {{"name", "door"}, {"initial", "open"}, {"states", {{"open", {{"on", {{"push", "shut"}}}}}}}};
+    CHECK_THROWS_WITH(StateChart(chart), "state chart door: /states/open/on/push names the unknown state \"shut\"");
+}
