--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::chrono::seconds progressInterval{1};
 
+// Several requests fit into the lease of a loan (2 s), so that a lost one does not end it.
+constexpr std::chrono::milliseconds sharesInterval{400};
+
 HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t maxBodyBytes)
 {
     HttpServerSettings settings;
@@ -26,6 +29,10 @@
     return settings;
 }
 
+// RESTinio closes a connection without an answer when a body exceeds its limit. Bodies up to this multiple of the
+// callers' limit are read, so that their senders are told.
+constexpr std::size_t readBodyFactor = 4;
+
 // A snapshot of 12,000 upstreams has about 2 MB.
 constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
 
@@ -39,7 +46,7 @@
     , peers(this->context.http, ControlAuth(settings.controlKey))
     , handover(this->context, this->peers)
     , callers(loop,
-              serverSettings(settings.listen, settings.maxBodyBytes),
+              serverSettings(settings.listen, settings.maxBodyBytes * readBodyFactor),
               [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                   this->gateway.handle(request, responder);
               })
@@ -52,6 +59,9 @@
     , drainTimer(loop)
     , handoverTimer(loop)
     , progressTimer(loop)
+    , sharesTimer(loop)
+    , random(std::random_device()())
+    , shares(this->context.admission.rateLimiter(), this->peers, this->random)
 {
     this->addMethods();
     this->useDefaultIntents();
@@ -67,6 +77,7 @@
 {
     this->awaitSignal();
     this->checkProgress();
+    this->exchangeShares();
     const std::string controlAddress = this->control.start();
     if (this->intents) {
         this->intents->start(controlAddress);
@@ -82,6 +93,10 @@
         this->rpc.handle(request, responder);
         return;
     }
+    if (request.path == "/metrics") {
+        responder->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.prometheusText());
+        return;
+    }
     if (this->intents && request.path.starts_with("/peer/")) {
         this->intents->handlePeer(request, responder, [this](const PeerCall &call, const HttpResponderPtr &responder) {
             this->gateway.runPeerCall(call, responder);
@@ -102,6 +117,9 @@
                         [this](const nlohmann::json &params) { return this->quarantineDelta(params); });
     this->rpc.addMethod("applyQuarantine",
                         [this](const nlohmann::json &params) { return this->applyQuarantine(params); });
+    this->rpc.addMethod("lendShares", [this](const nlohmann::json &params) {
+        return this->shares.lend(params, std::chrono::steady_clock::now());
+    });
     this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
     this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
 }
@@ -111,6 +129,7 @@
     this->context.configuration.apply(params.get<Snapshot>());
     const Snapshot &snapshot = this->context.configuration.snapshot();
     this->context.dispatcher.applyUpstreams(snapshot.upstreams);
+    this->context.admission.applySnapshot(snapshot, std::chrono::steady_clock::now());
     logEvent(LogLevel::Info,
              "snapshot-applied",
              {{"manifestVersion", snapshot.manifestVersion},
@@ -233,10 +252,25 @@
     });
 }
 
+void EntryProcess::exchangeShares()
+{
+    this->shares.ask(this->context.configuration.snapshot().peers, std::chrono::steady_clock::now());
+    this->sharesTimer.expires_after(sharesInterval);
+    this->sharesTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->exchangeShares();
+    });
+}
+
 void EntryProcess::checkProgress()
 {
     const auto now = std::chrono::steady_clock::now();
     this->context.calls.forEach([now](OpenCall &call) { call.checkProgress(now); });
+    this->context.admission.tick(now);
+    for (const Service &service : this->context.configuration.snapshot().services) {
+        if (service.kind == ServiceKind::Model)
+            this->context.metrics.setQueueLength({service.id, {}}, this->context.admission.queued(service.id));
+    }
     this->progressTimer.expires_after(progressInterval);
     this->progressTimer.async_wait([this](const asio::error_code &error) {
         if (!error)
--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -59,6 +59,7 @@
     , vms(this->io,
           {[this](const std::vector<ListedVm> &listed) { this->lifecycle.applyList(listed, this->io.now()); },
            [this](const std::vector<VmFeed::Notice> &notices) { this->applyNotices(notices); }})
+    , quarantine(this->io, this->settings.self.entryControlAddress, [this] { return this->directPeers(); })
 {
 }
 
@@ -71,6 +72,7 @@
     this->registry.tick(now, role);
     this->config.tick(now, role);
     this->vms.tick(now, role);
+    this->quarantine.tick(now);
     this->lifecycle.expire(now);
     this->probe();
     if (!this->hasUpstreamNews && role.nodes > 1)
@@ -341,6 +343,16 @@
     return snapshot;
 }
 
+std::vector<json> ControlNode::placement() const
+{
+    return this->config.keeper().document().placement();
+}
+
+bool ControlNode::isZoneWatcher() const
+{
+    return this->membership.isZoneWatcher();
+}
+
 std::int64_t ControlNode::configVersion() const
 {
     return this->config.keeper().version();
--- a/src/libhemlock/controlnode.h
+++ b/src/libhemlock/controlnode.h
@@ -5,6 +5,7 @@
 #include "memberregistry.h"
 #include "membership.h"
 #include "periodictask.h"
+#include "quarantinerelay.h"
 #include "snapshot.h"
 #include "upstreamlifecycle.h"
 #include "vmfeed.h"
@@ -46,6 +47,13 @@
     void leave();
 
     Snapshot snapshot() const;
+
+    /// Entries of the field "placement" of the configuration in force.
+    std::vector<nlohmann::json> placement() const;
+
+    /// Whether this node may take roles of its zone, such as placing VMs.
+    bool isZoneWatcher() const;
+
     std::int64_t configVersion() const;
 
 private:
@@ -75,6 +83,7 @@
     ConfigFeed config;
     MemberRegistry registry;
     VmFeed vms;
+    QuarantineRelay quarantine;
     PeriodicTask gossipRound;
     PeriodicTask reportPoll;
     PeriodicTask push;
--- a/src/libhemlock/fairqueue.h
+++ b/src/libhemlock/fairqueue.h
@@ -14,13 +14,23 @@
 
 constexpr int lowestPriority = 9;
 
+/// Cost of a prompt token relative to a generated one: an engine computes a prompt in large chunks, but runs one step
+/// of its whole batch for each generated token.
+constexpr double promptTokenCost = 0.05;
+
+/// Cost of a request in generated tokens.
+constexpr double requestCost(double promptTokens, double answerTokens)
+{
+    return promptTokens * promptTokenCost + answerTokens;
+}
+
 /// A request that waits for its turn.
 struct QueuedRequest
 {
     std::string requestId;
     std::string clientAccount;
     double weight = 1.0; ///< Weight of the client account.
-    double cost = 1.0; ///< Expected tokens, of the prompt and the answer together.
+    double cost = 1.0; ///< As by requestCost; the answer counts with the expected or greatest length.
     int priority = 5; ///< 0 is served first among the requests of one account, 9 last.
     std::chrono::steady_clock::time_point latestStart = std::chrono::steady_clock::time_point::max();
 };
@@ -29,7 +39,14 @@
 {
     std::size_t maxRequests = 2000; ///< Over all accounts.
     double maxTokens = 4e6; ///< Summed cost over all accounts.
-    double longCost = 1000.0; ///< Tokens from which a request counts as long.
+    double longCost = 200.0; ///< Tokens from which a request counts as long.
+    /// Tokens, for each unit of weight, that an account may lag behind its share and catch up. Without it an account
+    /// that waits for single callers, whose queue is empty at times, never reaches its share.
+    double catchUpTokens = 150.0;
+    /// Part of the capacity that an account leaves to others when it uses fullReserveOveruse times its share or more;
+    /// less in proportion below that, none at its share.
+    double reservedRoom = 0.5;
+    double fullReserveOveruse = 4.0;
 };
 
 /// Why a request left the queue without being dispatched; it has not run.
@@ -63,8 +80,13 @@
     /// that a full queue displaces (which may be the request itself).
     std::vector<QueueRefusal> push(QueuedRequest request, TimePoint now);
 
-    /// The next request in turn; those that can no longer start in time are appended to refused.
-    std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused);
+    /// The next request in turn; those that can no longer start in time are appended to refused. The room is the free
+    /// part of the capacity: an account that uses more than its share leaves the last of it to the others, so that
+    /// their requests need not wait for one of a flood's to end.
+    std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused, double room = 1.0);
+
+    /// Notes that a request which pop returned has ended.
+    void finished(const QueuedRequest &request);
 
     /// Removes a request whose caller went away. Returns whether it was queued.
     bool cancel(const std::string &requestId);
@@ -94,6 +116,8 @@
         double start = 0.0; ///< Virtual start time of the account's next request.
         double flowTime = 0.0; ///< Virtual time of the account's flows.
         double weight = 1.0;
+        double inService = 0.0; ///< Tokens of requests that were dispatched and have not ended.
+        int requestsInService = 0;
 
         bool isEmpty() const;
         int nextFlow() const;
@@ -107,6 +131,7 @@
         Position position;
     };
 
+    double reservedFrom(const Account &account, double activeWeights) const;
     QueuedRequest remove(const Place &place);
     QueueRefusal displace();
     void dropEmptyAccount(const std::string &id);
@@ -116,6 +141,7 @@
     double drainRate = 0.0;
     double virtualTime = 0.0;
     double totalTokens = 0.0;
+    double totalInService = 0.0;
     std::uint64_t arrivals = 0;
     std::map<std::string, Account> accounts;
     std::unordered_map<std::string, Place> places;
