--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,4 +1,5 @@
 #include "experiment.h"
+#include "httpload.h"
 #include "routingbench.h"
 #include "settings.h"
 
@@ -44,10 +45,16 @@
     routingCommand->add_option("--upstreams", upstreams, "Numbers of known upstreams");
     routingCommand->add_option("--seed", seed, "Seed");
 
+    std::string loadFile;
+    CLI::App *runCommand = app.add_subcommand("run", "Sends HTTP load to an entry address and, beside it, directly");
+    runCommand->add_option("scenario", loadFile, "JSON file")->required();
+
     CLI11_PARSE(app, argc, argv);
     try {
         if (experimentCommand->parsed())
             return experiment(scenarioFile, options, onlyChecks, isStrict);
+        if (runCommand->parsed())
+            return runHttpLoad(loadFile, std::cout) ? 0 : 1;
         if (routingCommand->parsed())
             measureRouting(upstreams, seed, std::cout);
         return 0;
