Test the fleet with real processes: reclaims, configuration and quarantine across entry VMs

Cause: the promises on leaving upstreams, graceful reclaim of an entry VM, configuration and crashing requests had no test with control and entry processes together; the entry process did not answer 'drain', by which its control process passes on the reclaim notice of its own VM.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -3,6 +3,8 @@
 #include "logger.h"
 #include "refusal.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace hemlock {
@@ -38,6 +40,13 @@
 // A snapshot of 12,000 upstreams has about 2 MB.
 constexpr std::size_t maxControlBodyBytes = std::size_t{64} * 1024 * 1024;
 
+std::ptrdiff_t countServing(const Snapshot &snapshot)
+{
+    return std::count_if(snapshot.upstreams.begin(), snapshot.upstreams.end(), [](const Upstream &upstream) {
+        return upstream.state == UpstreamState::Serving;
+    });
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(asio::io_context &loop, const EntrySettings &settings)
@@ -124,6 +133,10 @@
     this->rpc.addMethod("lendShares", [this](const nlohmann::json &params) {
         return this->shares.lend(params, std::chrono::steady_clock::now());
     });
+    this->rpc.addMethod("drain", [this](const nlohmann::json &) {
+        this->drain();
+        return nlohmann::json::object();
+    });
     this->rpc.addMethod("report", [this](const nlohmann::json &) { return this->report(); });
     this->rpc.addMethod("explain", [this](const nlohmann::json &params) { return this->explain(params); });
 }
@@ -140,6 +153,7 @@
               {"sequence", snapshot.sequence},
               {"services", snapshot.services.size()},
               {"upstreams", snapshot.upstreams.size()},
+              {"serving", countServing(snapshot)},
               {"peers", snapshot.peers.size()}});
     return {{"manifestVersion", snapshot.manifestVersion}, {"sequence", snapshot.sequence}};
 }
--- /dev/null
+++ b/tests/failure/fleettest.cpp
@@ -0,0 +1,142 @@
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace hemlock;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds longNotice{60000};
+constexpr int requestsAfterNotice = 12;
+
+class FleetFixture : public Fleet
+{
+protected:
+    FleetFixture()
+        : Fleet(3, 4)
+    {
+    }
+
+    /// Waits until a node's entry process no longer counts an upstream among the serving ones.
+    static void waitForServing(const Node &node, std::size_t serving)
+    {
+        node.entry->waitForEvent("snapshot-applied",
+                                 [serving](const json &line) { return line.at("serving") == serving; });
+    }
+};
+
+} // namespace
+
+// Guards against new work for a leaving upstream from an entry VM that has not heard of its reclaim.
+TEST_CASE_METHOD(FleetFixture, "Fleet: reclaim of an upstream announced: no entry VM sends new work to it")
+{
+    this->reclaim("engine-1", longNotice);
+    for (const Node &node : this->nodes)
+        waitForServing(node, 3);
+    for (int i = 0; i < requestsAfterNotice; ++i) {
+        const Node &node = this->nodes[static_cast<std::size_t>(i) % this->nodes.size()];
+        const std::string upstream = upstreamOf(this->complete(node, "prompt " + std::to_string(i), 2));
+        CHECK_FALSE(upstream.empty());
+        CHECK(upstream != "engine-1");
+    }
+}
+
+// Guards against a leaving upstream that is taken back into service while the store is out of reach.
+TEST_CASE_METHOD(FleetFixture, "Fleet: reclaim announced in a store outage: no entry VM sends new work to it")
+{
+    this->setPlatformFaults({{"outage", true}});
+    this->reclaim("engine-1", longNotice);
+    for (const Node &node : this->nodes)
+        waitForServing(node, 3);
+    for (const Node &node : this->nodes) {
+        const std::string upstream = upstreamOf(this->complete(node, "prompt", 2));
+        CHECK_FALSE(upstream.empty());
+        CHECK(upstream != "engine-1");
+    }
+}
+
+// Guards against a stream that is cut when its entry VM is reclaimed with notice.
+TEST_CASE_METHOD(FleetFixture, "Fleet: entry VM's own reclaim announced: its stream ends whole and it turns unready")
+{
+    const Node &node = this->nodes.front();
+    const auto stream = this->startCompletion(node, "a long answer", 200);
+    node.entry->waitForEvent("route");
+    this->reclaim(node.id, longNotice);
+    node.entry->waitForEvent("draining");
+    const HttpOutcome outcome = this->http.wait(stream);
+    CHECK(outcome.isComplete());
+    CHECK(outcome.body.find("id: 200.") != std::string::npos);
+    CHECK(outcome.body.find("data: [DONE]") != std::string::npos);
+    CHECK(node.entry->waitForExit() == 0);
+}
+
+// Guards against one of two teams' changes being lost, and against nodes that stay on an older version.
+TEST_CASE_METHOD(FleetFixture, "Fleet: two teams commit different sections at once: both are in force everywhere")
+{
+    const std::int64_t version = this->commitRacing("sales", "events");
+    CHECK(version == 3);
+    for (const Node &node : this->nodes) {
+        waitForVersion(node, version);
+        const json status = this->rpc(node.controlAddress, "status", json::object());
+        CHECK(status.at("sections").contains("sales"));
+        CHECK(status.at("sections").contains("events"));
+    }
+}
+
+// Guards against a node that slept through changes and puts an older configuration in force, or stays on it.
+TEST_CASE_METHOD(FleetFixture, "Fleet: control process paused over a change: applies it and never reverts")
+{
+    Node &node = this->nodes.back();
+    node.control->pause();
+    const std::int64_t version = this->commitAccount("sales", "sales", 2.0);
+    waitForVersion(this->nodes.front(), version);
+    node.control->resume();
+    waitForVersion(node, version);
+    for (const Node &each : this->nodes) {
+        const auto versions = appliedVersions(each);
+        CHECK(std::is_sorted(versions.begin(), versions.end()));
+    }
+}
+
+// Guards against a node that restarts in a store outage and serves nothing, or an older configuration than its peers.
+TEST_CASE_METHOD(FleetFixture, "Fleet: control process restarts in a store outage: takes the newest version of a peer")
+{
+    const std::int64_t version = this->commitAccount("sales", "sales", 2.0);
+    for (const Node &node : this->nodes)
+        waitForVersion(node, version);
+    this->setPlatformFaults({{"outage", true}});
+    Node &node = this->nodes.back();
+    node.control->kill();
+    this->startControl(node, {this->nodes.front().controlAddress});
+    node.control->waitForEvent("configuration-applied",
+                               [version](const json &line) { return line.at("version") == version; });
+    const auto versions = appliedVersions(node);
+    CHECK(std::is_sorted(versions.begin(), versions.end()));
+}
+
+// Guards against a commit that takes effect while its answer is lost and is then repeated or reported as failed.
+TEST_CASE_METHOD(FleetFixture, "Fleet: answer to a commit lost: the commit is reported once and in force everywhere")
+{
+    this->setPlatformFaults({{"loseAnswers", 1}});
+    const std::int64_t version = this->commitAccount("sales", "sales", 2.0);
+    CHECK(version == 2);
+    for (const Node &node : this->nodes)
+        waitForVersion(node, version);
+}
+
+// Guards against a crashing request that takes down two more engines at each entry VM that its caller reaches.
+TEST_CASE_METHOD(FleetFixture, "Fleet: request crashed two engines at one entry VM: another entry VM refuses it")
+{
+    const HttpOutcome first = this->complete(this->nodes[0], "CRASH", 4);
+    CHECK(first.body.find("\"code\":\"request-quarantined\"") != std::string::npos);
+    const Node &other = this->nodes[1];
+    this->http.waitFor([this, &other] {
+        return !this->rpc(other.entryControl, "quarantineDelta", {{"after", 0}}).at("entries").empty();
+    });
+    const HttpOutcome second = this->complete(other, "CRASH", 4);
+    CHECK(second.body.find("\"code\":\"request-quarantined\"") != std::string::npos);
+    CHECK(second.body.find("\"verdict\":\"not-run\"") != std::string::npos);
+}
