--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -95,7 +95,8 @@
 
 double ModelCall::expectedTokens(std::size_t answerTokens) const
 {
-    return static_cast<double>(this->request.prompt.size() / bytesPerPromptToken + answerTokens);
+    const std::size_t promptTokens = this->request.prompt.size() / bytesPerPromptToken;
+    return static_cast<double>(promptTokens + answerTokens);
 }
 
 void ModelCall::resumeAtEngine(const Upstream &upstream, const std::string &reason)
