--- a/src/load/entrymodel.cpp
+++ b/src/load/entrymodel.cpp
@@ -132,8 +132,8 @@
 
 void EntryModel::pump()
 {
-    for (double room = this->room(); room > 0.0; room = this->room()) {
-        ModelRequest *next = this->nextQueued(room);
+    while (this->room() > 0.0) {
+        ModelRequest *next = this->nextQueued(this->room());
         if (next == nullptr)
             return;
         this->dispatch(*next);
--- a/src/load/httpload.cpp
+++ b/src/load/httpload.cpp
@@ -11,6 +11,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <memory>
 #include <ostream>
 #include <random>
@@ -152,7 +153,7 @@
     {
         Json line = {{"target", target.json.value("name", "")}, {"sent", target.sent}, {"failed", target.failed}};
         for (const double probability : probabilities()) {
-            const std::string suffix = "P" + std::to_string(static_cast<int>(probability * 100.0 + 0.5)) + "Ms";
+            const std::string suffix = "P" + std::to_string(std::lround(probability * 100.0)) + "Ms";
             line["firstByte" + suffix] = target.quantileMs(target.firstByte, probability);
             line["whole" + suffix] = target.quantileMs(target.whole, probability);
         }
--- a/src/load/traffic.cpp
+++ b/src/load/traffic.cpp
@@ -49,7 +49,8 @@
         const auto newDocument = [&] { return Document{random() | 1U, between(row.documentTokens, random)}; };
         for (int i = 0; i < row.documents; ++i)
             documents.push_back(newDocument());
-        for (double at = row.fromS + gap(random); at < row.toS; at += gap(random)) {
+        double at = row.fromS;
+        while ((at += gap(random)) < row.toS) {
             TrafficRequest request;
             request.atS = at;
             request.row = index;
