Let the fleet test's stream go on while it waits for the drain

Cause: the test waited for a line of the entry process without running its own HTTP client, so its request was never sent; the product was not at fault. Change: the wait runs the client's loop.

--- a/tests/failure/fleettest.cpp
+++ b/tests/failure/fleettest.cpp
@@ -20,6 +20,12 @@
     {
     }
 
+    /// Waits for a part of a line of the entry process while the test's own exchanges go on.
+    void waitForLine(const Node &node, const std::string &part)
+    {
+        this->http.waitFor([&] { return node.entry->output().find(part) != std::string::npos; });
+    }
+
     /// Waits until a node's entry process no longer counts an upstream among the serving ones.
     static void waitForServing(const Node &node, std::size_t serving)
     {
@@ -63,9 +69,9 @@
 {
     const Node &node = this->nodes.front();
     const auto stream = this->startCompletion(node, "a long answer", 200);
-    node.entry->waitForEvent("route");
+    this->waitForLine(node, "\"event\":\"route\"");
     this->reclaim(node.id, longNotice);
-    node.entry->waitForEvent("draining");
+    this->waitForLine(node, "\"event\":\"draining\"");
     const HttpOutcome outcome = this->http.wait(stream);
     CHECK(outcome.isComplete());
     CHECK(outcome.body.find("id: 200.") != std::string::npos);
