--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -48,8 +48,9 @@
 {
 }
 
-void Dispatcher::applyUpstreams(const std::vector<Upstream> &upstreams)
+void Dispatcher::applyUpstreams(const std::vector<Upstream> &upstreams, int entryVms)
 {
+    this->entryVms = entryVms;
     const auto now = std::chrono::steady_clock::now();
     const UpstreamPool::Change change = this->pool.apply(upstreams, now);
     for (const Upstream &upstream : upstreams) {
@@ -87,6 +88,7 @@
     query.prompt = wish.prompt;
     query.zone = this->zone;
     query.priority = wish.call.priority;
+    query.entryVms = this->entryVms;
     RouteDecision decision = this->pool.choose(this->router, query, excluded, now, this->random);
     const auto upstream = this->pool.find(decision.upstream);
     if (!upstream) {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -47,8 +47,8 @@
 public:
     Dispatcher(asio::io_context &loop, HttpClient &http, const EntrySettings &settings);
 
-    /// Replaces the known upstreams.
-    void applyUpstreams(const std::vector<Upstream> &upstreams);
+    /// Replaces the known upstreams; @p entryVms entry processes share them, this one included.
+    void applyUpstreams(const std::vector<Upstream> &upstreams, int entryVms);
 
     AttemptGrant next(const AttemptWish &wish);
 
@@ -71,6 +71,7 @@
     AvailabilityZone zone;
     Router router;
     RandomEngine random;
+    int entryVms = 1;
     UpstreamPool pool;
     RetryBudget budget;
     Quarantine suspects;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -70,6 +70,7 @@
     , drainTimer(loop)
     , handoverTimer(loop)
     , progressTimer(loop)
+    , loads(this->context)
     , admissionTimer(loop)
     , sharesTimer(loop)
     , random(std::random_device()())
@@ -91,6 +92,7 @@
     this->checkProgress();
     this->tickAdmission();
     this->exchangeShares();
+    this->loads.start();
     const std::string controlAddress = this->control.start();
     if (this->intents) {
         this->intents->start(controlAddress);
@@ -145,7 +147,7 @@
 {
     this->context.configuration.apply(params.get<Snapshot>());
     const Snapshot &snapshot = this->context.configuration.snapshot();
-    this->context.dispatcher.applyUpstreams(snapshot.upstreams);
+    this->context.dispatcher.applyUpstreams(snapshot.upstreams, static_cast<int>(snapshot.peers.size()) + 1);
     this->context.admission.applySnapshot(snapshot, std::chrono::steady_clock::now());
     logEvent(LogLevel::Info,
              "snapshot-applied",
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -4,6 +4,7 @@
 #include "gateway.h"
 #include "httpserver.h"
 #include "intentgate.h"
+#include "loadpoller.h"
 #include "rpc.h"
 #include "shareexchange.h"
 #include "streamhandover.h"
@@ -55,6 +56,7 @@
     asio::steady_timer drainTimer;
     asio::steady_timer handoverTimer;
     asio::steady_timer progressTimer;
+    LoadPoller loads;
     asio::steady_timer admissionTimer;
     asio::steady_timer sharesTimer;
     RandomEngine random;
--- /dev/null
+++ b/src/entry/loadpoller.cpp
@@ -0,0 +1,66 @@
+#include "loadpoller.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+constexpr std::string_view loadPath = "/load";
+constexpr std::chrono::milliseconds pollInterval{250};
+/// A node cannot ask 12,000 workers in each interval; what it does not ask it judges by its own requests in flight.
+constexpr std::size_t reportsPerInterval = 16;
+/// A later report would say nothing that the next one does not.
+constexpr std::chrono::milliseconds reportTimeout{250};
+
+} // namespace
+
+LoadPoller::LoadPoller(EntryContext &context)
+    : context(context)
+    , timer(context.loop)
+{
+}
+
+void LoadPoller::start()
+{
+    this->poll();
+    this->timer.expires_after(pollInterval);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->start();
+    });
+}
+
+void LoadPoller::poll()
+{
+    const Snapshot &snapshot = this->context.configuration.snapshot();
+    const std::size_t count = std::min(snapshot.upstreams.size(), reportsPerInterval);
+    for (std::size_t i = 0; i < count; ++i) {
+        const Upstream &upstream = snapshot.upstreams[this->next++ % snapshot.upstreams.size()];
+        const Service *service = snapshot.findService(upstream.service);
+        if (service && service->kind == ServiceKind::Model && upstream.state == UpstreamState::Serving)
+            this->read(upstream);
+    }
+}
+
+void LoadPoller::read(const Upstream &upstream)
+{
+    HttpCall call;
+    call.url = "http://" + upstream.address + std::string(loadPath);
+    call.connectTimeout = reportTimeout;
+    call.timeout = reportTimeout;
+    const int ownInFlight = this->context.dispatcher.upstreams().inFlightAt(upstream.id);
+    HttpCallHooks hooks;
+    hooks.done = [this, id = upstream.id, ownInFlight](const HttpOutcome &outcome) {
+        const nlohmann::json body = nlohmann::json::parse(outcome.body, nullptr, false);
+        if (outcome.status != 200 || !body.is_object() || !body.contains("inFlight") || !body["inFlight"].is_number())
+            return;
+        this->context.dispatcher.upstreams().loadReported(
+            id, body["inFlight"].get<double>(), ownInFlight, std::chrono::steady_clock::now());
+    };
+    this->context.http.start(std::move(call), std::move(hooks));
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/entry/loadpoller.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "entrycontext.h"
+
+#include <asio.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace hemlock {
+
+/// Reads the load reports of model engines in turn, a bounded number of them in each interval.
+class LoadPoller
+{
+public:
+    explicit LoadPoller(EntryContext &context);
+
+    void start();
+
+private:
+    void poll();
+    void read(const Upstream &upstream);
+
+    EntryContext &context;
+    asio::steady_timer timer;
+    std::size_t next = 0; ///< Position in the snapshot's list of upstreams.
+};
+
+} // namespace hemlock
--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -95,8 +95,8 @@
 
 double ModelCall::expectedTokens(std::size_t answerTokens) const
 {
-    const std::size_t promptTokens = this->request.prompt.size() / bytesPerPromptToken;
-    return static_cast<double>(promptTokens + answerTokens);
+    const auto promptTokens = static_cast<double>(this->request.prompt.size() / bytesPerPromptToken);
+    return requestCost(promptTokens, static_cast<double>(answerTokens));
 }
 
 void ModelCall::resumeAtEngine(const Upstream &upstream, const std::string &reason)
--- a/src/libhemlock/admission.cpp
+++ b/src/libhemlock/admission.cpp
@@ -152,8 +152,9 @@
         return;
     const Started request = found->second;
     this->started.erase(found);
-    this->limiter.settle(request.clientAccount, tokens - request.expectedTokens, now);
+    this->limiter.settle(request.request.clientAccount, tokens - request.request.cost, now);
     Lane &lane = this->lane(request.service);
+    lane.queue.finished(request.request);
     --lane.inProgress;
     lane.finishedTokens += tokens;
     this->dispatch(lane, now);
@@ -207,27 +208,25 @@
 {
     std::vector<QueueRefusal> refused;
     while (lane.inProgress < lane.limit.value()) {
-        const auto next = lane.queue.pop(now, refused);
+        const double room = 1.0 - static_cast<double>(lane.inProgress) / static_cast<double>(lane.limit.value());
+        const auto next = lane.queue.pop(now, refused, room);
         if (!next)
             break;
-        this->start(lane, next->requestId, now);
+        this->start(lane, *next, now);
     }
     this->refuse(refused);
 }
 
-void Admission::start(Lane &lane, const std::string &requestId, TimePoint now)
+void Admission::start(Lane &lane, const QueuedRequest &queued, TimePoint now)
 {
-    const auto found = this->waiting.find(requestId);
+    const auto found = this->waiting.find(queued.requestId);
     if (found == this->waiting.end())
-        return;
+        return lane.queue.finished(queued);
     const Waiting request = std::move(found->second);
     this->waiting.erase(found);
     ++lane.inProgress;
-    this->started[requestId] = {request.request.service,
-                                request.request.clientAccount,
-                                request.request.tokens,
-                                now,
-                                lane.inProgress >= lane.limit.value()};
+    const bool limitWasReached = lane.inProgress >= lane.limit.value();
+    this->started[queued.requestId] = {request.request.service, queued, now, limitWasReached};
     request.hooks.start();
 }
 
--- a/src/libhemlock/admission.h
+++ b/src/libhemlock/admission.h
@@ -22,7 +22,7 @@
     std::string requestId;
     std::string clientAccount;
     std::string service;
-    double tokens = 1.0; ///< Expected tokens of prompt and answer together.
+    double tokens = 1.0; ///< Expected cost, as by requestCost().
     int priority = 5;
     std::chrono::steady_clock::time_point deadline;
 };
@@ -51,7 +51,7 @@
     /// The first token of a started request has arrived.
     void firstTokenArrived(const std::string &requestId, TimePoint now);
 
-    /// A started request has ended, with this cost. Unknown identifiers are ignored.
+    /// A started request has ended, with this cost by requestCost(). Unknown identifiers are ignored.
     void finished(const std::string &requestId, double tokens, TimePoint now);
 
     /// The caller of a waiting or started request went away.
@@ -99,8 +99,7 @@
     struct Started
     {
         std::string service;
-        std::string clientAccount;
-        double expectedTokens = 0.0;
+        QueuedRequest request;
         TimePoint since;
         bool limitWasReached = false;
     };
@@ -111,7 +110,7 @@
     bool cancelThrottled(const std::string &requestId);
     void enqueue(Waiting request, TimePoint now);
     void dispatch(Lane &lane, TimePoint now);
-    void start(Lane &lane, const std::string &requestId, TimePoint now);
+    void start(Lane &lane, const QueuedRequest &queued, TimePoint now);
     void refuse(const std::vector<QueueRefusal> &refusals);
     void measureDrainRate(Lane &lane, TimePoint now);
     double weight(const std::string &clientAccount) const;
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -68,8 +68,11 @@
     UpstreamView view;
     view.id = upstream.id;
     view.zone = upstream.zone;
-    if (const auto activity = this->activities.find(upstream.id); activity != this->activities.end())
+    if (const auto activity = this->activities.find(upstream.id); activity != this->activities.end()) {
         view.inFlight = activity->second.inFlight;
+        view.reportedLoad = activity->second.reportedLoad;
+        view.inFlightAtReport = activity->second.inFlightAtReport;
+    }
     return view;
 }
 
@@ -133,6 +136,23 @@
         this->soundByService[upstream->second.service].remove(id);
 }
 
+void UpstreamPool::loadReported(const std::string &id, double load, int ownInFlight, Time now)
+{
+    const auto upstream = this->upstreams.find(id);
+    if (upstream == this->upstreams.end())
+        return;
+    Activity &activity = this->activities[id];
+    activity.reportedLoad = load;
+    activity.inFlightAtReport = ownInFlight;
+    this->refreshCandidate(upstream->second, now);
+}
+
+int UpstreamPool::inFlightAt(const std::string &id) const
+{
+    const auto activity = this->activities.find(id);
+    return activity == this->activities.end() ? 0 : activity->second.inFlight;
+}
+
 bool UpstreamPool::isLeaving(const std::string &id) const
 {
     const auto upstream = this->upstreams.find(id);
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -47,6 +47,12 @@
     /// Notes that an attempt found the upstream unusable; it is avoided for a short time.
     void attemptFailed(const std::string &id, Time now);
 
+    /// Notes an upstream's own report of the requests that it works on. @p ownInFlight of them are this process's.
+    void loadReported(const std::string &id, double load, int ownInFlight, Time now);
+
+    /// Requests of this process that an upstream works on.
+    int inFlightAt(const std::string &id) const;
+
     /// Whether a reclaim notice or the VM list announced that the upstream goes away.
     bool isLeaving(const std::string &id) const;
 
@@ -61,6 +67,8 @@
     {
         int inFlight = 0;
         std::optional<Time> failedAt;
+        double reportedLoad = 0.0;
+        double inFlightAtReport = 0.0;
     };
 
     bool isAvoided(const std::string &id, Time now) const;
--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -20,6 +20,8 @@
 constexpr const char *controlKey = "control key of the test";
 constexpr const char *apiKey = "api key of the test";
 constexpr const char *modelService = "assistant";
+/// Longer than any test, so that the list of VMs never shows that a VM leaves.
+constexpr std::chrono::milliseconds listLag{600'000};
 
 json listenAnywhere()
 {
@@ -119,7 +121,9 @@
                        {"address", "127.0.0.1:1"}});
     }
     Process &process = this->processes.start(
-        "platform-standin", "platform", {{"id", "platform"}, {"listen", listenAnywhere()}, {"vms", vms}});
+        "platform-standin",
+        "platform",
+        {{"id", "platform"}, {"listen", listenAnywhere()}, {"listLagMs", listLag.count()}, {"vms", vms}});
     this->platform = "http://" + process.address();
     this->commitFirst();
     for (std::size_t i = 1; i <= nodeCount; ++i) {
--- a/tests/unit/upstreampooltest.cpp
+++ b/tests/unit/upstreampooltest.cpp
@@ -110,3 +110,16 @@
     CHECK(removed == Names{"serving", "suspected", "leaving", "joining"});
     CHECK(this->pool.apply({}, this->now).removed.empty());
 }
+
+// Guards against choices that ignore what other entry processes have sent to an upstream.
+TEST_CASE_METHOD(UpstreamPoolFixture, "UpstreamPool: upstream reports a high load: a policy by load avoids it")
+{
+    this->pool.apply({this->make("a", UpstreamState::Serving), this->make("b", UpstreamState::Serving)}, this->now);
+    this->pool.loadReported("a", 40.0, 0, this->now);
+    this->pool.loadReported("b", 0.0, 0, this->now);
+    const Router byLoad("prefix-affinity");
+    for (int i = 0; i < 20; ++i) {
+        const RouteQuery query{.requestId = "r", .service = "model", .prompt = "prompt " + std::to_string(i)};
+        CHECK(this->pool.choose(byLoad, query, {}, this->now, this->random).upstream == "b");
+    }
+}
