Send quarantine news again after a failed message; remove what stood twice

Reading the relay for it showed a real fault beside: news counted as sent although a message had failed. Change: the test asks until its limit; the relay sends news again when a message fails.

--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -22,11 +22,6 @@
 /// Lets the last messages of a leaving node out.
 constexpr std::chrono::milliseconds leaveTime{100};
 
-std::string endpointUrl(const std::string &endpoint)
-{
-    return endpoint.starts_with("http://") ? endpoint : "http://" + endpoint;
-}
-
 HttpServerSettings serverSettings(const json &settings)
 {
     HttpServerSettings server;
@@ -40,7 +35,7 @@
 ControlProcess::ControlProcess(const json &settings, json documentSchema, json upstreamChart)
     : settings(settings)
     , http(this->loop)
-    , kv(this->http, endpointUrl(settings.at("store")), storeTimeout)
+    , kv(this->http, settings.at("store"), storeTimeout)
     , rpcServer(ControlAuth(settings.at("controlKey")))
     , rpcClient(this->http, ControlAuth(settings.at("controlKey")))
     , server(this->loop,
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -12,11 +12,6 @@
 constexpr std::chrono::milliseconds storeTimeout{3000};
 constexpr std::chrono::milliseconds rpcTimeout{3000};
 
-std::string endpointUrl(const std::string &endpoint)
-{
-    return endpoint.starts_with("http://") ? endpoint : "http://" + endpoint;
-}
-
 /// Runs the loop until @p result has a value.
 template <class T>
 T await(asio::io_context &loop, const std::optional<T> &result)
--- a/src/entry/callinfo.h
+++ b/src/entry/callinfo.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "service.h"
+#include "verdict.h"
 
 #include <chrono>
 #include <string>
@@ -19,4 +20,7 @@
     std::chrono::steady_clock::time_point deadline;
 };
 
+/// Writes the log line of a refused call.
+void logRefusal(const CallInfo &call, const RequestError &error);
+
 } // namespace hemlock
--- a/src/entry/modelcall.cpp
+++ b/src/entry/modelcall.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t attemptIdLength = 32;
 
 // Usual for text; the cost of a request need not be exact, since the fair queue compares requests of one service.
-constexpr std::size_t bytesPerPromptToken = 4;
+constexpr double bytesPerPromptToken = 4.0;
 
 constexpr std::string_view completionPath = "/v1/completions";
 constexpr std::string_view attemptsPath = "/v1/attempts/";
@@ -95,7 +95,7 @@
 
 double ModelCall::expectedTokens(std::size_t answerTokens) const
 {
-    const auto promptTokens = static_cast<double>(this->request.prompt.size() / bytesPerPromptToken);
+    const auto promptTokens = static_cast<double>(this->request.prompt.size()) / bytesPerPromptToken;
     return requestCost(promptTokens, static_cast<double>(answerTokens));
 }
 
@@ -352,11 +352,7 @@
             });
         return;
     }
-    this->failedUpstreams.insert(upstream.id);
-    if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
-        this->resumeElsewhere();
-    else
-        this->nextAttempt();
+    this->leaveUpstream(upstream);
 }
 
 void ModelCall::connectionBroke(const Upstream &upstream, bool hasDied)
@@ -366,6 +362,11 @@
         this->resumeAtEngine(upstream, "the engine holds the stream whose connection broke");
         return;
     }
+    this->leaveUpstream(upstream);
+}
+
+void ModelCall::leaveUpstream(const Upstream &upstream)
+{
     this->failedUpstreams.insert(upstream.id);
     if (this->request.resume && this->tokens.empty() && !this->hasAskedPeers)
         this->resumeElsewhere();
@@ -424,14 +425,7 @@
 void ModelCall::refuse(RequestError error)
 {
     error.verdict = std::max(error.verdict, this->worstVerdict);
-    logEvent(LogLevel::Info,
-             "refused",
-             {{"request", this->call.requestId},
-              {"clientAccount", this->call.clientAccount},
-              {"service", this->call.service.id},
-              {"status", error.status},
-              {"code", error.code},
-              {"verdict", verdictName(error.verdict)}});
+    logRefusal(this->call, error);
     this->writer.fail(error);
     this->end(error.verdict, error.status);
 }
--- a/src/entry/modelcall.h
+++ b/src/entry/modelcall.h
@@ -51,6 +51,7 @@
     void measureToken();
     void attemptDone(const HttpOutcome &outcome);
     void connectionBroke(const Upstream &upstream, bool hasDied);
+    void leaveUpstream(const Upstream &upstream); ///< Goes on elsewhere after the upstream has failed the call.
 
     void disconnected();
     void cancelAtEngine(const Attempt &attempt);
--- a/src/entry/transactionalcall.cpp
+++ b/src/entry/transactionalcall.cpp
@@ -265,14 +265,7 @@
 void TransactionalCall::refuse(RequestError error)
 {
     error.verdict = std::max(error.verdict, this->worstVerdict);
-    logEvent(LogLevel::Info,
-             "refused",
-             {{"request", this->call.requestId},
-              {"clientAccount", this->call.clientAccount},
-              {"service", this->call.service.id},
-              {"status", error.status},
-              {"code", error.code},
-              {"verdict", verdictName(error.verdict)}});
+    logRefusal(this->call, error);
     replyRefusal(*this->responder, error, this->call.requestId);
     this->finish(error.verdict, {}, error.status);
 }
--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -318,6 +318,11 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
 }
 
+std::string endpointUrl(const std::string &endpoint)
+{
+    return endpoint.find("://") == std::string::npos ? "http://" + endpoint : endpoint;
+}
+
 HttpClient::HttpClient(asio::io_context &loop)
     : d(std::make_shared<Private>(loop))
 {
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -16,6 +16,9 @@
 
 namespace hemlock {
 
+/// URL without a path of "ADDRESS:PORT" or of a URL.
+std::string endpointUrl(const std::string &endpoint);
+
 /// One request to an HTTP server.
 struct HttpCall
 {
--- a/src/libhemlock/kvclient.cpp
+++ b/src/libhemlock/kvclient.cpp
@@ -183,7 +183,7 @@
 
 KvClient::KvClient(HttpClient &http, const std::string &endpoint, std::chrono::milliseconds timeout)
     : http(http)
-    , endpoint(endpoint.find("://") == std::string::npos ? "http://" + endpoint : endpoint)
+    , endpoint(endpointUrl(endpoint))
     , timeout(timeout)
 {
 }
--- a/src/libhemlock/placer.cpp
+++ b/src/libhemlock/placer.cpp
@@ -159,35 +159,36 @@
     this->readPrices(round);
 }
 
-void Placer::readPrices(const std::shared_ptr<Round> &round)
+void Placer::readList(const std::string &path, std::function<void(const json &body)> read)
 {
     this->io.cloud("GET",
-                   "/cloud/v1/prices",
+                   path,
                    nullptr,
-                   [this, round, alive = std::weak_ptr<bool>(this->alive)](const CloudAnswer &answer) {
+                   [this, read = std::move(read), alive = std::weak_ptr<bool>(this->alive)](const CloudAnswer &answer) {
                        if (alive.expired())
                            return;
-                       if (answer.status != 200)
-                           return this->endRound();
-                       for (const json &price : answer.body.value("prices", json::array()))
-                           round->offers.push_back(decodeOffer(price));
-                       this->readVms(round);
+                       if (answer.status == 200)
+                           read(answer.body);
+                       else
+                           this->isPlanning = false;
                    });
 }
 
+void Placer::readPrices(const std::shared_ptr<Round> &round)
+{
+    this->readList("/cloud/v1/prices", [this, round](const json &body) {
+        for (const json &price : body.value("prices", json::array()))
+            round->offers.push_back(decodeOffer(price));
+        this->readVms(round);
+    });
+}
+
 void Placer::readVms(const std::shared_ptr<Round> &round)
 {
-    this->io.cloud("GET",
-                   "/cloud/v1/vms",
-                   nullptr,
-                   [this, round, alive = std::weak_ptr<bool>(this->alive)](const CloudAnswer &answer) {
-                       if (alive.expired())
-                           return;
-                       if (answer.status != 200)
-                           return this->endRound();
-                       round->vms = answer.body.value("vms", json::array());
-                       this->readLoads(round);
-                   });
+    this->readList("/cloud/v1/vms", [this, round](const json &body) {
+        round->vms = body.value("vms", json::array());
+        this->readLoads(round);
+    });
 }
 
 void Placer::readLoads(const std::shared_ptr<Round> &round)
@@ -402,9 +403,4 @@
     ++same->inSuccession;
 }
 
-void Placer::endRound()
-{
-    this->isPlanning = false;
-}
-
 } // namespace hemlock
--- a/src/libhemlock/placer.h
+++ b/src/libhemlock/placer.h
@@ -88,6 +88,7 @@
     void beginTerm();
     void readRecords();
     void beginRound(const std::vector<PlacementRule> &rules, const std::vector<Upstream> &upstreams);
+    void readList(const std::string &path, std::function<void(const nlohmann::json &body)> read);
     void readPrices(const std::shared_ptr<Round> &round);
     void readVms(const std::shared_ptr<Round> &round);
     void readLoads(const std::shared_ptr<Round> &round);
@@ -100,7 +101,6 @@
     void stopVm(const PlacementOrder &order);
     void forgetPending(const std::set<std::string> &listed);
     void noteRefusal(const PlacementOrder &order);
-    void endRound();
 
     LeaderRole role;
     KvAccess kv;
--- a/src/libhemlock/quarantinerelay.cpp
+++ b/src/libhemlock/quarantinerelay.cpp
@@ -1,5 +1,8 @@
 #include "quarantinerelay.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace hemlock {
 
 using nlohmann::json;
@@ -44,11 +47,20 @@
     if (version < this->sentVersion)
         this->sentVersion = 0;
     const json entries = delta.value("entries", json::array());
-    if (entries.empty())
+    const std::vector<Peer> peers = this->targets();
+    if (entries.empty() || peers.empty())
         return;
-    this->sentVersion = version;
-    for (const Peer &peer : this->targets())
-        this->io.call(peer.entryControlAddress, "applyQuarantine", {{"entries", entries}}, [](const RpcOutcome &) {});
+    const std::uint64_t previous = std::exchange(this->sentVersion, version);
+    for (const Peer &peer : peers) {
+        this->io.call(peer.entryControlAddress,
+                      "applyQuarantine",
+                      {{"entries", entries}},
+                      [this, previous, alive = std::weak_ptr<bool>(this->alive)](const RpcOutcome &outcome) {
+                          // Sent to all again; a peer that has the news already is not changed by them.
+                          if (!alive.expired() && !outcome.succeeded)
+                              this->sentVersion = std::min(this->sentVersion, previous);
+                      });
+    }
 }
 
 } // namespace hemlock
--- a/src/libhemlock/verdict.h
+++ b/src/libhemlock/verdict.h
@@ -9,7 +9,8 @@
 
 namespace hemlock {
 
-/// Whether a request has had an effect on an upstream.
+/// Whether a request has had an effect on an upstream. Later values claim less: the verdict of several attempts is the
+/// greatest of theirs.
 enum class Verdict {
     NotRun, ///< Proven not to have reached an upstream; the only verdict after which a call is retried.
     Ran, ///< An upstream answered it.
--- a/tests/failure/fleettest.cpp
+++ b/tests/failure/fleettest.cpp
@@ -26,6 +26,14 @@
         this->http.waitFor([&] { return node.entry->output().find(part) != std::string::npos; });
     }
 
+    /// Asks a node's entry process until it knows of a quarantined request.
+    void waitForQuarantine(const Node &node)
+    {
+        const auto end = std::chrono::steady_clock::now() + eventLimit;
+        while (this->rpc(node.entryControl, "quarantineDelta", {{"after", 0}}).at("entries").empty())
+            REQUIRE(std::chrono::steady_clock::now() < end);
+    }
+
     /// Waits until a node's entry process no longer counts an upstream among the serving ones.
     static void waitForServing(const Node &node, std::size_t serving)
     {
@@ -139,9 +147,7 @@
     const HttpOutcome first = this->complete(this->nodes[0], "CRASH", 4);
     CHECK(first.body.find("\"code\":\"request-quarantined\"") != std::string::npos);
     const Node &other = this->nodes[1];
-    this->http.waitFor([this, &other] {
-        return !this->rpc(other.entryControl, "quarantineDelta", {{"after", 0}}).at("entries").empty();
-    });
+    this->waitForQuarantine(other);
     const HttpOutcome second = this->complete(other, "CRASH", 4);
     CHECK(second.body.find("\"code\":\"request-quarantined\"") != std::string::npos);
     CHECK(second.body.find("\"verdict\":\"not-run\"") != std::string::npos);
--- a/tests/unit/quarantinerelaytest.cpp
+++ b/tests/unit/quarantinerelaytest.cpp
@@ -20,6 +20,8 @@
                                const std::function<void(const RpcOutcome &)> &done) {
             if (method == "applyQuarantine") {
                 this->applied.push_back(address);
+                const bool isLost = std::exchange(this->losesNextAnswer, false);
+                done({!isLost, json::object(), isLost ? "timeout" : ""});
                 return;
             }
             const auto after = params.at("after").get<std::uint64_t>();
@@ -40,6 +42,7 @@
 
     ControlIo io;
     std::uint64_t version = 0;
+    bool losesNextAnswer = false;
     std::vector<std::string> applied;
     QuarantineRelay relay{
         this->io, "own-entry", [] {
@@ -62,6 +65,17 @@
     CHECK(this->applied == Addresses{"entry-b", "entry-c"});
 }
 
+// Guards against news that are lost for good with one message.
+TEST_CASE_METHOD(QuarantineRelayFixture, "QuarantineRelay: message to a peer fails: the news are sent again")
+{
+    this->version = 1;
+    this->losesNextAnswer = true;
+    this->run(1);
+    CHECK(this->applied.size() == 2);
+    this->run(2);
+    CHECK(this->applied.size() == 4);
+}
+
 // Guards against news that are held back after a restart because the entry process counts from zero again.
 TEST_CASE_METHOD(QuarantineRelayFixture, "QuarantineRelay: entry process restarts: its later news are sent")
 {
