--- a/scripts/measure.d/path-latency.sh
+++ b/scripts/measure.d/path-latency.sh
@@ -34,4 +34,18 @@
     >"${run}/load.json"
 # In the first lease (2 s) of its life an entry process has a small part of each limit, so early requests may wait for it.
 sleep "${WARMUP_S:-4}"
-"${bin}/hemlock-load" run "${run}/load.json"
+
+# CPU seconds that the entry processes have used, user and system; the kernel counts in hundredths.
+entry_cpu() {
+    local name
+    for name in entry-{1..6}; do
+        awk '{print $14 + $15}' "/proc/$(<"${run}/alban/${name}.pid")/stat"
+    done | jq -s 'add / 100'
+}
+
+before=$(entry_cpu)
+"${bin}/hemlock-load" run "${run}/load.json" | tee "${run}/load.out"
+after=$(entry_cpu)
+jq -c --argjson before "${before}" --argjson after "${after}" --argjson seed "${FIRST_SEED:-1}" \
+    'select(.target == "path") | {figure: "entryCpu", seed: $seed, requests: .sent, cpuSeconds: ($after - $before),
+     requestsPerCoreSecond: (.sent / ($after - $before))}' "${run}/load.out"
