--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -1,5 +1,6 @@
 #include "controlprocess.h"
 
+#include "loadreport.h"
 #include "logger.h"
 
 #include <csignal>
@@ -16,8 +17,6 @@
 constexpr std::chrono::milliseconds cloudTimeout{1000};
 /// Covers a round trip between zones several times; a slower peer is as good as unreachable for a control message.
 constexpr std::chrono::milliseconds rpcTimeout{1000};
-/// Any HTTP answer to this path shows that the upstream is there; engines report their load on it.
-constexpr std::string_view loadPath = "/load";
 constexpr std::chrono::milliseconds probeTimeout{500};
 /// Lets the last messages of a leaving node out.
 constexpr std::chrono::milliseconds leaveTime{100};
@@ -102,19 +101,8 @@
 
 void ControlProcess::cloudGet(const std::string &path, std::function<void(const json &, const std::string &)> done)
 {
-    HttpCall call;
-    call.url = endpointUrl(this->settings.at("cloud")) + path;
-    call.timeout = cloudTimeout;
-    HttpCallHooks hooks;
-    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
-        if (!outcome.isComplete())
-            return done({}, outcome.error);
-        if (outcome.status != 200)
-            return done({}, "cloud API answered " + std::to_string(outcome.status));
-        const json body = json::parse(outcome.body, nullptr, false);
-        done(body, body.is_object() ? "" : "cloud API's answer is not a JSON object");
-    };
-    this->http.start(std::move(call), std::move(hooks));
+    this->callCloud(
+        "GET", path, nullptr, [done = std::move(done)](const CloudAnswer &answer) { done(answer.body, answer.error); });
 }
 
 PlacerIo ControlProcess::placerIo()
@@ -127,7 +115,7 @@
         this->callCloud(method, path, body, std::move(done));
     };
     io.readLoad = [this](const std::string &address, std::function<void(std::optional<double>)> done) {
-        this->readLoad(address, std::move(done));
+        readLoadReport(this->http, address, probeTimeout, std::move(done));
     };
     const ControlIo shared = this->nodeIo();
     io.random = shared.random;
@@ -157,6 +145,10 @@
         }
         answer.status = outcome.status;
         answer.body = json::parse(outcome.body, nullptr, false);
+        if (outcome.status >= 300)
+            answer.error = "cloud API answered " + std::to_string(outcome.status);
+        else if (!answer.body.is_object())
+            answer.error = "cloud API's answer is not a JSON object";
         if (!answer.body.is_object())
             answer.body = json::object();
         done(answer);
@@ -164,31 +156,18 @@
     this->http.start(std::move(call), std::move(hooks));
 }
 
-void ControlProcess::readLoad(const std::string &address, std::function<void(std::optional<double>)> done)
-{
-    HttpCall call;
-    call.url = "http://" + address + std::string(loadPath);
-    call.connectTimeout = probeTimeout;
-    call.timeout = probeTimeout;
-    HttpCallHooks hooks;
-    hooks.done = [done = std::move(done)](const HttpOutcome &outcome) {
-        const json body = json::parse(outcome.body, nullptr, false);
-        if (outcome.status != 200 || !body.is_object() || !body.contains("inFlight") || !body["inFlight"].is_number())
-            return done(std::nullopt);
-        done(body["inFlight"].get<double>());
-    };
-    this->http.start(std::move(call), std::move(hooks));
-}
-
 void ControlProcess::tickPlacer()
 {
+    // Other nodes neither place nor claim the role, so they need not gather what a plan takes.
+    if (!this->node->isZoneWatcher() && !this->placer->isHeld())
+        return;
     const double random = std::uniform_real_distribution<double>(0.0, 1.0)(this->engine);
     if (!this->placerTask.isDue(std::chrono::steady_clock::now(), placerInterval, random))
         return;
     std::vector<PlacementRule> rules;
     for (const json &rule : this->node->placement())
         rules.push_back(rule.get<PlacementRule>());
-    this->placer->tick(this->node->isZoneWatcher(), rules, this->node->snapshot().upstreams);
+    this->placer->tick(this->node->isZoneWatcher(), rules, this->node->upstreams());
 }
 
 void ControlProcess::probe(const std::string &address, std::function<void(bool)> done)
--- a/src/control/controlprocess.h
+++ b/src/control/controlprocess.h
@@ -36,7 +36,6 @@
                    const std::string &path,
                    const nlohmann::json &body,
                    std::function<void(const CloudAnswer &)> done);
-    void readLoad(const std::string &address, std::function<void(std::optional<double>)> done);
     void tickPlacer();
     void probe(const std::string &address, std::function<void(bool)> done);
     void tick();
--- a/src/entry/loadpoller.cpp
+++ b/src/entry/loadpoller.cpp
@@ -1,6 +1,6 @@
 #include "loadpoller.h"
 
-#include <nlohmann/json.hpp>
+#include "loadreport.h"
 
 #include <algorithm>
 
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::string_view loadPath = "/load";
 constexpr std::chrono::milliseconds pollInterval{250};
 /// A node cannot ask 12,000 workers in each interval; what it does not ask it judges by its own requests in flight.
 constexpr std::size_t reportsPerInterval = 16;
@@ -39,7 +38,7 @@
     const std::size_t count = std::min(snapshot.upstreams.size(), reportsPerInterval);
     for (std::size_t i = 0; i < count; ++i) {
         const Upstream &upstream = snapshot.upstreams[this->next++ % snapshot.upstreams.size()];
-        const Service *service = snapshot.findService(upstream.service);
+        const Service *service = this->context.configuration.findService(upstream.service);
         if (service && service->kind == ServiceKind::Model && upstream.state == UpstreamState::Serving)
             this->read(upstream);
     }
@@ -47,20 +46,15 @@
 
 void LoadPoller::read(const Upstream &upstream)
 {
-    HttpCall call;
-    call.url = "http://" + upstream.address + std::string(loadPath);
-    call.connectTimeout = reportTimeout;
-    call.timeout = reportTimeout;
     const int ownInFlight = this->context.dispatcher.upstreams().inFlightAt(upstream.id);
-    HttpCallHooks hooks;
-    hooks.done = [this, id = upstream.id, ownInFlight](const HttpOutcome &outcome) {
-        const nlohmann::json body = nlohmann::json::parse(outcome.body, nullptr, false);
-        if (outcome.status != 200 || !body.is_object() || !body.contains("inFlight") || !body["inFlight"].is_number())
-            return;
-        this->context.dispatcher.upstreams().loadReported(
-            id, body["inFlight"].get<double>(), ownInFlight, std::chrono::steady_clock::now());
-    };
-    this->context.http.start(std::move(call), std::move(hooks));
+    readLoadReport(this->context.http,
+                   upstream.address,
+                   reportTimeout,
+                   [this, id = upstream.id, ownInFlight](std::optional<double> load) {
+                       if (load)
+                           this->context.dispatcher.upstreams().loadReported(
+                               id, *load, ownInFlight, std::chrono::steady_clock::now());
+                   });
 }
 
 } // namespace hemlock
--- a/src/libhemlock/controlnode.cpp
+++ b/src/libhemlock/controlnode.cpp
@@ -343,6 +343,11 @@
     return snapshot;
 }
 
+std::vector<Upstream> ControlNode::upstreams() const
+{
+    return this->lifecycle.upstreams();
+}
+
 std::vector<json> ControlNode::placement() const
 {
     return this->config.keeper().document().placement();
--- a/src/libhemlock/controlnode.h
+++ b/src/libhemlock/controlnode.h
@@ -48,6 +48,9 @@
 
     Snapshot snapshot() const;
 
+    /// All upstreams that are not gone.
+    std::vector<Upstream> upstreams() const;
+
     /// Entries of the field "placement" of the configuration in force.
     std::vector<nlohmann::json> placement() const;
 
--- a/src/libhemlock/snapshot.cpp
+++ b/src/libhemlock/snapshot.cpp
@@ -2,25 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace hemlock {
 
-const Service *Snapshot::findService(const std::string &id) const
-{
-    const auto match = std::find_if(
-        this->services.begin(), this->services.end(), [&id](const Service &service) { return service.id == id; });
-    return match == this->services.end() ? nullptr : &*match;
-}
-
-const AccessRule *Snapshot::findRule(const std::string &clientAccount, const std::string &service) const
-{
-    const auto match = std::find_if(this->rules.begin(), this->rules.end(), [&](const AccessRule &rule) {
-        return rule.clientAccount == clientAccount && rule.service == service;
-    });
-    return match == this->rules.end() ? nullptr : &*match;
-}
-
 void to_json(nlohmann::json &json, const Peer &peer)
 {
     json = {{"id", peer.id},
--- a/src/libhemlock/snapshot.h
+++ b/src/libhemlock/snapshot.h
@@ -29,9 +29,6 @@
     std::vector<AccessRule> rules;
     std::vector<Upstream> upstreams;
     std::vector<Peer> peers; ///< Without the VM itself.
-
-    const Service *findService(const std::string &id) const;
-    const AccessRule *findRule(const std::string &clientAccount, const std::string &service) const;
 };
 
 void to_json(nlohmann::json &json, const Peer &peer);
