--- a/src/libhemlock/candidateset.h
+++ b/src/libhemlock/candidateset.h
@@ -24,6 +24,9 @@
     /// Of the requests in the report, those of this process, which inFlight counts already; 0 when unknown.
     double inFlightAtReport = 0.0;
 
+    double pendingTokens = 0.0; ///< Prompt tokens sent there, by this and other entry VMs, without a first token yet.
+    double failureShare = 0.0; ///< Of its recent answers to this process, 0 to 1.
+    std::chrono::milliseconds excessDelay{0}; ///< Recent time to the first byte beyond what the load explains.
     int slots = 0; ///< Requests that the upstream runs at once, others wait there; 0 when unknown.
 
     /// Estimate of the requests in progress: the own ones as they are now, those of others as last reported.
--- a/src/libhemlock/fairqueue.cpp
+++ b/src/libhemlock/fairqueue.cpp
@@ -77,7 +77,9 @@
     if (flow.requests.empty())
         flow.start = std::max(flow.start, account.flowTime);
     account.weight = request.weight;
-    const Position position{request.priority, this->arrivals++};
+    if (request.arrival == 0)
+        request.arrival = ++this->arrivals;
+    const Position position{request.priority, request.arrival};
     this->places[request.requestId] = {request.clientAccount, flowIndex, position};
     flow.tokens += request.cost;
     flow.tokensByPriority[static_cast<std::size_t>(request.priority)] += request.cost;
--- a/src/libhemlock/fairqueue.h
+++ b/src/libhemlock/fairqueue.h
@@ -33,6 +33,7 @@
     double cost = 1.0; ///< As by requestCost; the answer counts with the expected or greatest length.
     int priority = 5; ///< 0 is served first among the requests of one account, 9 last.
     std::chrono::steady_clock::time_point latestStart = std::chrono::steady_clock::time_point::max();
+    std::uint64_t arrival = 0; ///< Set by the first push; a request that is pushed again keeps its place.
 };
 
 struct FairQueueSettings
--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -276,6 +276,12 @@
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error = curl_easy_strerror(code);
+        if (transfer.sendAttempts == 0)
+            transfer.outcome.failure = HttpFailure::Connect;
+        else if (code == CURLE_OPERATION_TIMEDOUT)
+            transfer.outcome.failure = HttpFailure::Timeout;
+        else
+            transfer.outcome.failure = HttpFailure::Broken;
     }
 
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> sockets;
@@ -287,6 +293,10 @@
     CURL *easy = transfer.easy;
     const HttpCall &call = transfer.call;
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    if (!call.target.empty())
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call.target.c_str());
+    if (call.maxIdle.count() > 0)
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maxIdle.count()));
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -299,6 +309,12 @@
     }
     // libcurl waits a second for "100 Continue" on large bodies unless the field is removed.
     transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+    if (call.onlyOwnHeaders) {
+        for (const char *name : {"Accept", "Content-Type"}) {
+            if (!call.headers.has(name))
+                transfer.headerList = curl_slist_append(transfer.headerList, (std::string(name) + ":").c_str());
+        }
+    }
     for (const HttpHeader &field : call.headers) {
         // An empty value needs a semicolon, since libcurl takes "Name:" as the order to leave the field out.
         const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -24,11 +24,22 @@
 {
     std::string method = "GET";
     std::string url;
+    std::string target; ///< Request target sent as it is; empty for that of the URL.
     HttpHeaders headers;
     std::string body;
     std::chrono::milliseconds connectTimeout{2000};
     std::chrono::milliseconds timeout{0}; ///< For the whole exchange; 0 means no limit.
     bool closesConnection = false; ///< The connection is not kept for later calls.
+    bool onlyOwnHeaders = false; ///< Without the fields that libcurl adds by itself.
+    std::chrono::seconds maxIdle{0}; ///< An older idle connection is not used; 0 leaves it to libcurl.
+};
+
+/// Why no whole response arrived.
+enum class HttpFailure {
+    None,
+    Connect, ///< No connection could be made.
+    Timeout,
+    Broken, ///< The connection ended or carried something else than a response.
 };
 
 /// How an exchange ended.
@@ -39,6 +50,7 @@
     int status = 0; ///< HTTP status, 0 when no response head arrived.
     HttpHeaders headers;
     std::string body; ///< Empty when the call has a data hook.
+    HttpFailure failure = HttpFailure::None;
     std::string error; ///< Empty when a whole response arrived.
 
     bool isComplete() const
--- a/src/libhemlock/httpmessage.cpp
+++ b/src/libhemlock/httpmessage.cpp
@@ -26,6 +26,11 @@
     this->fields.push_back({std::move(name), std::move(value)});
 }
 
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(this->fields, [name](const HttpHeader &field) { return equalsIgnoringCase(field.name, name); });
+}
+
 std::string HttpHeaders::value(std::string_view name) const
 {
     const HttpHeader *field = this->find(name);
--- a/src/libhemlock/httpmessage.h
+++ b/src/libhemlock/httpmessage.h
@@ -22,6 +22,9 @@
 
     void add(std::string name, std::string value);
 
+    /// Removes all fields of the name.
+    void remove(std::string_view name);
+
     /// First value of the field, or an empty string when it is absent.
     std::string value(std::string_view name) const;
     bool has(std::string_view name) const;
@@ -39,6 +42,7 @@
 struct HttpRequest
 {
     std::string method;
+    std::string target; ///< As sent, with the query string.
     std::string path; ///< Target without the query string.
     std::string query; ///< Part after '?', without it.
     HttpHeaders headers;
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include <restinio/all.hpp>
 
+#include <limits>
 #include <unordered_map>
 
 namespace hemlock {
@@ -62,6 +63,9 @@
     static constexpr bool use_connection_count_limiter = true;
 };
 
+/// RESTinio numbers the requests of a connection from 0.
+constexpr restinio::request_id_t unknownRequest = std::numeric_limits<restinio::request_id_t>::max();
+
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
@@ -71,6 +75,8 @@
         : request(std::move(request))
         , table(std::move(table))
         , keepAlive(this->request->header().should_keep_alive())
+        , connectionId(this->request->connection_id())
+        , connection(restinio::impl::access_req_connection(*this->request))
     {
     }
 
@@ -112,6 +118,24 @@
         this->stream->flush();
     }
 
+    void abort() override
+    {
+        if (!this->request && !this->stream)
+            return;
+        const auto open = this->connection.lock();
+        this->table->remove(this->connectionId);
+        this->disconnected = nullptr;
+        this->stream.reset();
+        this->request.reset();
+        if (!open)
+            return;
+        // RESTinio has no call that closes a connection; it does so on a part of an answer to an unknown request.
+        open->write_response_parts(unknownRequest,
+                                   restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
+                                                                     restinio::response_connection_attr_t::connection_close},
+                                   restinio::write_group_t{restinio::writable_items_container_t{}});
+    }
+
     void write(std::string chunk) override
     {
         if (!this->stream || chunk.empty())
@@ -182,6 +206,8 @@
     restinio::request_handle_t request;
     std::shared_ptr<ConnectionTable> table;
     bool keepAlive;
+    restinio::connection_id_t connectionId;
+    std::weak_ptr<restinio::impl::connection_base_t> connection;
     std::unique_ptr<ChunkedBuilder> stream;
     std::size_t pending = 0;
     std::function<void()> disconnected;
@@ -200,6 +226,7 @@
     HttpRequest converted;
     const auto &header = request.header();
     converted.method = header.method().c_str();
+    converted.target = header.request_target();
     converted.path = std::string(header.path());
     converted.query = std::string(header.query());
     header.for_each_field([&converted](const auto &field) { converted.headers.add(field.name(), field.value()); });
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -26,6 +26,9 @@
     virtual void write(std::string chunk) = 0;
     virtual void endStream() = 0;
 
+    /// Closes the connection without the rest of the answer, so that the caller sees that it is incomplete.
+    virtual void abort() = 0;
+
     /// Bytes handed to write() that the connection has not taken yet.
     virtual std::size_t pendingBytes() const = 0;
 
--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -8,6 +8,23 @@
 
 namespace hemlock {
 
+/// One page of a range read.
+struct KvPage
+{
+    KvRangeResult range;
+    bool hasMore = false;
+};
+
+/// What a waiting read of changes returned.
+struct KvChanges
+{
+    KvStatus status = KvStatus::Unknown;
+    bool isCompacted = false; ///< The history is gone; read everything again.
+    std::int64_t revision = 0;
+    std::vector<KvEvent> events;
+    std::string error;
+};
+
 /// The calls to the key-value store that decision code makes, so that tests can pass an in-memory store.
 struct KvAccess
 {
@@ -15,6 +32,16 @@
     std::function<void(const KvTxn &txn, std::function<void(const KvTxnResult &)> done)> txn;
     std::function<void(std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done)> grantLease;
     std::function<void(std::int64_t lease, std::function<void(const KvLeaseResult &)> done)> keepLeaseAlive;
+    /// Reads one page of the keys that begin with @p prefix and come after @p afterKey. Unset where the store has no pages.
+    std::function<void(const std::string &prefix, const std::string &afterKey, std::function<void(const KvPage &)> done)>
+        page;
+    /// Waits up to @p wait for changes after @p revision to keys that begin with @p prefix; an empty list means none.
+    /// The result ends the wait. Unset where the store streams its changes.
+    std::function<std::function<void()>(const std::string &prefix,
+                                        std::int64_t revision,
+                                        std::chrono::milliseconds wait,
+                                        std::function<void(const KvChanges &)> done)>
+        changes;
     /// Watches one key; the result ends the watch.
     std::function<std::function<void()>(const std::string &key, KvClient::WatchHooks hooks)> watch;
 };
--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -39,6 +39,7 @@
     if (this->isBusy || !this->task.isDue(now, this->settings.ttl / renewalsPerLease, random))
         return;
     this->isBusy = true;
+    this->callSent = now;
     if (this->isHeld())
         this->renew();
     else
@@ -50,6 +51,11 @@
     return this->holderRevision != 0;
 }
 
+bool LeaderRole::isLeaseCurrent(TimePoint now) const
+{
+    return this->isHeld() && now < this->leaseSent + this->settings.ttl;
+}
+
 std::int64_t LeaderRole::fencingToken() const
 {
     return this->isHeld() ? this->token : 0;
@@ -136,6 +142,7 @@
 void LeaderRole::take(std::int64_t newHolderRevision, std::int64_t newLease, std::int64_t newToken)
 {
     this->holderRevision = newHolderRevision;
+    this->leaseSent = this->callSent;
     this->lease = newLease;
     this->token = newToken;
 }
@@ -146,8 +153,12 @@
         if (alive.expired())
             return;
         this->isBusy = false;
-        if (result.status == KvStatus::Ok && result.ttl.count() == 0)
+        if (result.status != KvStatus::Ok)
+            return;
+        if (result.ttl.count() == 0)
             this->lose();
+        else
+            this->leaseSent = this->callSent;
     });
 }
 
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -43,6 +43,9 @@
     /// Whether this node believes that it holds the role.
     bool isHeld() const;
 
+    /// Whether the lease certainly still runs at @p now, by the time at which its last renewal was sent.
+    bool isLeaseCurrent(TimePoint now) const;
+
     /// Grows with each holder; 0 while the role is not held.
     std::int64_t fencingToken() const;
 
@@ -71,6 +74,8 @@
     std::int64_t holderRevision = 0; ///< Of this node's claim; 0 while it does not hold the role.
     std::int64_t lease = 0;
     std::int64_t token = 0;
+    TimePoint leaseSent; ///< When the grant or renewal of the lease in force was sent.
+    TimePoint callSent;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -0,0 +1,233 @@
+#include "relay/dutyrunner.h"
+
+#include "logger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace hemlock {
+
+namespace {
+
+constexpr std::chrono::milliseconds pauseAfterRefusedOrder{1500};
+
+std::string encodeRecord(const std::map<std::int64_t, UsageCounts> &windows)
+{
+    nlohmann::json json = nlohmann::json::object();
+    for (const auto &[window, counts] : windows)
+        json[std::to_string(window)] = counts;
+    return json.dump();
+}
+
+std::map<std::int64_t, UsageCounts> decodeRecord(const std::string &text)
+{
+    std::map<std::int64_t, UsageCounts> windows;
+    const auto json = nlohmann::json::parse(text);
+    for (const auto &[window, counts] : json.items())
+        windows[std::stoll(window)] = counts.get<UsageCounts>();
+    return windows;
+}
+
+} // namespace
+
+DutyRunner::DutyRunner(KvAccess kv, DutySettings settings, const RelayTransport &transport, UsageLedger &usage)
+    : kv(kv)
+    , settings(settings)
+    , transport(transport)
+    , usage(usage)
+    , role(std::move(kv), {settings.keyPrefix, settings.holder, settings.leaseTtl})
+{
+}
+
+void DutyRunner::setDuties(bool usageReports, bool upstreamOrders)
+{
+    this->reportsUsage = usageReports;
+    this->ordersUpstreams = upstreamOrders;
+}
+
+void DutyRunner::holderSeen(bool exists)
+{
+    this->holderExists = exists;
+}
+
+void DutyRunner::setOrders(const std::set<UpstreamOrder> &wanted)
+{
+    this->orders = wanted;
+}
+
+bool DutyRunner::isActing(TimePoint at) const
+{
+    return this->heldSince && this->isRecordLoaded && at >= *this->heldSince + this->settings.settleTime
+        && this->role.isLeaseCurrent(at + this->settings.callMargin);
+}
+
+void DutyRunner::tick(TimePoint time, WallTime wallTime, double random)
+{
+    this->now = time;
+    if (!this->reportsUsage && !this->ordersUpstreams)
+        return;
+    // Others' claims are seen in the store's changes, so that only the holder and the candidates for a vacancy ask it.
+    if (this->role.isHeld() || !this->holderExists)
+        this->role.tick(time, random);
+    if (!this->role.isHeld()) {
+        if (this->heldSince)
+            logEvent(LogLevel::Warning, "duty-lost", {{"holder", this->settings.holder}});
+        this->heldSince.reset();
+        this->isRecordLoaded = false;
+        return;
+    }
+    if (!this->heldSince) {
+        this->heldSince = time;
+        this->accepted.clear();
+        logEvent(LogLevel::Info,
+                 "duty-taken",
+                 {{"holder", this->settings.holder}, {"fencingToken", this->role.fencingToken()}});
+    }
+    if (!this->isRecordLoaded)
+        this->loadRecord();
+    if (!this->isActing(time))
+        return;
+    if (this->reportsUsage)
+        this->reportNext(time, wallTime);
+    if (this->ordersUpstreams)
+        this->orderNext(time);
+}
+
+void DutyRunner::release()
+{
+    this->role.release();
+    this->heldSince.reset();
+    this->isRecordLoaded = false;
+}
+
+std::string DutyRunner::holderKey() const
+{
+    return this->settings.keyPrefix + "/holder";
+}
+
+std::string DutyRunner::usageKey() const
+{
+    return this->settings.keyPrefix + "/usage";
+}
+
+void DutyRunner::loadRecord()
+{
+    if (std::exchange(this->isLoadingRecord, true))
+        return;
+    this->kv.range(this->usageKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+        if (!alive.expired())
+            this->recordLoaded(result);
+    });
+}
+
+void DutyRunner::recordLoaded(const KvRangeResult &result)
+{
+    this->isLoadingRecord = false;
+    if (!this->role.isHeld())
+        return;
+    if (result.status != KvStatus::Ok) {
+        logEvent(LogLevel::Warning, "duty-record", {{"error", result.error}});
+        return;
+    }
+    this->recorded.clear();
+    this->toSend.clear();
+    this->nextWindow.reset();
+    if (!result.entries.empty()) {
+        try {
+            this->recorded = decodeRecord(result.entries.front().value);
+        } catch (const std::exception &error) {
+            logEvent(LogLevel::Error, "duty-record", {{"error", error.what()}});
+        }
+    }
+    for (const auto &[window, counts] : this->recorded) {
+        this->toSend.insert(window);
+        this->nextWindow = window + 1;
+    }
+    this->isRecordLoaded = true;
+}
+
+void DutyRunner::reportNext(TimePoint time, WallTime wallTime)
+{
+    if (this->isReporting)
+        return;
+    if (!this->toSend.empty())
+        return this->sendReport(*this->toSend.begin(), time);
+    // The first holder of all begins with the window that runs when it takes the role.
+    if (!this->nextWindow)
+        this->nextWindow = this->usage.windowAt(wallTime - this->settings.settleTime);
+    const std::int64_t window = *this->nextWindow;
+    if (wallTime < this->usage.endOf(window) + this->settings.countDelay)
+        return;
+    auto next = this->recorded;
+    next[window] = this->usage.total(window);
+    while (next.size() > this->settings.keptWindows)
+        next.erase(next.begin());
+    this->isReporting = true;
+    this->role.commit({{this->usageKey(), encodeRecord(next), 0}},
+                      [this, window, next, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
+                          if (alive.expired())
+                              return;
+                          this->isReporting = false;
+                          if (result == LeaderRole::CommitResult::Committed) {
+                              this->recorded = next;
+                              this->nextWindow = window + 1;
+                              this->toSend.insert(window);
+                          } else if (result == LeaderRole::CommitResult::Unknown) {
+                              // The counts may stand in the store: only what is read there may be sent.
+                              this->isRecordLoaded = false;
+                          }
+                      });
+}
+
+void DutyRunner::sendReport(std::int64_t window, TimePoint)
+{
+    this->isReporting = true;
+    const DutyStamp stamp{this->settings.holder, this->role.fencingToken()};
+    this->transport.reportUsage(
+        stamp,
+        window,
+        this->recorded[window],
+        [this, window, alive = std::weak_ptr<bool>(this->alive)](DutyResult result) {
+            if (alive.expired())
+                return;
+            this->isReporting = false;
+            logEvent(LogLevel::Info, "usage-report", {{"window", window}, {"accepted", result == DutyResult::Accepted}});
+            if (result != DutyResult::Unknown)
+                this->toSend.erase(window);
+        });
+}
+
+void DutyRunner::orderNext(TimePoint time)
+{
+    if (this->isOrdering || time < this->nextOrder)
+        return;
+    for (const UpstreamOrder &order : this->orders) {
+        const std::tuple subject(order.service, order.zone, order.isReclaimable);
+        const auto last = this->accepted.find(subject);
+        if (last != this->accepted.end() && last->second == order.count)
+            continue;
+        this->isOrdering = true;
+        const DutyStamp stamp{this->settings.holder, this->role.fencingToken()};
+        this->transport.orderUpstreams(
+            stamp, order, [this, order, subject, alive = std::weak_ptr<bool>(this->alive)](DutyResult result) {
+                if (alive.expired())
+                    return;
+                this->isOrdering = false;
+                logEvent(LogLevel::Info,
+                         "upstream-order",
+                         {{"service", order.service},
+                          {"zone", order.zone},
+                          {"count", order.count},
+                          {"reclaimable", order.isReclaimable},
+                          {"accepted", result == DutyResult::Accepted}});
+                if (result == DutyResult::Accepted)
+                    this->accepted[subject] = order.count;
+                else
+                    this->nextOrder = this->now + pauseAfterRefusedOrder;
+            });
+        return;
+    }
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "kvaccess.h"
+#include "leaderrole.h"
+#include "relay/relaytransport.h"
+#include "relay/usageledger.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+struct DutySettings
+{
+    std::string holder; ///< Name of this node.
+    std::string keyPrefix; ///< Of all records of the duties, such as "hemlock/duties".
+    std::chrono::seconds leaseTtl{3};
+    /// A new holder waits so long before its first call: calls of the holder before may still be on their way.
+    std::chrono::milliseconds settleTime{3000};
+    /// Rest of the lease that a call needs to arrive in.
+    std::chrono::milliseconds callMargin{1000};
+    /// After the end of a window the last counts of peers arrive.
+    std::chrono::milliseconds countDelay{2000};
+    std::size_t keptWindows = 6; ///< Windows whose counts the record keeps for a successor.
+};
+
+/// Acts for the whole system while this node holds the role: reports usage and orders upstreams.
+///
+/// What a call says is written to the store first, under the condition that this node holds the role. A successor
+/// finds it there and repeats it exactly.
+class DutyRunner
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+    using WallTime = std::chrono::system_clock::time_point;
+
+    DutyRunner(KvAccess kv, DutySettings settings, const RelayTransport &transport, UsageLedger &usage);
+
+    /// Which duties the platform asks for.
+    void setDuties(bool reportsUsage, bool ordersUpstreams);
+
+    /// Record of the role's holder in the store changed; empty when there is none.
+    void holderSeen(bool exists);
+
+    /// Wanted orders; only what differs from the last accepted order is sent.
+    void setOrders(const std::set<UpstreamOrder> &orders);
+
+    /// Whether this node may act now.
+    bool isActing(TimePoint now) const;
+
+    void tick(TimePoint now, WallTime wallTime, double random);
+
+    /// Gives the role up.
+    void release();
+
+    std::string holderKey() const;
+
+private:
+    std::string usageKey() const;
+    void loadRecord();
+    void recordLoaded(const KvRangeResult &result);
+    void reportNext(TimePoint now, WallTime wallTime);
+    void sendReport(std::int64_t window, TimePoint now);
+    void orderNext(TimePoint now);
+
+    KvAccess kv;
+    DutySettings settings;
+    const RelayTransport &transport;
+    UsageLedger &usage;
+    LeaderRole role;
+    bool reportsUsage = false;
+    bool ordersUpstreams = false;
+    bool holderExists = false;
+    std::optional<TimePoint> heldSince;
+    TimePoint now;
+    bool isRecordLoaded = false;
+    bool isLoadingRecord = false;
+    bool isReporting = false;
+    bool isOrdering = false;
+    std::map<std::int64_t, UsageCounts> recorded; ///< Windows whose counts stand in the store.
+    std::set<std::int64_t> toSend; ///< Recorded windows that the platform has not accepted from this node.
+    std::optional<std::int64_t> nextWindow;
+    std::set<UpstreamOrder> orders;
+    std::map<std::tuple<std::string, std::string, bool>, int> accepted;
+    TimePoint nextOrder;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/eventsplitter.cpp
@@ -0,0 +1,67 @@
+#include "relay/eventsplitter.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+/// Position after the last empty line, which ends an event; 0 when there is none.
+std::size_t endOfLastEvent(std::string_view bytes)
+{
+    std::size_t end = 0;
+    for (const std::string_view separator : {"\n\n", "\n\r\n"}) {
+        const std::size_t found = bytes.rfind(separator);
+        if (found != std::string_view::npos)
+            end = std::max(end, found + separator.size());
+    }
+    return end;
+}
+
+} // namespace
+
+std::string EventSplitter::append(std::string_view bytes)
+{
+    this->rest.append(bytes);
+    const std::size_t end = endOfLastEvent(this->rest);
+    std::string whole = this->rest.substr(0, end);
+    this->rest.erase(0, end);
+    this->readIds(whole);
+    return whole;
+}
+
+const std::string &EventSplitter::lastEventId() const
+{
+    return this->lastId;
+}
+
+bool EventSplitter::hasRest() const
+{
+    return !this->rest.empty();
+}
+
+void EventSplitter::dropRest()
+{
+    this->rest.clear();
+}
+
+void EventSplitter::readIds(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    std::size_t begin = 0;
+    while (begin < events.size()) {
+        const std::size_t end = std::min(events.find('\n', begin), events.size());
+        std::string_view line = events.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        this->lastId = line;
+    }
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -0,0 +1,118 @@
+#include "relay/partaffinity.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hemlock {
+
+namespace {
+
+std::uint64_t rendezvousWeight(std::uint64_t part, const std::string &upstream)
+{
+    std::uint64_t value = part ^ (std::hash<std::string>()(upstream) * 0x9e3779b97f4a7c15ULL);
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+/// The last part belongs to the request alone; the one before decides the home.
+std::size_t sharedParts(const RouteQuery &query)
+{
+    return query.parts.empty() ? 0 : query.parts.size() - 1;
+}
+
+const UpstreamView *homeOf(const RouteQuery &query, const CandidateSet &candidates)
+{
+    const std::size_t shared = sharedParts(query);
+    if (shared == 0)
+        return nullptr;
+    const std::uint64_t part = query.parts[shared - 1].id;
+    const UpstreamView *home = nullptr;
+    std::uint64_t greatest = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const std::uint64_t weight = rendezvousWeight(part, candidates.at(i).id);
+        if (!home || weight > greatest) {
+            home = &candidates.at(i);
+            greatest = weight;
+        }
+    }
+    return home;
+}
+
+} // namespace
+
+PartAffinityPolicy::PartAffinityPolicy(PartAffinitySettings settings)
+    : settings(settings)
+{
+}
+
+RouteDecision
+PartAffinityPolicy::choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random)
+{
+    const UpstreamView *home = homeOf(query, candidates);
+    // Equal upstreams are told apart at random, so that entry VMs do not all choose the same one.
+    constexpr double tieMs = 0.5;
+    std::uniform_real_distribution<double> tie(0.0, tieMs);
+    const UpstreamView *best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    double missing = 0.0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamView &view = candidates.at(i);
+        const double tokens = this->missingTokens(query, view.id, &view == home);
+        const double cost = (view.pendingTokens + tokens) / this->settings.tokensPerMs
+            + view.load() * this->settings.requestMs + static_cast<double>(view.excessDelay.count())
+            + view.failureShare * this->settings.failureMs
+            + (view.zone == query.zone ? 0.0 : this->settings.crossZoneMs) + tie(random);
+        if (cost >= least)
+            continue;
+        least = cost;
+        missing = tokens;
+        best = &view;
+    }
+    RouteDecision decision;
+    decision.upstream = best->id;
+    decision.reason = "least expected delay of the first token: " + std::to_string(static_cast<long>(least)) + " ms, "
+        + std::to_string(static_cast<long>(missing)) + " prompt tokens to compute"
+        + (best == home ? ", home of the shared part" : "");
+    return decision;
+}
+
+double PartAffinityPolicy::missingTokens(const RouteQuery &query, const std::string &upstream, bool isHome) const
+{
+    const std::size_t shared = sharedParts(query);
+    const auto held = this->heldByUpstream.find(upstream);
+    double missing = 0.0;
+    bool isPrefixHeld = true;
+    for (std::size_t i = 0; i < query.parts.size(); ++i) {
+        const PromptPart &part = query.parts[i];
+        isPrefixHeld =
+            isPrefixHeld && held != this->heldByUpstream.end() && held->second.places.contains(part.id);
+        if (isPrefixHeld)
+            continue;
+        missing += part.tokens * (isHome && i < shared ? 1.0 - this->settings.homeCredit : 1.0);
+    }
+    return missing;
+}
+
+void PartAffinityPolicy::removeUpstream(const std::string &upstream)
+{
+    this->heldByUpstream.erase(upstream);
+}
+
+void PartAffinityPolicy::noteCached(const std::string &upstream, const std::vector<std::uint64_t> &parts)
+{
+    Held &held = this->heldByUpstream[upstream];
+    // The last part is used first, so that a prefix outlives what follows it.
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
+        if (const auto known = held.places.find(*part); known != held.places.end())
+            held.order.erase(known->second);
+        held.order.push_front(*part);
+        held.places[*part] = held.order.begin();
+    }
+    while (held.order.size() > this->settings.rememberedParts) {
+        held.places.erase(held.order.back());
+        held.order.pop_back();
+    }
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/peerlink.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace asio {
+class io_context;
+}
+
+namespace hemlock {
+
+/// Sends datagrams to the other entry VMs and receives theirs.
+class PeerLink
+{
+public:
+    /// Listens at "IP:PORT". Throws std::system_error when the address cannot be bound.
+    PeerLink(asio::io_context &loop,
+             const std::string &address,
+             std::function<void(std::string_view datagram)> received);
+    ~PeerLink();
+
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// "IP:PORT" that the link is bound to.
+    std::string address() const;
+
+    /// Sends to each address; what cannot be sent at once is lost.
+    void send(const std::string &datagram, const std::set<std::string> &addresses);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/peernews.cpp
@@ -0,0 +1,35 @@
+#include "relay/peernews.h"
+
+namespace hemlock {
+
+void to_json(nlohmann::json &json, const PeerNews &news)
+{
+    nlohmann::json loads = nlohmann::json::object();
+    for (const auto &[upstream, load] : news.loads)
+        loads[upstream] = {load.requests, load.pendingTokens};
+    nlohmann::json usage = nlohmann::json::object();
+    for (const auto &[window, counts] : news.usage)
+        usage[std::to_string(window)] = counts;
+    json = {{"node", news.node},
+            {"run", news.run},
+            {"sequence", news.sequence},
+            {"quota", news.quotaTotals},
+            {"loads", std::move(loads)},
+            {"usage", std::move(usage)},
+            {"quarantine", news.quarantine}};
+}
+
+void from_json(const nlohmann::json &json, PeerNews &news)
+{
+    json.at("node").get_to(news.node);
+    json.at("run").get_to(news.run);
+    json.at("sequence").get_to(news.sequence);
+    json.at("quota").get_to(news.quotaTotals);
+    for (const auto &[upstream, load] : json.at("loads").items())
+        news.loads[upstream] = {load.at(0).get<int>(), load.at(1).get<double>()};
+    for (const auto &[window, counts] : json.at("usage").items())
+        news.usage[std::stoll(window)] = counts.get<UsageCounts>();
+    news.quarantine = json.at("quarantine");
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/peerregistry.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "kvaccess.h"
+#include "periodictask.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace hemlock {
+
+/// Registers this entry VM in the store under a lease, and knows the others by their records.
+class PeerRegistry
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    /// @p prefix ends with a slash; @p address is where this VM receives datagrams.
+    PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address);
+
+    void tick(TimePoint now, double random);
+
+    /// A record below the prefix was written, or removed when the address is empty.
+    void recordSeen(const std::string &key, const std::string &peerAddress, TimePoint now);
+
+    /// A peer's datagram arrived: it lives, whatever its record says.
+    void heard(const std::string &peer, TimePoint now);
+
+    /// Addresses of the other entry VMs.
+    std::set<std::string> addresses(TimePoint now) const;
+
+    /// Number of other entry VMs that are registered or were heard of just now.
+    std::size_t count(TimePoint now) const;
+
+    const std::string &prefix() const;
+
+    /// Ends the own record.
+    void leave();
+
+private:
+    struct Peer
+    {
+        std::string address;
+        bool isRegistered = false;
+        TimePoint heard;
+    };
+
+    bool isAlive(const Peer &peer, TimePoint now) const;
+    void registerSelf();
+    void keepAlive();
+
+    KvAccess kv;
+    std::string keyPrefix;
+    std::string node;
+    std::string address;
+    PeriodicTask task;
+    std::map<std::string, Peer> peers;
+    std::int64_t lease = 0;
+    bool isCalling = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -0,0 +1,472 @@
+#include "relay/relaycall.h"
+
+#include "encoding.h"
+#include "logger.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlock {
+
+namespace {
+
+/// A caller that does not read is cut off beyond this many unsent bytes.
+constexpr std::size_t maxPendingBytes = std::size_t{256} * 1024;
+
+/// Connections within a region take a few milliseconds; a lost opening packet is sent again after a second.
+constexpr std::chrono::milliseconds connectTimeout{700};
+
+/// The way of an answer back to the caller, taken off the time that an upstream gets.
+constexpr std::chrono::milliseconds returnTime{5};
+
+/// A request with less time than this cannot be answered in time any more.
+constexpr std::chrono::milliseconds leastTime{10};
+
+/// Requests that name no deadline, on routes without a timeout.
+constexpr std::chrono::milliseconds defaultTimeLimit{60000};
+
+constexpr int lowestPriorityOfUpstreams = 9;
+
+bool isConnectionField(const std::string &name)
+{
+    static const HttpHeaders fields = {{"Connection", ""},
+                                       {"Keep-Alive", ""},
+                                       {"Proxy-Connection", ""},
+                                       {"Transfer-Encoding", ""},
+                                       {"Content-Length", ""},
+                                       {"TE", ""},
+                                       {"Trailer", ""},
+                                       {"Upgrade", ""}};
+    return fields.has(name);
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders kept;
+    for (const HttpHeader &field : headers) {
+        if (!isConnectionField(field.name))
+            kept.add(field.name, field.value);
+    }
+    return kept;
+}
+
+std::string nextCallId()
+{
+    static std::uint64_t last = 0;
+    return std::to_string(++last);
+}
+
+} // namespace
+
+RelayCall::RelayCall(RelayContext &context, HttpResponderPtr responder, std::function<void()> ended)
+    : context(context)
+    , responder(std::move(responder))
+    , ended(std::move(ended))
+    , timer(context.loop)
+    , id(nextCallId())
+{
+}
+
+void RelayCall::start(HttpRequest received)
+{
+    this->arrival = this->context.now();
+    auto decoded = this->context.transport.decodeRequest(std::move(received));
+    if (const auto *error = std::get_if<RequestError>(&decoded))
+        return this->refuse(*error);
+    this->request = std::move(std::get<RelayRequest>(decoded));
+    if (!this->resolve() || !this->authorize())
+        return;
+    const auto routeLimit = this->route->timeout.count() > 0 ? this->route->timeout : defaultTimeLimit;
+    this->limit = this->arrival + std::min(routeLimit, this->request.deadline.value_or(routeLimit));
+    if (this->timeLeft() < leastTime)
+        return this->refuse({Verdict::NotRun, 503, "deadline", "too little time is left", std::chrono::seconds(1)});
+    if (!this->takeQuota())
+        return;
+    this->timer.expires_after(this->timeLeft());
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->timeLimitReached();
+    });
+    this->responder->setDisconnected([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerLeft();
+    });
+    this->enqueue();
+}
+
+bool RelayCall::resolve()
+{
+    this->routes = this->context.routes;
+    if (!this->routes) {
+        this->refuse({Verdict::NotRun, 503, "starting", "no configuration is known yet", std::chrono::seconds(1)});
+        return false;
+    }
+    this->route = this->routes->find(this->request.host, this->request.path);
+    if (!this->route) {
+        this->refuse({Verdict::NotRun, 404, "unknown-route", "no route has this host and path", {}});
+        return false;
+    }
+    this->service = targetService(*this->route, this->request.attemptId);
+    return true;
+}
+
+bool RelayCall::authorize()
+{
+    if (this->routes->config().accounts.empty())
+        return true;
+    this->account = this->routes->accountOfKey(this->request.apiKey);
+    if (!this->account && !this->route->isPublic) {
+        this->refuse({Verdict::NotRun, 401, "unknown-key", "the API key belongs to no client account", {}});
+        return false;
+    }
+    const std::string name = this->account ? this->account->name : std::string();
+    this->fingerprint = requestFingerprint(name, this->request.target, this->request.body);
+    if (this->context.quarantine.ask(this->fingerprint, this->context.now()) == Quarantine::Permission::Refused) {
+        constexpr std::chrono::seconds quarantineRetry{60};
+        this->refuse({Verdict::NotRun, 503, "quarantined", "the request crashed several upstreams", quarantineRetry});
+        return false;
+    }
+    return true;
+}
+
+bool RelayCall::takeQuota()
+{
+    if (!this->account)
+        return true;
+    const double units =
+        this->account->countsTokens ? this->request.totalTokens().value_or(this->account->plainTokens) : 1.0;
+    const QuotaLimit quota{this->account->rate, this->account->burst};
+    const auto now = this->context.now();
+    if (this->context.quota.tryTake(this->account->name, quota, units, this->context.peers(), now))
+        return true;
+    const auto wait = this->context.quota.waitTime(this->account->name, quota, units, now);
+    this->refuse({Verdict::NotRun,
+                  429,
+                  "account-limit",
+                  "the client account has used up its rate",
+                  std::chrono::ceil<std::chrono::seconds>(wait)});
+    return false;
+}
+
+void RelayCall::enqueue()
+{
+    RelayTicket ticket;
+    ticket.id = this->id;
+    ticket.service = this->service;
+    ticket.clientAccount = this->account ? this->account->name : std::string();
+    ticket.rank = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    ticket.promptTokens = this->request.promptTokens.value_or(0.0);
+    ticket.answerTokens = this->request.answerTokens;
+    ticket.parts = this->request.parts;
+    ticket.latestStart = std::min(this->limit, this->arrival + this->route->latencyTarget);
+    // What was sent once is not refused for being late: it goes on as long as its caller waits.
+    if (this->attempts > 0)
+        ticket.latestStart = this->limit;
+    ticket.excluded = this->tried;
+    RelayTicketHooks hooks;
+    hooks.start = [weak = this->weak_from_this()](const Upstream &chosen, const RouteDecision &decision) {
+        if (const auto self = weak.lock())
+            self->send(chosen, decision);
+    };
+    hooks.refuse = [weak = this->weak_from_this()](const RequestError &error) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->isWaiting = false;
+        if (self->hasBegun || self->verdict != Verdict::NotRun)
+            self->giveUp(error.message);
+        else
+            self->refuse(error);
+    };
+    this->isWaiting = true;
+    this->context.scheduler.submit(std::move(ticket), std::move(hooks), this->context.now());
+}
+
+void RelayCall::send(const Upstream &chosen, const RouteDecision &decision)
+{
+    this->isWaiting = false;
+    this->isSending = true;
+    this->upstream = chosen;
+    this->tried.insert(chosen.id);
+    ++this->attempts;
+    this->status = 0;
+    this->headers = {};
+    this->answer = {};
+    this->isForeign = false;
+    this->isStreaming = false;
+    this->context.quarantine.attemptStarted(this->fingerprint, chosen.id);
+    if (this->attempts == 1)
+        this->context.retries.noteRequest({}, this->service, this->context.now());
+
+    RelayAttempt attempt;
+    attempt.upstreamId = chosen.id;
+    attempt.address = chosen.address;
+    attempt.clientAccount = this->account ? this->account->name : std::string();
+    attempt.timeLeft = std::max(leastTime, this->timeLeft() - returnTime);
+    attempt.lastEventId = this->request.lastEventId;
+    if (this->hasBegun && !this->events.lastEventId().empty())
+        attempt.lastEventId = this->events.lastEventId();
+    if (this->request.promptTokens)
+        attempt.priority = std::min(this->route->priority, lowestPriorityOfUpstreams);
+    HttpCall call = this->context.transport.encodeAttempt(this->request, attempt);
+    call.connectTimeout = std::min(connectTimeout, attempt.timeLeft);
+    call.maxIdle = this->context.idleLimit;
+    logEvent(LogLevel::Info,
+             "route",
+             {{"request", this->request.attemptId},
+              {"attempt", this->attempts},
+              {"service", this->service},
+              {"configuration", this->routes->config().version},
+              {"upstream", chosen.id},
+              {"waitedMs",
+               std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
+              {"reason", decision.reason}});
+
+    HttpCallHooks hooks;
+    hooks.head = [weak = this->weak_from_this()](int status, const HttpHeaders &headers) {
+        if (const auto self = weak.lock())
+            self->headArrived(status, headers);
+    };
+    // Only the bytes of a stream are passed on as they come; other answers are collected.
+    if (this->route->kind == CallKind::Stream) {
+        hooks.data = [weak = this->weak_from_this()](std::string_view bytes) {
+            if (const auto self = weak.lock())
+                self->bytesArrived(bytes);
+        };
+    }
+    hooks.done = [weak = this->weak_from_this()](const HttpOutcome &outcome) {
+        if (const auto self = weak.lock())
+            self->attemptDone(outcome);
+    };
+    this->call = this->context.http.start(std::move(call), std::move(hooks));
+}
+
+void RelayCall::headArrived(int headStatus, const HttpHeaders &head)
+{
+    this->status = headStatus;
+    this->headers = head;
+    this->answer = this->context.transport.decodeAnswer(head);
+    const bool isNamed = !this->answer.attemptId.empty();
+    this->isForeign = isNamed ? this->answer.attemptId != this->request.attemptId : headStatus < 300;
+    if (this->isForeign) {
+        // Closing the connection keeps whatever follows on it from the next request.
+        this->context.http.cancel(this->call);
+        HttpOutcome outcome;
+        outcome.verdict = Verdict::MayHaveRun;
+        outcome.failure = HttpFailure::Broken;
+        outcome.error = "the answer belongs to another request";
+        asio::post(this->context.loop, [weak = this->weak_from_this(), outcome] {
+            if (const auto self = weak.lock())
+                self->attemptDone(outcome);
+        });
+        return;
+    }
+    this->isStreaming =
+        this->route->kind == CallKind::Stream && headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
+    if (this->route->kind != CallKind::Stream)
+        this->context.scheduler.answerBegan(this->id, this->context.now());
+}
+
+void RelayCall::bytesArrived(std::string_view bytes)
+{
+    if (this->isForeign || this->isFinished)
+        return;
+    if (!this->isStreaming) {
+        this->events.append(bytes);
+        return;
+    }
+    this->context.scheduler.answerBegan(this->id, this->context.now());
+    if (!this->isCounted && this->account) {
+        this->isCounted = true;
+        this->context.usage.count(this->account->name, this->context.wallTime());
+    }
+    std::string whole = this->events.append(bytes);
+    if (whole.empty())
+        return;
+    this->beginStream();
+    this->responder->write(std::move(whole));
+    if (this->responder->pendingBytes() > maxPendingBytes)
+        this->giveUp("the caller does not read its stream");
+}
+
+void RelayCall::beginStream()
+{
+    if (this->hasBegun)
+        return;
+    this->hasBegun = true;
+    this->responder->beginStream(this->status, endToEndHeaders(this->headers));
+    const std::string accountName = this->account ? this->account->name : std::string();
+    this->context.metrics.addFirstToken({this->service, accountName}, this->context.now() - this->arrival);
+}
+
+bool RelayCall::isSuccess(const HttpOutcome &outcome) const
+{
+    return outcome.isComplete() && outcome.status >= 200 && outcome.status < 300 && this->answer.isSigned;
+}
+
+void RelayCall::endAttempt(bool failed)
+{
+    this->isSending = false;
+    this->call = 0;
+    this->context.quarantine.attemptEnded(this->fingerprint, this->upstream.id);
+    this->context.scheduler.ended(this->id, failed, this->context.now());
+}
+
+void RelayCall::attemptDone(const HttpOutcome &outcome)
+{
+    if (!this->isSending || this->isFinished)
+        return;
+    const bool saysNotRun = outcome.isComplete() && (this->answer.isNotExecuted || outcome.status == 421);
+    const bool isFailure = !outcome.isComplete() || (outcome.status >= 500 && !saysNotRun);
+    this->endAttempt(isFailure);
+    const auto now = this->context.now();
+    if (outcome.failure == HttpFailure::Connect)
+        this->context.scheduler.upstreamFailed(this->upstream.id, now);
+    if (outcome.failure == HttpFailure::Connect || outcome.failure == HttpFailure::Broken)
+        this->context.brokenOff(this->upstream, outcome.failure == HttpFailure::Broken ? this->fingerprint : std::string());
+    if (outcome.failure == HttpFailure::Connect || saysNotRun)
+        return this->giveUp(saysNotRun ? "the upstream did not run the request" : "no connection: " + outcome.error);
+    if (!outcome.isComplete()) {
+        this->verdict = Verdict::MayHaveRun;
+        return this->giveUp("attempt failed: " + outcome.error);
+    }
+    if (this->verdict == Verdict::NotRun)
+        this->verdict = Verdict::Ran;
+    if (this->isSuccess(outcome))
+        this->context.quarantine.requestSucceeded(this->fingerprint, now);
+    if (!this->isCounted && this->account) {
+        this->isCounted = true;
+        this->context.usage.count(this->account->name, this->context.wallTime());
+    }
+    if (this->isStreaming)
+        return this->streamDone(outcome);
+    const bool isUnsigned = outcome.status < 300 && !this->answer.isSigned;
+    if ((outcome.status >= 500 || isUnsigned) && this->tryAgain("status " + std::to_string(outcome.status)))
+        return;
+    if (isUnsigned || this->hasBegun)
+        return this->giveUp("the answer is not signed");
+    this->responder->reply(outcome.status, endToEndHeaders(outcome.headers), outcome.body);
+    this->finish(outcome.status, "answered");
+}
+
+void RelayCall::streamDone(const HttpOutcome &outcome)
+{
+    if (this->events.hasRest())
+        return this->giveUp("the stream ended within an event");
+    this->beginStream();
+    this->responder->endStream();
+    this->finish(outcome.status, "answered");
+}
+
+bool RelayCall::isRepeatable() const
+{
+    if (this->verdict == Verdict::NotRun)
+        return true;
+    if (this->route->kind == CallKind::Stream)
+        return this->route->isResumable;
+    return this->route->kind == CallKind::Idempotent;
+}
+
+bool RelayCall::tryAgain(const std::string &reason)
+{
+    const auto now = this->context.now();
+    if (!this->isRepeatable() || this->attempts >= this->route->maxAttempts || this->timeLeft() < leastTime)
+        return false;
+    if (this->context.quarantine.ask(this->fingerprint, now) == Quarantine::Permission::Refused)
+        return false;
+    if (!this->context.retries.tryRetry({}, this->service, now))
+        return false;
+    logEvent(LogLevel::Info,
+             "retry",
+             {{"request", this->request.attemptId}, {"attempt", this->attempts}, {"reason", reason}});
+    this->events.dropRest();
+    this->enqueue();
+    return true;
+}
+
+void RelayCall::giveUp(const std::string &reason)
+{
+    if (this->isFinished)
+        return;
+    if (!this->isSending && this->tryAgain(reason))
+        return;
+    if (this->hasBegun) {
+        this->responder->abort();
+        return this->finish(0, reason);
+    }
+    if (this->verdict == Verdict::NotRun)
+        return this->refuse({Verdict::NotRun, 503, "not-run", reason, std::chrono::seconds(1)});
+    this->refuse({this->verdict, 502, "upstream-failed", reason, {}});
+}
+
+void RelayCall::timeLimitReached()
+{
+    if (this->isFinished)
+        return;
+    if (this->isSending)
+        this->verdict = Verdict::MayHaveRun;
+    if (this->hasBegun) {
+        this->responder->abort();
+        return this->finish(0, "the time limit was reached");
+    }
+    if (this->verdict == Verdict::NotRun)
+        return this->refuse({Verdict::NotRun, 503, "deadline", "no upstream was free in time", std::chrono::seconds(1)});
+    this->refuse({this->verdict, 504, "timeout", "the time limit was reached", {}});
+}
+
+void RelayCall::callerLeft()
+{
+    this->finish(0, "the caller left");
+}
+
+void RelayCall::refuse(const RequestError &error)
+{
+    HttpHeaders fields = {{"Content-Type", "application/json"}};
+    if (error.retryAfter)
+        fields.add("Retry-After", std::to_string(error.retryAfter->count()));
+    const nlohmann::json body = {
+        {"error", {{"code", error.code}, {"message", error.message}, {"verdict", verdictName(error.verdict)}}}};
+    this->responder->reply(error.status, fields, body.dump());
+    this->finish(error.status, error.code + ": " + error.message);
+}
+
+void RelayCall::finish(int answerStatus, const std::string &outcome)
+{
+    if (this->isFinished)
+        return;
+    this->isFinished = true;
+    this->timer.cancel();
+    const auto keep = this->shared_from_this();
+    if (this->isSending) {
+        this->context.http.cancel(this->call);
+        this->endAttempt(false);
+    } else if (this->isWaiting) {
+        this->context.scheduler.cancel(this->id, this->context.now());
+    }
+    const std::string accountName = this->account ? this->account->name : std::string();
+    this->context.metrics.addRequest({this->service, accountName}, {this->verdict, answerStatus, 0, 0});
+    logEvent(LogLevel::Info,
+             "request",
+             {{"request", this->request.attemptId},
+              {"route", this->route ? this->route->name : std::string()},
+              {"clientAccount", accountName},
+              {"status", answerStatus},
+              {"verdict", verdictName(this->verdict)},
+              {"attempts", this->attempts},
+              {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
+              {"outcome", outcome}});
+    this->ended();
+}
+
+std::chrono::milliseconds RelayCall::timeLeft() const
+{
+    return std::max(std::chrono::milliseconds(0),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(this->limit - this->context.now()));
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relaycall.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "httpserver.h"
+#include "relay/eventsplitter.h"
+#include "relay/relaycontext.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hemlock {
+
+/// One relayed request, from its arrival to the end of its answer.
+///
+/// A request that may run once is sent again only while no upstream can have run it. An idempotent one is sent again
+/// after any failure, and a resumable stream goes on after its last whole event, both within the route's number of
+/// attempts and the retry budget.
+class RelayCall : public std::enable_shared_from_this<RelayCall>
+{
+public:
+    /// @p ended is called once, when the answer has been handed over or the caller has left.
+    RelayCall(RelayContext &context, HttpResponderPtr responder, std::function<void()> ended);
+
+    RelayCall(const RelayCall &) = delete;
+    RelayCall &operator=(const RelayCall &) = delete;
+
+    void start(HttpRequest request);
+
+private:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    bool resolve();
+    bool authorize();
+    bool takeQuota();
+    void enqueue();
+    void send(const Upstream &upstream, const RouteDecision &decision);
+    void headArrived(int status, const HttpHeaders &headers);
+    void bytesArrived(std::string_view bytes);
+    void attemptDone(const HttpOutcome &outcome);
+    void streamDone(const HttpOutcome &outcome);
+    void endAttempt(bool failed);
+    void beginStream();
+
+    bool isSuccess(const HttpOutcome &outcome) const;
+    bool isRepeatable() const;
+    bool tryAgain(const std::string &reason);
+    void giveUp(const std::string &reason);
+    void timeLimitReached();
+    void callerLeft();
+
+    void refuse(const RequestError &error);
+    void finish(int status, const std::string &code);
+    std::chrono::milliseconds timeLeft() const;
+
+    RelayContext &context;
+    HttpResponderPtr responder;
+    std::function<void()> ended;
+    asio::steady_timer timer;
+    std::string id; ///< Of this call in this process.
+    RelayRequest request;
+    RouteTablePtr routes; ///< Keeps the route alive.
+    const RelayRoute *route = nullptr;
+    const RelayAccount *account = nullptr;
+    std::string service;
+    std::string fingerprint;
+    TimePoint arrival;
+    TimePoint limit; ///< The answer ends by then.
+
+    int attempts = 0;
+    std::set<std::string> tried;
+    Verdict verdict = Verdict::NotRun; ///< Greatest of all attempts.
+    Upstream upstream; ///< Of the attempt in progress.
+    HttpClient::CallId call = 0;
+    bool isSending = false;
+    bool isWaiting = false;
+    bool isFinished = false;
+    bool isCounted = false; ///< In the usage ledger.
+
+    int status = 0; ///< Of the attempt in progress.
+    HttpHeaders headers;
+    RelayAnswer answer;
+    bool isForeign = false; ///< The answer belongs to another request.
+    bool isStreaming = false; ///< The attempt's answer is a stream to pass on.
+    bool hasBegun = false; ///< The caller got the head of a stream.
+    EventSplitter events;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relaycontext.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "httpclient.h"
+#include "metrics.h"
+#include "quarantine.h"
+#include "relay/accountquota.h"
+#include "relay/relayscheduler.h"
+#include "relay/relaytransport.h"
+#include "relay/usageledger.h"
+#include "retrybudget.h"
+
+#include <functional>
+
+namespace asio {
+class io_context;
+}
+
+namespace hemlock {
+
+/// What the relayed calls of a process share.
+struct RelayContext
+{
+    asio::io_context &loop;
+    HttpClient &http;
+    const RelayTransport &transport;
+    RelayScheduler &scheduler;
+    AccountQuota &quota;
+    RetryBudget &retries;
+    Quarantine &quarantine;
+    UsageLedger &usage;
+    Metrics &metrics;
+    RouteTablePtr routes; ///< Null before the first configuration.
+    std::chrono::seconds idleLimit{10}; ///< Idle connections to upstreams are not used for longer.
+    std::function<std::size_t()> peers; ///< Number of other entry VMs.
+    std::function<std::chrono::steady_clock::time_point()> now;
+    std::function<std::chrono::system_clock::time_point()> wallTime;
+
+    /// An attempt ended without an answer while this upstream ran the request.
+    std::function<void(const Upstream &upstream, const std::string &fingerprint)> brokenOff;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -0,0 +1,448 @@
+#include "relay/relayprocess.h"
+
+#include "encoding.h"
+#include "logger.h"
+#include "relay/peernews.h"
+
+#include <asio/post.hpp>
+
+#include <csignal>
+#include <ctime>
+
+namespace hemlock {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{100};
+
+/// Peers' counts are this old at most; a fifth of a second of a flood fits into the slack of the shared limits.
+constexpr std::chrono::milliseconds newsInterval{200};
+
+/// Loads of a peer that said nothing for so long are dropped.
+constexpr std::chrono::milliseconds newsLifetime{1500};
+
+/// Each change of the quarantine is repeated in so many messages, since datagrams are lost.
+constexpr std::size_t quarantineRepeats = 10;
+
+/// The load balancer asks once a second and takes a VM out after two misses.
+constexpr std::chrono::milliseconds leastDrainTime{3500};
+
+/// The end comes so long before the platform kills the process.
+constexpr std::chrono::milliseconds drainMargin{400};
+
+/// A VM that takes no request for so long while it drains is out of the balancer's rotation.
+constexpr std::chrono::milliseconds quietTime{500};
+
+/// An upstream whose connections break within this time of each other has crashed.
+constexpr std::chrono::milliseconds crashWindow{1500};
+
+/// Callers keep connections idle as long as the configuration says, which changes; this is longer than any of it.
+constexpr std::chrono::seconds callerIdleTime{180};
+
+constexpr std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
+
+constexpr std::string_view ownPrefix = "hemlock/";
+
+HttpServerSettings serverSettings(const std::string &address)
+{
+    HttpServerSettings settings;
+    const std::size_t colon = address.rfind(':');
+    settings.address = address.substr(0, colon);
+    settings.port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+    settings.maxBodyBytes = maxBodyBytes;
+    settings.readTimeout = callerIdleTime;
+    return settings;
+}
+
+DutySettings dutySettings(const RelaySettings &settings)
+{
+    DutySettings duties;
+    duties.holder = settings.node;
+    duties.keyPrefix = std::string(ownPrefix) + "duties";
+    duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
+    duties.settleTime = settings.dutyLease;
+    return duties;
+}
+
+} // namespace
+
+RelayProcess::RelayProcess(
+    asio::io_context &loop, RelaySettings relaySettings, HttpClient &http, KvAccess kv, RelayTransport relayTransport)
+    : loop(loop)
+    , settings(std::move(relaySettings))
+    , http(http)
+    , transport(std::move(relayTransport))
+    , random(std::random_device()())
+    , scheduler(this->settings.zone, RandomEngine(this->random()))
+    , quota(this->settings.quota)
+    , retries(this->settings.retries)
+    , usage(this->settings.usageWindow)
+    , registry(kv, std::string(ownPrefix) + "nodes/", this->settings.node, this->settings.peers)
+    , duties(kv, dutySettings(this->settings), this->transport, this->usage)
+    , context{loop,
+              http,
+              this->transport,
+              this->scheduler,
+              this->quota,
+              this->retries,
+              this->quarantine,
+              this->usage,
+              this->metrics,
+              nullptr,
+              std::chrono::seconds(10),
+              [this] { return this->registry.count(this->now()); },
+              [this] { return this->now(); },
+              [] { return std::chrono::system_clock::now(); },
+              [this](const Upstream &upstream, const std::string &fingerprint) {
+                  this->brokenOff(upstream, fingerprint);
+              }}
+    , store(loop,
+            kv,
+            {},
+            {[this](const std::map<std::string, std::string> &values) { this->storeLoaded(values); },
+             [this](const std::vector<KvEvent> &events) { this->storeChanged(events); },
+             [this](bool reachable, const std::string &error) {
+                 logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
+                          reachable ? "store-regained" : "store-lost",
+                          {{"error", error}, {"revision", this->store.revision()}});
+                 if (reachable)
+                     this->directory.storeReturned(this->now());
+             }})
+    , callers(loop,
+              serverSettings(this->settings.callers),
+              [this](HttpRequest request, const HttpResponderPtr &responder) {
+                  this->handleCaller(std::move(request), responder);
+              })
+    , readiness(loop,
+                serverSettings(this->settings.readiness),
+                [this](const HttpRequest &, const HttpResponderPtr &responder) { this->handleReadiness(responder); })
+    , control(loop,
+              serverSettings(this->settings.control),
+              [this](const HttpRequest &request, const HttpResponderPtr &responder) {
+                  this->handleControl(request, responder);
+              })
+    , peers(loop, this->settings.peers, [this](std::string_view datagram) { this->newsReceived(datagram); })
+    , signals(loop, SIGTERM, SIGINT)
+    , ticker(loop)
+    , newsTimer(loop)
+    , drainTimer(loop)
+    , run(makeUniqueId())
+{
+    this->duties.setDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
+}
+
+void RelayProcess::start()
+{
+    this->awaitSignal();
+    this->store.start();
+    this->callers.start();
+    this->readiness.start();
+    this->control.start();
+    logEvent(LogLevel::Info, "start", {{"callers", this->settings.callers}, {"zone", this->settings.zone.name}});
+    this->tick();
+    this->exchangeNews();
+}
+
+RelayProcess::TimePoint RelayProcess::now() const
+{
+    // Unlike the steady clock, this one counts the time for which the VM was suspended.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<TimePoint::duration>(std::chrono::seconds(time.tv_sec)
+                                                                     + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+double RelayProcess::randomPart()
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
+}
+
+void RelayProcess::handleCaller(HttpRequest request, const HttpResponderPtr &responder)
+{
+    this->lastRequest = this->now();
+    auto weakCall = std::make_shared<std::weak_ptr<RelayCall>>();
+    auto call = std::make_shared<RelayCall>(this->context, responder, [this, weakCall] {
+        // The call is still on the stack when it ends.
+        asio::post(this->loop, [this, ended = weakCall->lock()] { this->calls.erase(ended); });
+    });
+    *weakCall = call;
+    this->calls.insert(call);
+    call->start(std::move(request));
+}
+
+void RelayProcess::handleReadiness(const HttpResponderPtr &responder) const
+{
+    const bool isReady = this->context.routes && !this->isDraining;
+    responder->reply(isReady ? 200 : 503, {}, isReady ? "ready\n" : "not ready\n");
+}
+
+void RelayProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const
+{
+    if (request.path == "/metrics")
+        return responder->reply(
+            200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.prometheusText());
+    responder->reply(404, {}, "unknown path\n");
+}
+
+void RelayProcess::storeLoaded(const std::map<std::string, std::string> &values)
+{
+    std::vector<Upstream> listed;
+    bool holderExists = false;
+    for (const auto &[key, value] : values) {
+        if (key == this->duties.holderKey())
+            holderExists = true;
+        if (!key.starts_with(this->settings.upstreamPrefix)) {
+            this->entrySeen(key, value);
+            continue;
+        }
+        try {
+            listed.push_back(
+                this->transport.decodeUpstream(key.substr(this->settings.upstreamPrefix.size()), value));
+        } catch (const std::exception &) {
+            this->upstreamSeen(key, value);
+        }
+    }
+    this->duties.holderSeen(holderExists);
+    this->directory.replaceAll(listed, this->now());
+    this->applyUpstreams();
+}
+
+void RelayProcess::storeChanged(const std::vector<KvEvent> &events)
+{
+    bool upstreamsChanged = false;
+    for (const KvEvent &event : events) {
+        upstreamsChanged = upstreamsChanged || event.entry.key.starts_with(this->settings.upstreamPrefix);
+        if (event.isDelete)
+            this->entryRemoved(event.entry.key);
+        else
+            this->entrySeen(event.entry.key, event.entry.value);
+    }
+    if (upstreamsChanged)
+        this->applyUpstreams();
+}
+
+void RelayProcess::entrySeen(const std::string &key, const std::string &value)
+{
+    if (key == this->settings.configKey)
+        this->applyConfig(value);
+    else if (key.starts_with(this->settings.upstreamPrefix))
+        this->upstreamSeen(key, value);
+    else if (key == this->duties.holderKey())
+        this->duties.holderSeen(true);
+    else if (key.starts_with(this->registry.prefix()))
+        this->registry.recordSeen(key, value, this->now());
+}
+
+void RelayProcess::entryRemoved(const std::string &key)
+{
+    if (key.starts_with(this->settings.upstreamPrefix))
+        this->directory.remove(key.substr(this->settings.upstreamPrefix.size()), this->now());
+    else if (key == this->duties.holderKey())
+        this->duties.holderSeen(false);
+    else if (key.starts_with(this->registry.prefix()))
+        this->registry.recordSeen(key, {}, this->now());
+}
+
+void RelayProcess::applyConfig(const std::string &value)
+{
+    try {
+        RelayConfig config = this->transport.decodeConfig(value);
+        const std::int64_t known = this->context.routes ? this->context.routes->config().version : -1;
+        if (config.version <= known)
+            return;
+        std::set<std::string> models;
+        for (const RelayService &service : config.services) {
+            if (service.isModel)
+                models.insert(service.name);
+        }
+        this->scheduler.setModelServices(std::move(models));
+        this->context.routes = std::make_shared<const RouteTable>(std::move(config));
+        logEvent(LogLevel::Info,
+                 "configuration",
+                 {{"version", this->context.routes->config().version},
+                  {"before", known},
+                  {"routes", this->context.routes->config().routes.size()}});
+    } catch (const std::exception &error) {
+        logEvent(LogLevel::Error, "configuration-refused", {{"error", error.what()}});
+    }
+}
+
+void RelayProcess::upstreamSeen(const std::string &key, const std::string &value)
+{
+    try {
+        this->directory.set(this->transport.decodeUpstream(key.substr(this->settings.upstreamPrefix.size()), value));
+        this->unreadable.erase(key);
+    } catch (const std::exception &error) {
+        // The entry names no upstream to use; it is reported once.
+        this->directory.remove(key.substr(this->settings.upstreamPrefix.size()), this->now());
+        if (std::exchange(this->unreadable[key], value) != value)
+            logEvent(LogLevel::Warning, "upstream-entry", {{"key", key}, {"error", error.what()}});
+    }
+}
+
+void RelayProcess::applyUpstreams()
+{
+    nlohmann::json states = nlohmann::json::object();
+    for (const Upstream &upstream : this->directory.upstreams())
+        states[upstream.id] = upstreamStateName(upstream.state);
+    logEvent(LogLevel::Info, "upstreams", {{"states", std::move(states)}, {"revision", this->store.revision()}});
+    this->scheduler.applyUpstreams(this->directory.upstreams(), this->now());
+}
+
+void RelayProcess::tick()
+{
+    const TimePoint now = this->now();
+    if (this->directory.expire(now))
+        this->applyUpstreams();
+    this->scheduler.tick(now);
+    if (!this->isDraining)
+        this->registry.tick(now, this->randomPart());
+    this->plan();
+    if (!this->isDraining)
+        this->duties.tick(now, std::chrono::system_clock::now(), this->randomPart());
+    this->ticker.expires_after(tickInterval);
+    this->ticker.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+void RelayProcess::plan()
+{
+    if (!this->context.routes || !this->duties.isActing(this->now()))
+        return;
+    std::set<UpstreamOrder> orders;
+    const auto upstreams = this->directory.upstreams();
+    for (const RelayService &service : this->context.routes->config().services) {
+        ServiceDemand demand;
+        const CandidateSet &sound = this->scheduler.upstreams().sound(service.name, this->now());
+        for (std::size_t i = 0; i < sound.size(); ++i) {
+            demand.requestsInProgress += sound.at(i).load();
+            demand.pendingTokens += sound.at(i).pendingTokens;
+        }
+        orders.merge(this->planner.plan(service, upstreams, demand, this->now()));
+    }
+    this->duties.setOrders(orders);
+}
+
+void RelayProcess::exchangeNews()
+{
+    const TimePoint now = this->now();
+    PeerNews news;
+    news.node = this->settings.node;
+    news.run = this->run;
+    news.sequence = ++this->newsSequence;
+    news.quotaTotals = this->quota.totals();
+    for (const auto &[upstream, requests] : this->scheduler.upstreams().inFlight())
+        news.loads[upstream].requests = requests;
+    for (const auto &[upstream, tokens] : this->scheduler.pendingTokens())
+        news.loads[upstream].pendingTokens = tokens;
+    constexpr std::int64_t sentWindows = 4;
+    this->usage.forgetBefore(this->usage.windowAt(std::chrono::system_clock::now()) - sentWindows);
+    news.usage = this->usage.own();
+    news.quarantine = this->quarantine.delta(
+        this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), now);
+    this->quarantineVersions.push_back(news.quarantine.at("version").get<std::uint64_t>());
+    if (this->quarantineVersions.size() > quarantineRepeats)
+        this->quarantineVersions.pop_front();
+    this->peers.send(nlohmann::json(news).dump(), this->registry.addresses(now));
+
+    std::map<std::string, PeerLoad> sums;
+    for (const auto &[peer, loads] : this->peerLoads) {
+        if (now - this->peerLoadTimes[peer] > newsLifetime)
+            continue;
+        for (const auto &[upstream, load] : loads) {
+            sums[upstream].requests += load.requests;
+            sums[upstream].pendingTokens += load.pendingTokens;
+        }
+    }
+    for (const auto &[id, upstream] : this->scheduler.upstreams().all())
+        this->scheduler.upstreams().peerLoadReported(id, sums[id].requests, sums[id].pendingTokens, now);
+
+    this->newsTimer.expires_after(newsInterval);
+    this->newsTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->exchangeNews();
+    });
+}
+
+void RelayProcess::newsReceived(std::string_view datagram)
+{
+    try {
+        const auto news = nlohmann::json::parse(datagram).get<PeerNews>();
+        if (news.node == this->settings.node)
+            return;
+        const TimePoint now = this->now();
+        auto &[peerRun, sequence] = this->peerSequences[news.node];
+        if (peerRun == news.run && news.sequence <= sequence)
+            return;
+        peerRun = news.run;
+        sequence = news.sequence;
+        this->registry.heard(news.node, now);
+        this->quota.peerTotals(news.node, news.run, news.quotaTotals, now);
+        this->usage.peerCounts(news.run, news.usage);
+        this->peerLoads[news.node] = news.loads;
+        this->peerLoadTimes[news.node] = now;
+        this->quarantine.applyDelta(news.quarantine, now);
+    } catch (const std::exception &error) {
+        logEvent(LogLevel::Warning, "peer-news", {{"error", error.what()}});
+    }
+}
+
+void RelayProcess::brokenOff(const Upstream &upstream, const std::string &fingerprint)
+{
+    const TimePoint now = this->now();
+    auto &recent = this->broken[upstream.id];
+    std::erase_if(recent, [now](const auto &entry) { return now - entry.first > crashWindow; });
+    recent.emplace_back(now, fingerprint);
+    // One broken answer may be the link's or the answer's own fault; a second one, or a refused connection, shows that
+    // the upstream is down.
+    if (recent.size() < 2)
+        return;
+    for (const auto &[time, suspect] : recent) {
+        if (!suspect.empty())
+            this->quarantine.requestCrashed(suspect, upstream, now);
+    }
+    recent.clear();
+    this->scheduler.upstreamFailed(upstream.id, now);
+}
+
+void RelayProcess::awaitSignal()
+{
+    this->signals.async_wait([this](const asio::error_code &error, int) {
+        if (!error)
+            this->drain();
+    });
+}
+
+void RelayProcess::drain()
+{
+    if (this->isDraining)
+        return;
+    this->isDraining = true;
+    this->drainBegan = this->now();
+    logEvent(LogLevel::Info, "drain", {{"calls", this->calls.size()}});
+    this->callers.setDraining(true);
+    this->duties.release();
+    this->registry.leave();
+    this->checkDrained();
+}
+
+void RelayProcess::checkDrained()
+{
+    const TimePoint now = this->now();
+    const bool isQuiet = this->calls.empty() && now - this->lastRequest > quietTime;
+    const bool isOver = now - this->drainBegan >= this->settings.drainTime - drainMargin;
+    if (isOver || (isQuiet && now - this->drainBegan >= leastDrainTime)) {
+        logEvent(LogLevel::Info, "stop", {{"calls", this->calls.size()}});
+        this->loop.stop();
+        return;
+    }
+    this->drainTimer.expires_after(tickInterval);
+    this->drainTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->checkDrained();
+    });
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relayprocess.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "httpclient.h"
+#include "httpserver.h"
+#include "metrics.h"
+#include "relay/dutyrunner.h"
+#include "relay/fleetplanner.h"
+#include "relay/peerlink.h"
+#include "relay/peernews.h"
+#include "relay/peerregistry.h"
+#include "relay/relaycall.h"
+#include "relay/storefollower.h"
+#include "relay/upstreamdirectory.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace hemlock {
+
+struct RelaySettings
+{
+    std::string node; ///< Name of this entry VM.
+    AvailabilityZone zone;
+    std::string callers; ///< "IP:PORT" for callers.
+    std::string readiness; ///< "IP:PORT" for the load balancer's question; its path is of no matter.
+    std::string control; ///< "IP:PORT" for metrics.
+    std::string peers; ///< "IP:PORT" for datagrams of other entry VMs.
+    std::string configKey; ///< Key of the operators' configuration in the store.
+    std::string upstreamPrefix; ///< Prefix of the keys under which upstreams register.
+    bool reportsUsage = false;
+    bool ordersUpstreams = false;
+    std::chrono::milliseconds usageWindow{5000};
+    std::chrono::milliseconds drainTime{8000}; ///< Between SIGTERM and the end.
+    std::chrono::milliseconds dutyLease{3000};
+    QuotaSettings quota;
+    RetryBudgetSettings retries;
+    std::size_t expectedVms = 6;
+};
+
+/// The entry process of a deployment whose calls are relayed as they are: one on each entry VM.
+class RelayProcess
+{
+public:
+    /// @p kv and the hooks of @p transport use @p http.
+    RelayProcess(asio::io_context &loop, RelaySettings settings, HttpClient &http, KvAccess kv, RelayTransport transport);
+
+    void start();
+
+private:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    TimePoint now() const;
+    double randomPart();
+    void handleCaller(HttpRequest request, const HttpResponderPtr &responder);
+    void handleReadiness(const HttpResponderPtr &responder) const;
+    void handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const;
+
+    void storeLoaded(const std::map<std::string, std::string> &values);
+    void storeChanged(const std::vector<KvEvent> &events);
+    void entrySeen(const std::string &key, const std::string &value);
+    void entryRemoved(const std::string &key);
+    void applyConfig(const std::string &value);
+    void upstreamSeen(const std::string &key, const std::string &value);
+    void applyUpstreams();
+
+    void tick();
+    void exchangeNews();
+    void newsReceived(std::string_view datagram);
+    void brokenOff(const Upstream &upstream, const std::string &fingerprint);
+    void plan();
+
+    void awaitSignal();
+    void drain();
+    void checkDrained();
+
+    asio::io_context &loop;
+    RelaySettings settings;
+    HttpClient &http;
+    RelayTransport transport;
+    RandomEngine random;
+    RelayScheduler scheduler;
+    AccountQuota quota;
+    RetryBudget retries;
+    Quarantine quarantine;
+    UsageLedger usage;
+    Metrics metrics;
+    UpstreamDirectory directory;
+    PeerRegistry registry;
+    DutyRunner duties;
+    FleetPlanner planner;
+    RelayContext context;
+    StoreFollower store;
+    HttpServer callers;
+    HttpServer readiness;
+    HttpServer control;
+    PeerLink peers;
+    asio::signal_set signals;
+    asio::steady_timer ticker;
+    asio::steady_timer newsTimer;
+    asio::steady_timer drainTimer;
+
+    std::string run; ///< Differs between two starts of this VM.
+    std::int64_t newsSequence = 0;
+    std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
+    std::map<std::string, std::pair<std::string, std::int64_t>> peerSequences; ///< Run and sequence by node.
+    std::map<std::string, std::map<std::string, PeerLoad>> peerLoads;
+    std::map<std::string, TimePoint> peerLoadTimes;
+    std::set<std::shared_ptr<RelayCall>> calls;
+    std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
+    std::map<std::string, std::string> unreadable; ///< Values that were reported once, by key.
+    bool isDraining = false;
+    TimePoint drainBegan;
+    TimePoint lastRequest;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -0,0 +1,259 @@
+#include "relay/relayscheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlock {
+
+namespace {
+
+// The router's answer for calls without a prompt: own availability zone first, then load, failures and slowness.
+constexpr auto policyName = "part-affinity";
+
+// Time to the first byte that neither the prompt nor the load explains starts to count above this.
+constexpr std::chrono::milliseconds usualDelay{30};
+
+constexpr double tokensPerMs = 50.0;
+
+} // namespace
+
+RelayScheduler::RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings)
+    : zone(std::move(zone))
+    , random(random)
+    , settings(settings)
+    , modelRouter(policyName)
+    , plainRouter(policyName)
+{
+}
+
+void RelayScheduler::applyUpstreams(const std::vector<Upstream> &upstreams, TimePoint now)
+{
+    std::unordered_map<std::string, std::string> incarnations;
+    for (const auto &[id, upstream] : this->pool.all())
+        incarnations[id] = upstream.incarnation;
+    for (const Upstream &gone : this->pool.apply(upstreams, now).removed)
+        this->modelRouter.removeUpstream(gone.id);
+    for (const Upstream &upstream : upstreams) {
+        const auto known = incarnations.find(upstream.id);
+        if (known != incarnations.end() && known->second != upstream.incarnation)
+            this->modelRouter.removeUpstream(upstream.id);
+    }
+    this->tick(now);
+}
+
+void RelayScheduler::setModelServices(std::set<std::string> services)
+{
+    this->modelServices = std::move(services);
+}
+
+void RelayScheduler::submit(RelayTicket ticket, RelayTicketHooks hooks, TimePoint now)
+{
+    const std::string id = ticket.id;
+    const std::string service = ticket.service;
+    QueuedRequest queued;
+    queued.requestId = id;
+    queued.clientAccount = ticket.clientAccount;
+    queued.cost = std::max(1.0, requestCost(ticket.promptTokens, ticket.answerTokens));
+    queued.latestStart = ticket.latestStart;
+    const int rank = ticket.rank;
+    this->waitingById[id] = {std::move(ticket), std::move(hooks), now};
+    FairQueue &queue = this->queues[service].try_emplace(rank).first->second;
+    for (const QueueRefusal &refusal : queue.push(queued, now))
+        this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
+    this->dispatch(service, now);
+}
+
+void RelayScheduler::cancel(const std::string &id, TimePoint now)
+{
+    if (const auto waiting = this->waitingById.find(id); waiting != this->waitingById.end()) {
+        this->queues[waiting->second.ticket.service][waiting->second.ticket.rank].cancel(id);
+        this->waitingById.erase(waiting);
+        return;
+    }
+    this->ended(id, false, now);
+}
+
+void RelayScheduler::answerBegan(const std::string &id, TimePoint now)
+{
+    const auto found = this->startedById.find(id);
+    if (found == this->startedById.end() || found->second.hasBegun)
+        return;
+    Started &started = found->second;
+    started.hasBegun = true;
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - started.since);
+    const auto excess = std::max(std::chrono::milliseconds(0), delay - started.expectedDelay - usualDelay);
+    this->pool.outcomeObserved(started.upstream, false, excess, now);
+    this->pool.addPendingTokens(started.upstream, -std::exchange(started.pendingTokens, 0.0));
+    if (!started.parts.empty())
+        this->modelRouter.noteCached(started.upstream, started.parts);
+    this->dispatch(started.service, now);
+}
+
+void RelayScheduler::ended(const std::string &id, bool failed, TimePoint now)
+{
+    const auto found = this->startedById.find(id);
+    if (found == this->startedById.end())
+        return;
+    const Started started = std::move(found->second);
+    this->startedById.erase(found);
+    this->pool.addPendingTokens(started.upstream, -started.pendingTokens);
+    this->pool.attemptEnded(started.upstream);
+    if (failed)
+        this->pool.outcomeObserved(started.upstream, true, {}, now);
+    this->queues[started.service][started.rank].finished(started.queued);
+    this->dispatch(started.service, now);
+}
+
+void RelayScheduler::upstreamFailed(const std::string &upstream, TimePoint now)
+{
+    this->pool.attemptFailed(upstream, now);
+}
+
+void RelayScheduler::tick(TimePoint now)
+{
+    for (const auto &[service, ranks] : this->queues)
+        this->dispatch(service, now);
+    std::vector<std::string> late;
+    for (const auto &[id, waiting] : this->waitingById) {
+        if (now >= waiting.ticket.latestStart)
+            late.push_back(id);
+    }
+    for (const std::string &id : late) {
+        const RelayTicket &ticket = this->waitingById.at(id).ticket;
+        this->queues[ticket.service][ticket.rank].cancel(id);
+        this->refuse(id, "overload", "no upstream can start the request in time", now);
+    }
+}
+
+UpstreamPool &RelayScheduler::upstreams()
+{
+    return this->pool;
+}
+
+std::size_t RelayScheduler::waiting(const std::string &service) const
+{
+    const auto ranks = this->queues.find(service);
+    if (ranks == this->queues.end())
+        return 0;
+    std::size_t sum = 0;
+    for (const auto &[rank, queue] : ranks->second)
+        sum += queue.size();
+    return sum;
+}
+
+std::map<std::string, double> RelayScheduler::pendingTokens() const
+{
+    std::map<std::string, double> tokens;
+    for (const auto &[id, started] : this->startedById)
+        tokens[started.upstream] += started.pendingTokens;
+    return tokens;
+}
+
+bool RelayScheduler::isFull(const UpstreamView &view, const RelayTicket &ticket) const
+{
+    if (!this->modelServices.contains(ticket.service))
+        return view.slots > 0 && view.load() >= view.slots * this->settings.slotOvercommit;
+    if (view.slots > 0 && view.load() >= view.slots)
+        return true;
+    return view.pendingTokens > 0.0 && view.pendingTokens + ticket.promptTokens > this->settings.maxPendingTokens;
+}
+
+std::set<std::string> RelayScheduler::full(const RelayTicket &ticket, TimePoint now)
+{
+    std::set<std::string> full;
+    const CandidateSet &sound = this->pool.sound(ticket.service, now);
+    for (std::size_t i = 0; i < sound.size(); ++i) {
+        if (this->isFull(sound.at(i), ticket))
+            full.insert(sound.at(i).id);
+    }
+    return full;
+}
+
+bool RelayScheduler::tryStart(Waiting &waiting, const QueuedRequest &queued, TimePoint now)
+{
+    const RelayTicket &ticket = waiting.ticket;
+    std::set<std::string> excluded = this->full(ticket, now);
+    excluded.insert(ticket.excluded.begin(), ticket.excluded.end());
+    const bool isModel = this->modelServices.contains(ticket.service);
+    RouteQuery query;
+    query.requestId = ticket.id;
+    query.service = ticket.service;
+    query.zone = this->zone;
+    query.parts = ticket.parts;
+    const RouteDecision decision =
+        this->pool.choose(isModel ? this->modelRouter : this->plainRouter, query, excluded, now, this->random);
+    const auto upstream = this->pool.find(decision.upstream);
+    if (decision.upstream.empty() || !upstream)
+        return false;
+    Started started;
+    started.service = ticket.service;
+    started.upstream = upstream->id;
+    started.queued = queued;
+    started.rank = ticket.rank;
+    started.since = now;
+    started.pendingTokens = isModel ? ticket.promptTokens : 0.0;
+    if (const auto view = this->pool.viewOf(upstream->id); view && isModel)
+        started.expectedDelay = std::chrono::milliseconds(
+            std::llround((view->pendingTokens + ticket.promptTokens) / tokensPerMs));
+    for (const PromptPart &part : ticket.parts)
+        started.parts.push_back(part.id);
+    this->pool.attemptStarted(upstream->id);
+    this->pool.addPendingTokens(upstream->id, started.pendingTokens);
+    this->startedById[ticket.id] = std::move(started);
+    const auto start = std::move(waiting.hooks.start);
+    this->waitingById.erase(ticket.id);
+    start(*upstream, decision);
+    return true;
+}
+
+void RelayScheduler::dispatch(const std::string &service, TimePoint now)
+{
+    for (auto &[rank, queue] : this->queues[service]) {
+        std::vector<QueueRefusal> refused;
+        std::vector<QueuedRequest> unplaced;
+        while (auto queued = queue.pop(now, refused)) {
+            const auto waiting = this->waitingById.find(queued->requestId);
+            if (waiting == this->waitingById.end()) {
+                queue.finished(*queued);
+                continue;
+            }
+            if (!this->tryStart(waiting->second, *queued, now)) {
+                queue.finished(*queued);
+                unplaced.push_back(*std::move(queued));
+                break;
+            }
+        }
+        for (QueuedRequest &queued : unplaced)
+            queue.push(std::move(queued), now);
+        for (const QueueRefusal &refusal : refused)
+            this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
+        // A less urgent request must not take the place that a more urgent one waits for.
+        if (!unplaced.empty())
+            return;
+    }
+}
+
+void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint)
+{
+    const auto found = this->waitingById.find(id);
+    if (found == this->waitingById.end())
+        return;
+    const Waiting waiting = std::move(found->second);
+    this->waitingById.erase(found);
+    RequestError error;
+    error.verdict = Verdict::NotRun;
+    error.status = 503;
+    error.code = code;
+    error.message = message;
+    error.retryAfter = this->retryAfter(waiting.ticket.service);
+    waiting.hooks.refuse(error);
+}
+
+std::chrono::seconds RelayScheduler::retryAfter(const std::string &service) const
+{
+    // What waits now is gone after about a second; a longer queue takes longer.
+    constexpr std::size_t startedPerSecond = 20;
+    return std::chrono::seconds(1 + this->waiting(service) / startedPerSecond);
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -0,0 +1,152 @@
+#include "relay/storefollower.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace hemlock {
+
+class StoreFollower::Private : public std::enable_shared_from_this<StoreFollower::Private>
+{
+public:
+    Private(asio::io_context &loop, KvAccess kv, StoreFollowerSettings settings, StoreFollowerHooks hooks)
+        : kv(std::move(kv))
+        , settings(std::move(settings))
+        , hooks(std::move(hooks))
+        , timer(loop)
+        , pause(this->settings.retryPause)
+    {
+    }
+
+    void load()
+    {
+        this->loading.clear();
+        this->loadRevision = 0;
+        this->loadPage({});
+    }
+
+    void loadPage(const std::string &after)
+    {
+        this->kv.page(this->settings.prefix, after, [weak = this->weak_from_this()](const KvPage &page) {
+            if (const auto self = weak.lock())
+                self->pageLoaded(page);
+        });
+    }
+
+    void pageLoaded(const KvPage &page)
+    {
+        if (page.range.status != KvStatus::Ok)
+            return this->retry(page.range.error, [](Private &self) { self.load(); });
+        // Pages are read one after another; changes between them come again from the first page's revision on.
+        if (this->loadRevision == 0)
+            this->loadRevision = page.range.revision;
+        for (const KvEntry &entry : page.range.entries)
+            this->loading[entry.key] = entry.value;
+        if (page.hasMore && !page.range.entries.empty())
+            return this->loadPage(page.range.entries.back().key);
+        if (this->loadRevision < this->revision)
+            return this->retry("the store answered with an older state", [](Private &self) { self.load(); });
+        this->setReachable(true, {});
+        this->revision = this->loadRevision;
+        this->hooks.loaded(std::exchange(this->loading, {}));
+        this->follow();
+    }
+
+    void follow()
+    {
+        this->stop = this->kv.changes(this->settings.prefix,
+                                      this->revision,
+                                      this->settings.wait,
+                                      [weak = this->weak_from_this()](const KvChanges &changes) {
+                                          if (const auto self = weak.lock())
+                                              self->changesRead(changes);
+                                      });
+    }
+
+    void changesRead(const KvChanges &changes)
+    {
+        if (changes.isCompacted)
+            return this->load();
+        if (changes.status != KvStatus::Ok) {
+            // Keys may lapse unseen while the store is away, so that a full read follows.
+            const bool wasReachable = this->isReachable;
+            return this->retry(changes.error, [wasReachable](Private &self) {
+                if (wasReachable)
+                    self.follow();
+                else
+                    self.load();
+            });
+        }
+        this->setReachable(true, {});
+        this->revision = std::max(this->revision, changes.revision);
+        if (!changes.events.empty())
+            this->hooks.changed(changes.events);
+        this->follow();
+    }
+
+    void retry(const std::string &error, std::function<void(Private &)> action)
+    {
+        this->setReachable(false, error);
+        this->timer.expires_after(this->pause);
+        this->pause = std::min(this->pause * 2, this->settings.longestPause);
+        this->timer.async_wait([weak = this->weak_from_this(), action = std::move(action)](const asio::error_code &failure) {
+            const auto self = weak.lock();
+            if (!failure && self)
+                action(*self);
+        });
+    }
+
+    void setReachable(bool reachable, const std::string &error)
+    {
+        if (reachable)
+            this->pause = this->settings.retryPause;
+        if (this->isReachable == reachable)
+            return;
+        this->isReachable = reachable;
+        if (this->hooks.reachabilityChanged)
+            this->hooks.reachabilityChanged(reachable, error);
+    }
+
+    KvAccess kv;
+    StoreFollowerSettings settings;
+    StoreFollowerHooks hooks;
+    asio::steady_timer timer;
+    std::chrono::milliseconds pause;
+    std::function<void()> stop;
+    std::map<std::string, std::string> loading;
+    std::int64_t loadRevision = 0;
+    std::int64_t revision = 0;
+    bool isReachable = false;
+};
+
+StoreFollower::StoreFollower(asio::io_context &loop,
+                             KvAccess kv,
+                             StoreFollowerSettings settings,
+                             StoreFollowerHooks hooks)
+    : d(std::make_shared<Private>(loop, std::move(kv), std::move(settings), std::move(hooks)))
+{
+}
+
+StoreFollower::~StoreFollower()
+{
+    if (this->d->stop)
+        this->d->stop();
+}
+
+void StoreFollower::start()
+{
+    this->d->load();
+}
+
+bool StoreFollower::isReachable() const
+{
+    return this->d->isReachable;
+}
+
+std::int64_t StoreFollower::revision() const
+{
+    return this->d->revision;
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/storefollower.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "kvaccess.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace asio {
+class io_context;
+}
+
+namespace hemlock {
+
+struct StoreFollowerSettings
+{
+    std::string prefix;
+    /// A waiting read that hangs without a word is given up after this time and some slack, which bounds how old the
+    /// followed keys can be while the store works.
+    std::chrono::milliseconds wait{1000};
+    std::chrono::milliseconds retryPause{150};
+    std::chrono::milliseconds longestPause{1000};
+};
+
+struct StoreFollowerHooks
+{
+    /// All keys, after a full read.
+    std::function<void(const std::map<std::string, std::string> &values)> loaded;
+    std::function<void(const std::vector<KvEvent> &events)> changed;
+    /// The store answers again, before the first answer is passed on, or does not.
+    std::function<void(bool reachable, const std::string &error)> reachabilityChanged;
+};
+
+/// Keeps up with the keys below one prefix: a full read, then waiting reads of what changed.
+///
+/// The revision only grows: a full read that is older than what was passed on is read again.
+class StoreFollower
+{
+public:
+    StoreFollower(asio::io_context &loop, KvAccess kv, StoreFollowerSettings settings, StoreFollowerHooks hooks);
+    ~StoreFollower();
+
+    StoreFollower(const StoreFollower &) = delete;
+    StoreFollower &operator=(const StoreFollower &) = delete;
+
+    void start();
+
+    bool isReachable() const;
+    std::int64_t revision() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/usageledger.cpp
@@ -0,0 +1,57 @@
+#include "relay/usageledger.h"
+
+namespace hemlock {
+
+UsageLedger::UsageLedger(std::chrono::milliseconds window)
+    : length(window)
+{
+}
+
+std::int64_t UsageLedger::windowAt(WallTime time) const
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()) / this->length;
+}
+
+UsageLedger::WallTime UsageLedger::endOf(std::int64_t window) const
+{
+    return WallTime(this->length * (window + 1));
+}
+
+void UsageLedger::count(const std::string &account, WallTime time)
+{
+    ++this->ownWindows[this->windowAt(time)][account];
+}
+
+const std::map<std::int64_t, UsageCounts> &UsageLedger::own() const
+{
+    return this->ownWindows;
+}
+
+void UsageLedger::peerCounts(const std::string &peerRun, const std::map<std::int64_t, UsageCounts> &windows)
+{
+    for (const auto &[window, counts] : windows)
+        this->peerWindows[window][peerRun] = counts;
+}
+
+UsageCounts UsageLedger::total(std::int64_t window) const
+{
+    UsageCounts sum;
+    if (const auto own = this->ownWindows.find(window); own != this->ownWindows.end())
+        sum = own->second;
+    const auto peers = this->peerWindows.find(window);
+    if (peers == this->peerWindows.end())
+        return sum;
+    for (const auto &[run, counts] : peers->second) {
+        for (const auto &[account, count] : counts)
+            sum[account] += count;
+    }
+    return sum;
+}
+
+void UsageLedger::forgetBefore(std::int64_t window)
+{
+    this->ownWindows.erase(this->ownWindows.begin(), this->ownWindows.lower_bound(window));
+    this->peerWindows.erase(this->peerWindows.begin(), this->peerWindows.lower_bound(window));
+}
+
+} // namespace hemlock
--- a/src/libhemlock/router.cpp
+++ b/src/libhemlock/router.cpp
@@ -1,6 +1,7 @@
 #include "router.h"
 
 #include "prefixaffinity.h"
+#include "relay/partaffinity.h"
 
 #include <map>
 #include <stdexcept>
@@ -76,7 +77,8 @@
     static PolicyRegistry registry = {{"random", makePolicy<RandomPolicy>},
                                       {"round-robin", makePolicy<RoundRobinPolicy>},
                                       {"least-in-flight", makePolicy<LeastInFlightPolicy>},
-                                      {"prefix-affinity", makePolicy<PrefixAffinityPolicy>}};
+                                      {"prefix-affinity", makePolicy<PrefixAffinityPolicy>},
+                                      {"part-affinity", makePolicy<PartAffinityPolicy>}};
     return registry;
 }
 
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -11,6 +11,13 @@
 
 namespace hemlock {
 
+/// A part of a prompt that requests share.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    double tokens = 0.0;
+};
+
 /// One request as the router sees it.
 struct RouteQuery
 {
@@ -19,6 +26,7 @@
     std::string prompt; ///< Empty for a transactional service.
     AvailabilityZone zone; ///< Zone of this process.
     int priority = 5;
+    std::vector<PromptPart> parts; ///< Of the prompt, when the caller names them; the last one is its own.
     int entryVms = 1; ///< Entry processes that choose among the same upstreams, this one included.
 };
 
--- a/src/libhemlock/upstream.h
+++ b/src/libhemlock/upstream.h
@@ -38,6 +38,9 @@
     std::string address; ///< "IP:PORT".
     AvailabilityZone zone;
     UpstreamState state = UpstreamState::Joining;
+    int slots = 0; ///< Requests that it runs at once; 0 when unknown.
+    std::string incarnation; ///< Changes when it restarts under its identifier; empty when unknown.
+    bool isReclaimable = false;
 };
 
 /// Fields: id, service, address, zone, state.
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -1,5 +1,7 @@
 #include "upstreampool.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hemlock {
@@ -9,6 +11,9 @@
 // As long as the control process may take to learn of a death and to send a snapshot without the upstream.
 constexpr std::chrono::seconds avoidedAfterFailure{2};
 
+// An upstream that fails or is slow shows it in its last five or so answers.
+constexpr double observationWeight = 0.2;
+
 } // namespace
 
 UpstreamPool::Change UpstreamPool::apply(const std::vector<Upstream> &upstreams, Time now)
@@ -68,10 +73,14 @@
     UpstreamView view;
     view.id = upstream.id;
     view.zone = upstream.zone;
+    view.slots = upstream.slots;
     if (const auto activity = this->activities.find(upstream.id); activity != this->activities.end()) {
         view.inFlight = activity->second.inFlight;
         view.reportedLoad = activity->second.reportedLoad;
         view.inFlightAtReport = activity->second.inFlightAtReport;
+        view.pendingTokens = activity->second.pendingTokens + activity->second.peerPendingTokens;
+        view.failureShare = activity->second.failureShare;
+        view.excessDelay = std::chrono::milliseconds(std::llround(activity->second.excessDelayMs));
     }
     return view;
 }
@@ -120,6 +129,63 @@
         this->soundByService[upstream->second.service].addInFlight(id, 1);
 }
 
+void UpstreamPool::addPendingTokens(const std::string &id, double tokens)
+{
+    Activity &activity = this->activities[id];
+    activity.pendingTokens = std::max(0.0, activity.pendingTokens + tokens);
+    if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
+        this->updateView(upstream->second);
+}
+
+void UpstreamPool::peerLoadReported(const std::string &id, double requests, double pendingTokens, Time now)
+{
+    const auto upstream = this->upstreams.find(id);
+    if (upstream == this->upstreams.end())
+        return;
+    Activity &activity = this->activities[id];
+    activity.reportedLoad = requests;
+    activity.inFlightAtReport = 0.0;
+    activity.peerPendingTokens = pendingTokens;
+    this->refreshCandidate(upstream->second, now);
+}
+
+void UpstreamPool::outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay, Time now)
+{
+    const auto upstream = this->upstreams.find(id);
+    if (upstream == this->upstreams.end())
+        return;
+    Activity &activity = this->activities[id];
+    activity.failureShare += ((failed ? 1.0 : 0.0) - activity.failureShare) * observationWeight;
+    if (!failed)
+        activity.excessDelayMs += (static_cast<double>(excessDelay.count()) - activity.excessDelayMs) * observationWeight;
+    activity.observedAt = now;
+    this->updateView(upstream->second);
+}
+
+std::optional<UpstreamView> UpstreamPool::viewOf(const std::string &id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? std::nullopt : std::optional(this->view(found->second));
+}
+
+const CandidateSet &UpstreamPool::sound(const std::string &service, Time now)
+{
+    this->endAvoidance(now);
+    return this->soundByService[service];
+}
+
+const std::unordered_map<std::string, Upstream> &UpstreamPool::all() const
+{
+    return this->upstreams;
+}
+
+void UpstreamPool::updateView(const Upstream &upstream)
+{
+    CandidateSet &sound = this->soundByService[upstream.service];
+    if (sound.find(upstream.id))
+        sound.set(this->view(upstream));
+}
+
 void UpstreamPool::attemptEnded(const std::string &id)
 {
     --this->activities[id].inFlight;
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -42,6 +42,24 @@
                          RandomEngine &random);
 
     void attemptStarted(const std::string &id);
+
+    /// Notes prompt tokens (negative: no longer) that wait at an upstream for their first token.
+    void addPendingTokens(const std::string &id, double tokens);
+
+    /// Notes what other entry VMs said of their own requests at an upstream.
+    void peerLoadReported(const std::string &id, double requests, double pendingTokens, Time now);
+
+    /// Notes how an attempt went: whether the upstream failed, and its time to the first byte beyond the expected one.
+    void outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay, Time now);
+
+    /// The upstream's state as the router sees it; none when it is unknown.
+    std::optional<UpstreamView> viewOf(const std::string &id) const;
+
+    /// Upstreams of a service that serve and did not fail just now.
+    const CandidateSet &sound(const std::string &service, Time now);
+
+    const std::unordered_map<std::string, Upstream> &all() const;
+
     void attemptEnded(const std::string &id);
 
     /// Notes that an attempt found the upstream unusable; it is avoided for a short time.
@@ -69,8 +87,14 @@
         std::optional<Time> failedAt;
         double reportedLoad = 0.0;
         double inFlightAtReport = 0.0;
+        double pendingTokens = 0.0;
+        double peerPendingTokens = 0.0;
+        double failureShare = 0.0;
+        double excessDelayMs = 0.0;
+        Time observedAt;
     };
 
+    void updateView(const Upstream &upstream);
     bool isAvoided(const std::string &id, Time now) const;
     UpstreamView view(const Upstream &upstream) const;
     void refreshCandidate(const Upstream &upstream, Time now);
