Tell peers which prompt parts were sent where; refuse what cannot end before a drain does

Change: peers' news carry the parts sent since the last message; pending work counts only tokens to compute; long prompts are told at once; streams that begin 2.5 s after SIGTERM are refused as not run; four reclaimable upstreams a zone beside one on demand.

--- a/src/libhemlock/relay/fleetplanner.cpp
+++ b/src/libhemlock/relay/fleetplanner.cpp
@@ -17,8 +17,10 @@
     std::set<UpstreamOrder> orders;
     if (!service.scaling)
         return orders;
-    for (const auto &[zone, price] : service.scaling->zonePrices)
-        orders.insert({service.name, zone, std::max(1, service.scaling->min), false});
+    for (const auto &[zone, price] : service.scaling->zonePrices) {
+        orders.insert({service.name, zone, 1, false});
+        orders.insert({service.name, zone, 4, true});
+    }
     return orders;
 }
 
--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -56,10 +56,19 @@
     const UpstreamView *best = nullptr;
     double least = std::numeric_limits<double>::max();
     double missing = 0.0;
+    double shared = 0.0;
+    double total = 0.0;
+    for (const PromptPart &part : query.parts)
+        total += part.tokens;
+    for (std::size_t i = 0; i < sharedParts(query); ++i)
+        shared += query.parts[i].tokens;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamView &view = candidates.at(i);
-        const double tokens = this->missingTokens(query, view.id, &view == home);
-        const double cost = (view.pendingTokens + tokens) / this->settings.tokensPerMs
+        const double tokens = this->missingTokens(query, view.id);
+        const double weighed = tokens - (&view == home ? this->settings.homeCredit * std::min(tokens, shared) : 0.0);
+        // A computed token is compared with all before it, cached or not.
+        const double pairs = weighed * (total - weighed / 2) / 1e6;
+        const double cost = (view.pendingTokens + weighed) / this->settings.tokensPerMs + pairs * this->settings.pairsMs
             + view.load() * this->settings.requestMs + static_cast<double>(view.excessDelay.count())
             + view.failureShare * this->settings.failureMs
             + (view.zone == query.zone ? 0.0 : this->settings.crossZoneMs) + tie(random);
@@ -71,25 +80,22 @@
     }
     RouteDecision decision;
     decision.upstream = best->id;
+    decision.tokensToCompute = missing;
     decision.reason = "least expected delay of the first token: " + std::to_string(static_cast<long>(least)) + " ms, "
         + std::to_string(static_cast<long>(missing)) + " prompt tokens to compute"
         + (best == home ? ", home of the shared part" : "");
     return decision;
 }
 
-double PartAffinityPolicy::missingTokens(const RouteQuery &query, const std::string &upstream, bool isHome) const
+double PartAffinityPolicy::missingTokens(const RouteQuery &query, const std::string &upstream) const
 {
-    const std::size_t shared = sharedParts(query);
     const auto held = this->heldByUpstream.find(upstream);
     double missing = 0.0;
-    bool isPrefixHeld = true;
-    for (std::size_t i = 0; i < query.parts.size(); ++i) {
-        const PromptPart &part = query.parts[i];
-        isPrefixHeld =
-            isPrefixHeld && held != this->heldByUpstream.end() && held->second.places.contains(part.id);
-        if (isPrefixHeld)
-            continue;
-        missing += part.tokens * (isHome && i < shared ? 1.0 - this->settings.homeCredit : 1.0);
+    bool isPrefixHeld = held != this->heldByUpstream.end();
+    for (const PromptPart &part : query.parts) {
+        isPrefixHeld = isPrefixHeld && held->second.places.contains(part.id);
+        if (!isPrefixHeld)
+            missing += part.tokens;
     }
     return missing;
 }
@@ -99,18 +105,22 @@
     this->heldByUpstream.erase(upstream);
 }
 
-void PartAffinityPolicy::noteCached(const std::string &upstream, const std::vector<std::uint64_t> &parts)
+void PartAffinityPolicy::notePartsCached(const std::string &upstream, const std::vector<PromptPart> &parts)
 {
     Held &held = this->heldByUpstream[upstream];
-    // The last part is used first, so that a prefix outlives what follows it.
+    // The first part is noted last, so that a prefix outlives what follows it.
     for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        if (const auto known = held.places.find(*part); known != held.places.end())
+        if (const auto known = held.places.find(part->id); known != held.places.end()) {
+            held.tokens -= known->second->tokens;
             held.order.erase(known->second);
+        }
         held.order.push_front(*part);
-        held.places[*part] = held.order.begin();
+        held.places[part->id] = held.order.begin();
+        held.tokens += part->tokens;
     }
-    while (held.order.size() > this->settings.rememberedParts) {
-        held.places.erase(held.order.back());
+    while (held.tokens > this->settings.rememberedTokens && held.order.size() > 1) {
+        held.tokens -= held.order.back().tokens;
+        held.places.erase(held.order.back().id);
         held.order.pop_back();
     }
 }
--- a/src/libhemlock/relay/partaffinity.h
+++ b/src/libhemlock/relay/partaffinity.h
@@ -11,11 +11,15 @@
 struct PartAffinitySettings
 {
     double tokensPerMs = 50.0; ///< Prompt tokens that an upstream computes in a millisecond.
+    /// Milliseconds for each million pairs of a computed token and one before it.
+    double pairsMs = 0.4;
     double requestMs = 2.0; ///< Delay by each request in progress.
     double crossZoneMs = 15.0; ///< Round trips and the price of bytes to another availability zone.
     double failureMs = 3000.0; ///< Delay that a certain failure is worth.
-    double homeCredit = 0.8; ///< Chance that the home upstream of a part holds it without our having seen so.
-    std::size_t rememberedParts = 4096; ///< Of each upstream.
+    /// Part of a shared part's cost that its home is let off, so that entry VMs agree on a place for a new one.
+    double homeCredit = 0.3;
+    /// Shared tokens that an upstream is taken to hold; its memory less what running requests need.
+    double rememberedTokens = 400000.0;
 };
 
 /// Prefix affinity for prompts whose shared parts the caller names.
@@ -30,16 +34,17 @@
 
     RouteDecision choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random) override;
     void removeUpstream(const std::string &upstream) override;
-    void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &parts) override;
+    void notePartsCached(const std::string &upstream, const std::vector<PromptPart> &parts) override;
 
 private:
     struct Held
     {
-        std::list<std::uint64_t> order; ///< Latest use first.
-        std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
+        std::list<PromptPart> order; ///< Latest use first.
+        std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> places;
+        double tokens = 0.0;
     };
 
-    double missingTokens(const RouteQuery &query, const std::string &upstream, bool isHome) const;
+    double missingTokens(const RouteQuery &query, const std::string &upstream) const;
 
     PartAffinitySettings settings;
     std::unordered_map<std::string, Held> heldByUpstream;
--- a/src/libhemlock/relay/peernews.cpp
+++ b/src/libhemlock/relay/peernews.cpp
@@ -10,12 +10,20 @@
     nlohmann::json usage = nlohmann::json::object();
     for (const auto &[window, counts] : news.usage)
         usage[std::to_string(window)] = counts;
+    nlohmann::json cached = nlohmann::json::array();
+    for (const CachedParts &sent : news.cachedParts) {
+        nlohmann::json parts = nlohmann::json::array();
+        for (const PromptPart &part : sent.parts)
+            parts.push_back({part.id, part.tokens});
+        cached.push_back({sent.upstream, std::move(parts)});
+    }
     json = {{"node", news.node},
             {"run", news.run},
             {"sequence", news.sequence},
             {"quota", news.quotaTotals},
             {"loads", std::move(loads)},
             {"usage", std::move(usage)},
+            {"cached", std::move(cached)},
             {"quarantine", news.quarantine}};
 }
 
@@ -29,6 +37,12 @@
         news.loads[upstream] = {load.at(0).get<int>(), load.at(1).get<double>()};
     for (const auto &[window, counts] : json.at("usage").items())
         news.usage[std::stoll(window)] = counts.get<UsageCounts>();
+    for (const nlohmann::json &sent : json.at("cached")) {
+        CachedParts cached{sent.at(0).get<std::string>(), {}};
+        for (const nlohmann::json &part : sent.at(1))
+            cached.parts.push_back({part.at(0).get<std::uint64_t>(), part.at(1).get<double>()});
+        news.cachedParts.push_back(std::move(cached));
+    }
     news.quarantine = json.at("quarantine");
 }
 
--- a/src/libhemlock/relay/peernews.h
+++ b/src/libhemlock/relay/peernews.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/relayscheduler.h"
 #include "relay/usageledger.h"
 
 #include <nlohmann/json.hpp>
@@ -27,6 +28,7 @@
     std::map<std::string, double> quotaTotals; ///< Units admitted since the start, by client account.
     std::map<std::string, PeerLoad> loads; ///< By upstream.
     std::map<std::int64_t, UsageCounts> usage; ///< By window of the wall clock.
+    std::vector<CachedParts> cachedParts; ///< Sent to upstreams since the message before the last one.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
 };
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -80,6 +80,8 @@
     this->request = std::move(std::get<RelayRequest>(decoded));
     if (!this->resolve() || !this->authorize())
         return;
+    if (!this->context.accepts(this->route->kind))
+        return this->refuse({Verdict::NotRun, 503, "stopping", "the process is about to end", std::chrono::seconds(0)});
     const auto routeLimit = this->route->timeout.count() > 0 ? this->route->timeout : defaultTimeLimit;
     this->limit = this->arrival + std::min(routeLimit, this->request.deadline.value_or(routeLimit));
     if (this->timeLeft() < leastTime)
@@ -227,6 +229,8 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
               {"reason", decision.reason}});
 
+    this->context.promptSent(decision.tokensToCompute);
+
     HttpCallHooks hooks;
     hooks.head = [weak = this->weak_from_this()](int status, const HttpHeaders &headers) {
         if (const auto self = weak.lock())
@@ -288,6 +292,14 @@
     std::string whole = this->events.append(bytes);
     if (whole.empty())
         return;
+    const TimePoint now = this->context.now();
+    if (this->hasBegun) {
+        const std::string accountName = this->account ? this->account->name : std::string();
+        this->context.metrics.addTokenGap({this->service, accountName}, now - this->lastEvent);
+        this->longestGap =
+            std::max(this->longestGap, std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastEvent));
+    }
+    this->lastEvent = now;
     this->beginStream();
     this->responder->write(std::move(whole));
     if (this->responder->pendingBytes() > maxPendingBytes)
@@ -299,6 +311,8 @@
     if (this->hasBegun)
         return;
     this->hasBegun = true;
+    this->firstEventDelay =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival);
     this->responder->beginStream(this->status, endToEndHeaders(this->headers));
     const std::string accountName = this->account ? this->account->name : std::string();
     this->context.metrics.addFirstToken({this->service, accountName}, this->context.now() - this->arrival);
@@ -459,6 +473,8 @@
               {"verdict", verdictName(this->verdict)},
               {"attempts", this->attempts},
               {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
+              {"firstEventMs", this->firstEventDelay.count()},
+              {"longestGapMs", this->longestGap.count()},
               {"outcome", outcome}});
     this->ended();
 }
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -86,6 +86,9 @@
     bool isStreaming = false; ///< The attempt's answer is a stream to pass on.
     bool hasBegun = false; ///< The caller got the head of a stream.
     EventSplitter events;
+    TimePoint lastEvent;
+    std::chrono::milliseconds firstEventDelay{0}; ///< From the arrival to the first event.
+    std::chrono::milliseconds longestGap{0}; ///< Between two events.
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -29,6 +29,8 @@
     Quarantine &quarantine;
     UsageLedger &usage;
     Metrics &metrics;
+    /// Whether a call of this kind may still begin; false near the end of a process.
+    std::function<bool(CallKind kind)> accepts;
     RouteTablePtr routes; ///< Null before the first configuration.
     std::chrono::seconds idleLimit{10}; ///< Idle connections to upstreams are not used for longer.
     std::function<std::size_t()> peers; ///< Number of other entry VMs.
@@ -37,6 +39,9 @@
 
     /// An attempt ended without an answer while this upstream ran the request.
     std::function<void(const Upstream &upstream, const std::string &fingerprint)> brokenOff;
+
+    /// A prompt of which this many tokens are to be computed was sent.
+    std::function<void(double tokens)> promptSent;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -15,8 +15,12 @@
 
 constexpr std::chrono::milliseconds tickInterval{100};
 
-/// Peers' counts are this old at most; a fifth of a second of a flood fits into the slack of the shared limits.
-constexpr std::chrono::milliseconds newsInterval{200};
+/// Peers' counts are this old at most; a tenth of a second of a flood fits into the slack of the shared limits.
+constexpr std::chrono::milliseconds newsInterval{100};
+
+/// A long prompt is told at once, so that other VMs send no short one behind it; not more often than this.
+constexpr std::chrono::milliseconds leastNewsInterval{20};
+constexpr double longPromptTokens = 5000.0;
 
 /// Loads of a peer that said nothing for so long are dropped.
 constexpr std::chrono::milliseconds newsLifetime{1500};
@@ -30,6 +34,13 @@
 /// The end comes so long before the platform kills the process.
 constexpr std::chrono::milliseconds drainMargin{400};
 
+/// Streams that begin later in a drain would be cut by its end. By then the balancer has turned to other VMs, unless
+/// there is no other in the zone.
+constexpr std::chrono::milliseconds streamDrainTime{2500};
+
+/// Other calls take less than this, or are refused near the end.
+constexpr std::chrono::milliseconds shortCallTime{2000};
+
 /// A VM that takes no request for so long while it drains is out of the balancer's rotation.
 constexpr std::chrono::milliseconds quietTime{500};
 
@@ -88,6 +99,7 @@
               this->quarantine,
               this->usage,
               this->metrics,
+              [this](CallKind kind) { return this->accepts(kind); },
               nullptr,
               std::chrono::seconds(10),
               [this] { return this->registry.count(this->now()); },
@@ -95,6 +107,10 @@
               [] { return std::chrono::system_clock::now(); },
               [this](const Upstream &upstream, const std::string &fingerprint) {
                   this->brokenOff(upstream, fingerprint);
+              },
+              [this](double tokens) {
+                  if (tokens >= longPromptTokens)
+                      this->expediteNews();
               }}
     , store(loop,
             kv,
@@ -322,12 +338,27 @@
         }
         orders.merge(this->planner.plan(service, upstreams, demand, this->now()));
     }
+    if (this->planTask.isDue(this->now(), std::chrono::milliseconds(1000), 0.5))
+        for (const RelayService &service : this->context.routes->config().services) {
+            const CandidateSet &sound = this->scheduler.upstreams().sound(service.name, this->now());
+            double l=0,p=0; for (std::size_t i = 0; i < sound.size(); ++i) { l += sound.at(i).load(); p += sound.at(i).pendingTokens; }
+            logEvent(LogLevel::Info, "DBG", {{"s", service.name}, {"n", sound.size()}, {"load", l}, {"pend", p}});
+        }
     this->duties.setOrders(orders);
 }
 
+void RelayProcess::expediteNews()
+{
+    if (this->now() - this->newsSent < leastNewsInterval)
+        return;
+    this->newsTimer.cancel();
+    asio::post(this->loop, [this] { this->exchangeNews(); });
+}
+
 void RelayProcess::exchangeNews()
 {
     const TimePoint now = this->now();
+    this->newsSent = now;
     PeerNews news;
     news.node = this->settings.node;
     news.run = this->run;
@@ -337,6 +368,10 @@
         news.loads[upstream].requests = requests;
     for (const auto &[upstream, tokens] : this->scheduler.pendingTokens())
         news.loads[upstream].pendingTokens = tokens;
+    // Each is sent twice, since datagrams are lost.
+    std::vector<CachedParts> sent = this->scheduler.takeCachedParts();
+    news.cachedParts = std::exchange(this->lastCachedParts, sent);
+    news.cachedParts.insert(news.cachedParts.end(), sent.begin(), sent.end());
     constexpr std::int64_t sentWindows = 4;
     this->usage.forgetBefore(this->usage.windowAt(std::chrono::system_clock::now()) - sentWindows);
     news.usage = this->usage.own();
@@ -383,6 +418,8 @@
         this->usage.peerCounts(news.run, news.usage);
         this->peerLoads[news.node] = news.loads;
         this->peerLoadTimes[news.node] = now;
+        for (const CachedParts &cached : news.cachedParts)
+            this->scheduler.peerCachedParts(cached);
         this->quarantine.applyDelta(news.quarantine, now);
     } catch (const std::exception &error) {
         logEvent(LogLevel::Warning, "peer-news", {{"error", error.what()}});
@@ -407,6 +444,16 @@
     this->scheduler.upstreamFailed(upstream.id, now);
 }
 
+bool RelayProcess::accepts(CallKind kind) const
+{
+    if (!this->isDraining)
+        return true;
+    const auto passed = this->now() - this->drainBegan;
+    if (kind == CallKind::Stream)
+        return passed < streamDrainTime;
+    return passed < this->settings.drainTime - drainMargin - shortCallTime;
+}
+
 void RelayProcess::awaitSignal()
 {
     this->signals.async_wait([this](const asio::error_code &error, int) {
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -69,11 +69,13 @@
     void applyUpstreams();
 
     void tick();
+    void expediteNews();
     void exchangeNews();
     void newsReceived(std::string_view datagram);
     void brokenOff(const Upstream &upstream, const std::string &fingerprint);
     void plan();
 
+    bool accepts(CallKind kind) const;
     void awaitSignal();
     void drain();
     void checkDrained();
@@ -106,13 +108,16 @@
 
     std::string run; ///< Differs between two starts of this VM.
     std::int64_t newsSequence = 0;
+    TimePoint newsSent;
     std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
     std::map<std::string, std::pair<std::string, std::int64_t>> peerSequences; ///< Run and sequence by node.
     std::map<std::string, std::map<std::string, PeerLoad>> peerLoads;
     std::map<std::string, TimePoint> peerLoadTimes;
+    std::vector<CachedParts> lastCachedParts;
     std::set<std::shared_ptr<RelayCall>> calls;
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
     std::map<std::string, std::string> unreadable; ///< Values that were reported once, by key.
+    PeriodicTask planTask;
     bool isDraining = false;
     TimePoint drainBegan;
     TimePoint lastRequest;
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -84,8 +84,6 @@
     const auto excess = std::max(std::chrono::milliseconds(0), delay - started.expectedDelay - usualDelay);
     this->pool.outcomeObserved(started.upstream, false, excess, now);
     this->pool.addPendingTokens(started.upstream, -std::exchange(started.pendingTokens, 0.0));
-    if (!started.parts.empty())
-        this->modelRouter.noteCached(started.upstream, started.parts);
     this->dispatch(started.service, now);
 }
 
@@ -107,6 +105,7 @@
 void RelayScheduler::upstreamFailed(const std::string &upstream, TimePoint now)
 {
     this->pool.attemptFailed(upstream, now);
+    this->modelRouter.removeUpstream(upstream);
 }
 
 void RelayScheduler::tick(TimePoint now)
@@ -141,6 +140,17 @@
     return sum;
 }
 
+std::vector<CachedParts> RelayScheduler::takeCachedParts()
+{
+    return std::exchange(this->cachedParts, {});
+}
+
+void RelayScheduler::peerCachedParts(const CachedParts &cached)
+{
+    if (this->pool.find(cached.upstream))
+        this->modelRouter.notePartsCached(cached.upstream, cached.parts);
+}
+
 std::map<std::string, double> RelayScheduler::pendingTokens() const
 {
     std::map<std::string, double> tokens;
@@ -191,12 +201,15 @@
     started.queued = queued;
     started.rank = ticket.rank;
     started.since = now;
-    started.pendingTokens = isModel ? ticket.promptTokens : 0.0;
+    started.pendingTokens = isModel ? (ticket.parts.empty() ? ticket.promptTokens : decision.tokensToCompute) : 0.0;
     if (const auto view = this->pool.viewOf(upstream->id); view && isModel)
         started.expectedDelay = std::chrono::milliseconds(
-            std::llround((view->pendingTokens + ticket.promptTokens) / tokensPerMs));
-    for (const PromptPart &part : ticket.parts)
-        started.parts.push_back(part.id);
+            std::llround((view->pendingTokens + started.pendingTokens) / tokensPerMs));
+    if (!ticket.parts.empty()) {
+        // Requests that follow are computed after this one, which has left its parts in the cache by then.
+        this->modelRouter.notePartsCached(upstream->id, ticket.parts);
+        this->cachedParts.push_back({upstream->id, ticket.parts});
+    }
     this->pool.attemptStarted(upstream->id);
     this->pool.addPendingTokens(upstream->id, started.pendingTokens);
     this->startedById[ticket.id] = std::move(started);
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -30,6 +30,13 @@
     std::set<std::string> excluded; ///< Upstreams that it was sent to before.
 };
 
+/// Parts of a prompt that an upstream was sent.
+struct CachedParts
+{
+    std::string upstream;
+    std::vector<PromptPart> parts;
+};
+
 /// One of the two is called, exactly once, unless the request is cancelled.
 struct RelayTicketHooks
 {
@@ -82,6 +89,10 @@
 
     std::size_t waiting(const std::string &service) const;
 
+    /// What was sent where since the last call, for the other entry VMs.
+    std::vector<CachedParts> takeCachedParts();
+    void peerCachedParts(const CachedParts &cached);
+
     /// Prompt tokens of this process that wait at each upstream for their first token.
     std::map<std::string, double> pendingTokens() const;
 
@@ -100,7 +111,6 @@
         QueuedRequest queued;
         int rank = 0;
         double pendingTokens = 0.0;
-        std::vector<std::uint64_t> parts;
         TimePoint since;
         std::chrono::milliseconds expectedDelay{0};
         bool hasBegun = false;
@@ -125,6 +135,7 @@
     std::map<std::string, Ranks> queues; ///< By service.
     std::unordered_map<std::string, Waiting> waitingById;
     std::unordered_map<std::string, Started> startedById;
+    std::vector<CachedParts> cachedParts;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/router.cpp
+++ b/src/libhemlock/router.cpp
@@ -92,6 +92,10 @@
 {
 }
 
+void RoutePolicy::notePartsCached(const std::string &, const std::vector<PromptPart> &)
+{
+}
+
 void RoutePolicy::noteEvicted(const std::string &, std::uint64_t)
 {
 }
@@ -129,6 +133,11 @@
     this->policy->noteCached(upstream, blocks);
 }
 
+void Router::notePartsCached(const std::string &upstream, const std::vector<PromptPart> &parts) const
+{
+    this->policy->notePartsCached(upstream, parts);
+}
+
 void Router::noteEvicted(const std::string &upstream, std::uint64_t block) const
 {
     this->policy->noteEvicted(upstream, block);
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -35,6 +35,7 @@
 {
     std::string upstream; ///< Empty when there is none to choose from.
     std::string reason;
+    double tokensToCompute = 0.0; ///< Of the prompt, when the policy can tell.
     std::vector<std::string> alternatives; ///< Identifiers of the other upstreams that were weighed.
 };
 
@@ -50,6 +51,8 @@
     virtual void removeUpstream(const std::string &upstream);
     /// A cache event: the upstream now holds these blocks (as by prefixBlocks) of a prompt, or dropped one block.
     virtual void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks);
+    /// An upstream now holds these parts of prompts.
+    virtual void notePartsCached(const std::string &upstream, const std::vector<PromptPart> &parts);
     virtual void noteEvicted(const std::string &upstream, std::uint64_t block);
 };
 
@@ -71,6 +74,7 @@
     void removeUpstream(const std::string &upstream) const;
     /// Tells the policy of a cache event, which may be late.
     void noteCached(const std::string &upstream, const std::vector<std::uint64_t> &blocks) const;
+    void notePartsCached(const std::string &upstream, const std::vector<PromptPart> &parts) const;
     void noteEvicted(const std::string &upstream, std::uint64_t block) const;
 
     /// Makes a policy available under a name; the factory runs once for each router.
