Share a client account's limit as one token bucket over all entry VMs

Change: AccountQuota is a token bucket that every VM draws on by its peers' running totals; it starts empty after a restart.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -130,10 +130,11 @@
         if (!open)
             return;
         // RESTinio has no call that closes a connection; it does so on a part of an answer to an unknown request.
-        open->write_response_parts(unknownRequest,
-                                   restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
-                                                                     restinio::response_connection_attr_t::connection_close},
-                                   restinio::write_group_t{restinio::writable_items_container_t{}});
+        open->write_response_parts(
+            unknownRequest,
+            restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
+                                              restinio::response_connection_attr_t::connection_close},
+            restinio::write_group_t{restinio::writable_items_container_t{}});
     }
 
     void write(std::string chunk) override
--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -32,8 +32,10 @@
     std::function<void(const KvTxn &txn, std::function<void(const KvTxnResult &)> done)> txn;
     std::function<void(std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done)> grantLease;
     std::function<void(std::int64_t lease, std::function<void(const KvLeaseResult &)> done)> keepLeaseAlive;
-    /// Reads one page of the keys that begin with @p prefix and come after @p afterKey. Unset where the store has no pages.
-    std::function<void(const std::string &prefix, const std::string &afterKey, std::function<void(const KvPage &)> done)>
+    /// Reads one page of the keys that begin with @p prefix and come after @p afterKey. Unset where the store has no
+    /// pages.
+    std::function<void(
+        const std::string &prefix, const std::string &afterKey, std::function<void(const KvPage &)> done)>
         page;
     /// Waits up to @p wait for changes after @p revision to keys that begin with @p prefix; an empty list means none.
     /// The result ends the wait. Unset where the store streams its changes.
--- a/src/libhemlock/relay/accountquota.cpp
+++ b/src/libhemlock/relay/accountquota.cpp
@@ -1,18 +1,10 @@
 #include "relay/accountquota.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlock {
 
-namespace {
-
-double seconds(std::chrono::milliseconds time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-} // namespace
-
 AccountQuota::AccountQuota(QuotaSettings settings)
     : settings(settings)
 {
@@ -22,36 +14,28 @@
     const std::string &account, const QuotaLimit &limit, double units, std::size_t peers, TimePoint now)
 {
     if (limit.rate > 0.0) {
-        Window &window = this->windows[account];
-        this->expire(window, now);
-        const double allowed = (limit.rate * seconds(this->settings.window) + limit.burst) * (1.0 + this->settings.headroom)
-            - this->silentPart(limit, peers, now);
-        if (window.sum + units > allowed)
+        Bucket &bucket = this->buckets[account];
+        if (!bucket.isStarted) {
+            bucket.isStarted = true;
+            bucket.level += this->settings.startsFull ? this->capacity(limit) : this->settings.extraBurst;
+            bucket.updated = now;
+        }
+        this->refill(bucket, limit, peers, now);
+        if (bucket.level <= 0.0)
             return false;
+        bucket.level -= units;
     }
     this->own[account] += units;
-    this->add(account, units, now);
     return true;
 }
 
-std::chrono::milliseconds AccountQuota::waitTime(const std::string &account,
-                                                 const QuotaLimit &limit,
-                                                 double units,
-                                                 TimePoint now) const
+std::chrono::milliseconds AccountQuota::waitTime(const std::string &account, const QuotaLimit &limit) const
 {
-    const auto found = this->windows.find(account);
-    if (found == this->windows.end() || found->second.uses.empty())
-        return this->settings.window;
-    // The oldest uses leave the window first.
-    const double allowed = limit.rate * seconds(this->settings.window) + limit.burst;
-    double excess = found->second.sum + units - allowed;
-    for (const Use &use : found->second.uses) {
-        excess -= use.units;
-        if (excess <= 0.0)
-            return std::max(std::chrono::milliseconds(1),
-                            std::chrono::ceil<std::chrono::milliseconds>(use.time + this->settings.window - now));
-    }
-    return this->settings.window;
+    const auto found = this->buckets.find(account);
+    if (found == this->buckets.end() || found->second.level > 0.0 || limit.rate <= 0.0)
+        return std::chrono::milliseconds(0);
+    constexpr double msPerSecond = 1000.0;
+    return std::chrono::milliseconds(std::llround(std::ceil(-found->second.level / limit.rate * msPerSecond)) + 1);
 }
 
 const std::map<std::string, double> &AccountQuota::totals() const
@@ -60,49 +44,42 @@
 }
 
 void AccountQuota::peerTotals(const std::string &peer,
-                              const std::string &epoch,
+                              const std::string &run,
                               const std::map<std::string, double> &totals,
                               TimePoint now)
 {
     Peer &known = this->peersByName[peer];
-    if (known.epoch != epoch)
-        known = {epoch, {}, now};
-    known.heard = now;
-    for (const auto &[account, total] : totals) {
-        double &last = known.totals[account];
-        if (total > last)
-            this->add(account, total - last, now);
-        last = std::max(last, total);
+    // What a peer used before it was heard of is not known apart from what it used long ago; while it was silent, its
+    // fair part was left to it.
+    const bool isContinued = known.run == run && now - known.heard < this->settings.silence;
+    if (isContinued) {
+        for (const auto &[account, total] : totals)
+            this->buckets[account].level -= std::max(0.0, total - known.totals[account]);
     }
+    known = {run, totals, now};
 }
 
-void AccountQuota::add(const std::string &account, double units, TimePoint now)
+double AccountQuota::capacity(const QuotaLimit &limit) const
 {
-    Window &window = this->windows[account];
-    this->expire(window, now);
-    window.uses.push_back({now, units});
-    window.sum += units;
+    return limit.burst + this->settings.extraBurst;
 }
 
-void AccountQuota::expire(Window &window, TimePoint now) const
-{
-    while (!window.uses.empty() && now - window.uses.front().time >= this->settings.window) {
-        window.sum -= window.uses.front().units;
-        window.uses.pop_front();
-    }
-    if (window.uses.empty())
-        window.sum = 0.0;
-}
-
-double AccountQuota::silentPart(const QuotaLimit &limit, std::size_t peers, TimePoint now) const
+double AccountQuota::ownPart(std::size_t peers, TimePoint now) const
 {
     const auto heard = static_cast<std::size_t>(
         std::count_if(this->peersByName.begin(), this->peersByName.end(), [this, now](const auto &peer) {
             return now - peer.second.heard < this->settings.silence;
         }));
     const std::size_t silent = peers > heard ? peers - heard : 0;
-    return (limit.rate * seconds(this->settings.window) + limit.burst) * static_cast<double>(silent)
-        / static_cast<double>(peers + 1);
+    return 1.0 - static_cast<double>(silent) / static_cast<double>(peers + 1);
+}
+
+void AccountQuota::refill(Bucket &bucket, const QuotaLimit &limit, std::size_t peers, TimePoint now) const
+{
+    const double seconds = std::chrono::duration<double>(now - bucket.updated).count();
+    const double rate = limit.rate * (1.0 + this->settings.extraRate) * this->ownPart(peers, now);
+    bucket.level = std::min(this->capacity(limit), bucket.level + std::max(0.0, seconds) * rate);
+    bucket.updated = now;
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/accountquota.h
+++ b/src/libhemlock/relay/accountquota.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -18,17 +16,19 @@
 
 struct QuotaSettings
 {
-    std::chrono::milliseconds window{8000}; ///< In any span of this length the limit holds.
-    std::chrono::milliseconds silence{1000}; ///< A peer that said nothing for so long may use its fair part.
-    double headroom = 0.05; ///< Part of the limit that may be used beyond it, since peers' news are late.
+    double extraRate = 0.05; ///< Part of the rate that may pass beyond it, since peers' news are late.
+    double extraBurst = 0.0; ///< Units that may pass beyond the burst.
+    std::chrono::milliseconds silence{1000}; ///< A peer that said nothing for so long is taken to use its fair part.
+    bool startsFull = true; ///< False after a restart, when the burst may have been used just before.
 };
 
-/// Rate limits of client accounts over all entry VMs, as a sum over a sliding window.
+/// Rate limits of client accounts over all entry VMs: one token bucket an account that all of them draw on.
 ///
-/// Each entry VM counts what it admitted and tells the others its running totals. A request passes while the sum over
-/// all of them stays below the limit. A peer that is not heard of is taken to use its fair part, so that VMs that
-/// cannot reach each other share the limit evenly. Peers' counts lag by the exchange interval, which bounds the
-/// overshoot to what is admitted meanwhile.
+/// Each entry VM keeps its own copy of the level, takes what it admits from it at once and what its peers admitted when
+/// they say so. A request passes while the level is positive, whatever its size, so that large ones are not refused
+/// more often than small ones; the debt is paid back before the next one. Peers' counts lag by the exchange interval,
+/// which bounds the overshoot to what is admitted meanwhile. While a peer is silent, its fair part of the rate is left
+/// to it, so that VMs that cannot reach each other share the limit evenly.
 class AccountQuota
 {
 public:
@@ -39,46 +39,40 @@
     /// Admits a request of this many units or refuses it. @p peers counts the other entry VMs.
     bool tryTake(const std::string &account, const QuotaLimit &limit, double units, std::size_t peers, TimePoint now);
 
-    /// When a request of this many units is likely to pass.
-    std::chrono::milliseconds
-    waitTime(const std::string &account, const QuotaLimit &limit, double units, TimePoint now) const;
+    /// When the account's next request is likely to pass.
+    std::chrono::milliseconds waitTime(const std::string &account, const QuotaLimit &limit) const;
 
     /// Units that this process has admitted by account, since its start.
     const std::map<std::string, double> &totals() const;
 
-    /// Running totals of a peer; @p epoch changes when the peer restarts.
+    /// Running totals of a peer; @p run changes when the peer restarts.
     void peerTotals(const std::string &peer,
-                    const std::string &epoch,
+                    const std::string &run,
                     const std::map<std::string, double> &totals,
                     TimePoint now);
 
 private:
-    struct Use
+    struct Bucket
     {
-        TimePoint time;
-        double units;
-    };
-
-    struct Window
-    {
-        std::deque<Use> uses;
-        double sum = 0.0;
+        double level = 0.0; ///< Relative to the start level until the limit is known.
+        bool isStarted = false;
+        TimePoint updated;
     };
 
     struct Peer
     {
-        std::string epoch;
+        std::string run;
         std::map<std::string, double> totals;
         TimePoint heard;
     };
 
-    void add(const std::string &account, double units, TimePoint now);
-    void expire(Window &window, TimePoint now) const;
-    double silentPart(const QuotaLimit &limit, std::size_t peers, TimePoint now) const;
+    double capacity(const QuotaLimit &limit) const;
+    double ownPart(std::size_t peers, TimePoint now) const;
+    void refill(Bucket &bucket, const QuotaLimit &limit, std::size_t peers, TimePoint now) const;
 
     QuotaSettings settings;
     std::map<std::string, double> own;
-    std::unordered_map<std::string, Window> windows;
+    std::unordered_map<std::string, Bucket> buckets;
     std::unordered_map<std::string, Peer> peersByName;
 };
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -115,10 +115,11 @@
 {
     if (std::exchange(this->isLoadingRecord, true))
         return;
-    this->kv.range(this->usageKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
-        if (!alive.expired())
-            this->recordLoaded(result);
-    });
+    this->kv.range(
+        this->usageKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+            if (!alive.expired())
+                this->recordLoaded(result);
+        });
 }
 
 void DutyRunner::recordLoaded(const KvRangeResult &result)
@@ -184,18 +185,19 @@
 {
     this->isReporting = true;
     const DutyStamp stamp{this->settings.holder, this->role.fencingToken()};
-    this->transport.reportUsage(
-        stamp,
-        window,
-        this->recorded[window],
-        [this, window, alive = std::weak_ptr<bool>(this->alive)](DutyResult result) {
-            if (alive.expired())
-                return;
-            this->isReporting = false;
-            logEvent(LogLevel::Info, "usage-report", {{"window", window}, {"accepted", result == DutyResult::Accepted}});
-            if (result != DutyResult::Unknown)
-                this->toSend.erase(window);
-        });
+    this->transport.reportUsage(stamp,
+                                window,
+                                this->recorded[window],
+                                [this, window, alive = std::weak_ptr<bool>(this->alive)](DutyResult result) {
+                                    if (alive.expired())
+                                        return;
+                                    this->isReporting = false;
+                                    logEvent(LogLevel::Info,
+                                             "usage-report",
+                                             {{"window", window}, {"accepted", result == DutyResult::Accepted}});
+                                    if (result != DutyResult::Unknown)
+                                        this->toSend.erase(window);
+                                });
 }
 
 void DutyRunner::orderNext(TimePoint time)
--- a/src/libhemlock/relay/fleetplanner.cpp
+++ b/src/libhemlock/relay/fleetplanner.cpp
@@ -9,10 +9,8 @@
 {
 }
 
-std::set<UpstreamOrder> FleetPlanner::plan(const RelayService &service,
-                                           const std::vector<Upstream> &,
-                                           const ServiceDemand &,
-                                           TimePoint)
+std::set<UpstreamOrder>
+FleetPlanner::plan(const RelayService &service, const std::vector<Upstream> &, const ServiceDemand &, TimePoint)
 {
     std::set<UpstreamOrder> orders;
     if (!service.scaling)
--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -46,8 +46,7 @@
 {
 }
 
-RouteDecision
-PartAffinityPolicy::choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random)
+RouteDecision PartAffinityPolicy::choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random)
 {
     const UpstreamView *home = homeOf(query, candidates);
     // Equal upstreams are told apart at random, so that entry VMs do not all choose the same one.
--- a/src/libhemlock/relay/peerregistry.cpp
+++ b/src/libhemlock/relay/peerregistry.cpp
@@ -68,8 +68,10 @@
 
 std::size_t PeerRegistry::count(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        this->peers.begin(), this->peers.end(), [this, now](const auto &peer) { return this->isAlive(peer.second, now); }));
+    return static_cast<std::size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [this, now](const auto &peer) {
+            return this->isAlive(peer.second, now);
+        }));
 }
 
 const std::string &PeerRegistry::prefix() const
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -146,7 +146,7 @@
     const auto now = this->context.now();
     if (this->context.quota.tryTake(this->account->name, quota, units, this->context.peers(), now))
         return true;
-    const auto wait = this->context.quota.waitTime(this->account->name, quota, units, now);
+    const auto wait = this->context.quota.waitTime(this->account->name, quota);
     this->refuse({Verdict::NotRun,
                   429,
                   "account-limit",
@@ -311,8 +311,7 @@
     if (this->hasBegun)
         return;
     this->hasBegun = true;
-    this->firstEventDelay =
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival);
+    this->firstEventDelay = std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival);
     this->responder->beginStream(this->status, endToEndHeaders(this->headers));
     const std::string accountName = this->account ? this->account->name : std::string();
     this->context.metrics.addFirstToken({this->service, accountName}, this->context.now() - this->arrival);
@@ -342,7 +341,8 @@
     if (outcome.failure == HttpFailure::Connect)
         this->context.scheduler.upstreamFailed(this->upstream.id, now);
     if (outcome.failure == HttpFailure::Connect || outcome.failure == HttpFailure::Broken)
-        this->context.brokenOff(this->upstream, outcome.failure == HttpFailure::Broken ? this->fingerprint : std::string());
+        this->context.brokenOff(this->upstream,
+                                outcome.failure == HttpFailure::Broken ? this->fingerprint : std::string());
     if (outcome.failure == HttpFailure::Connect || saysNotRun)
         return this->giveUp(saysNotRun ? "the upstream did not run the request" : "no connection: " + outcome.error);
     if (!outcome.isComplete()) {
@@ -429,7 +429,8 @@
         return this->finish(0, "the time limit was reached");
     }
     if (this->verdict == Verdict::NotRun)
-        return this->refuse({Verdict::NotRun, 503, "deadline", "no upstream was free in time", std::chrono::seconds(1)});
+        return this->refuse(
+            {Verdict::NotRun, 503, "deadline", "no upstream was free in time", std::chrono::seconds(1)});
     this->refuse({this->verdict, 504, "timeout", "the time limit was reached", {}});
 }
 
@@ -464,18 +465,19 @@
     }
     const std::string accountName = this->account ? this->account->name : std::string();
     this->context.metrics.addRequest({this->service, accountName}, {this->verdict, answerStatus, 0, 0});
-    logEvent(LogLevel::Info,
-             "request",
-             {{"request", this->request.attemptId},
-              {"route", this->route ? this->route->name : std::string()},
-              {"clientAccount", accountName},
-              {"status", answerStatus},
-              {"verdict", verdictName(this->verdict)},
-              {"attempts", this->attempts},
-              {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
-              {"firstEventMs", this->firstEventDelay.count()},
-              {"longestGapMs", this->longestGap.count()},
-              {"outcome", outcome}});
+    logEvent(
+        LogLevel::Info,
+        "request",
+        {{"request", this->request.attemptId},
+         {"route", this->route ? this->route->name : std::string()},
+         {"clientAccount", accountName},
+         {"status", answerStatus},
+         {"verdict", verdictName(this->verdict)},
+         {"attempts", this->attempts},
+         {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
+         {"firstEventMs", this->firstEventDelay.count()},
+         {"longestGapMs", this->longestGap.count()},
+         {"outcome", outcome}});
     this->ended();
 }
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -90,28 +90,27 @@
     , usage(this->settings.usageWindow)
     , registry(kv, std::string(ownPrefix) + "nodes/", this->settings.node, this->settings.peers)
     , duties(kv, dutySettings(this->settings), this->transport, this->usage)
-    , context{loop,
-              http,
-              this->transport,
-              this->scheduler,
-              this->quota,
-              this->retries,
-              this->quarantine,
-              this->usage,
-              this->metrics,
-              [this](CallKind kind) { return this->accepts(kind); },
-              nullptr,
-              std::chrono::seconds(10),
-              [this] { return this->registry.count(this->now()); },
-              [this] { return this->now(); },
-              [] { return std::chrono::system_clock::now(); },
-              [this](const Upstream &upstream, const std::string &fingerprint) {
-                  this->brokenOff(upstream, fingerprint);
-              },
-              [this](double tokens) {
-                  if (tokens >= longPromptTokens)
-                      this->expediteNews();
-              }}
+    , context{
+          loop,
+          http,
+          this->transport,
+          this->scheduler,
+          this->quota,
+          this->retries,
+          this->quarantine,
+          this->usage,
+          this->metrics,
+          [this](CallKind kind) { return this->accepts(kind); },
+          nullptr,
+          std::chrono::seconds(10),
+          [this] { return this->registry.count(this->now()); },
+          [this] { return this->now(); },
+          [] { return std::chrono::system_clock::now(); },
+          [this](const Upstream &upstream, const std::string &fingerprint) { this->brokenOff(upstream, fingerprint); },
+          [this](double tokens) {
+              if (tokens >= longPromptTokens)
+                  this->expediteNews();
+          }}
     , store(loop,
             kv,
             {},
@@ -195,8 +194,7 @@
 void RelayProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const
 {
     if (request.path == "/metrics")
-        return responder->reply(
-            200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.prometheusText());
+        return responder->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.prometheusText());
     responder->reply(404, {}, "unknown path\n");
 }
 
@@ -212,8 +210,7 @@
             continue;
         }
         try {
-            listed.push_back(
-                this->transport.decodeUpstream(key.substr(this->settings.upstreamPrefix.size()), value));
+            listed.push_back(this->transport.decodeUpstream(key.substr(this->settings.upstreamPrefix.size()), value));
         } catch (const std::exception &) {
             this->upstreamSeen(key, value);
         }
@@ -341,7 +338,11 @@
     if (this->planTask.isDue(this->now(), std::chrono::milliseconds(1000), 0.5))
         for (const RelayService &service : this->context.routes->config().services) {
             const CandidateSet &sound = this->scheduler.upstreams().sound(service.name, this->now());
-            double l=0,p=0; for (std::size_t i = 0; i < sound.size(); ++i) { l += sound.at(i).load(); p += sound.at(i).pendingTokens; }
+            double l = 0, p = 0;
+            for (std::size_t i = 0; i < sound.size(); ++i) {
+                l += sound.at(i).load();
+                p += sound.at(i).pendingTokens;
+            }
             logEvent(LogLevel::Info, "DBG", {{"s", service.name}, {"n", sound.size()}, {"load", l}, {"pend", p}});
         }
     this->duties.setOrders(orders);
@@ -375,8 +376,8 @@
     constexpr std::int64_t sentWindows = 4;
     this->usage.forgetBefore(this->usage.windowAt(std::chrono::system_clock::now()) - sentWindows);
     news.usage = this->usage.own();
-    news.quarantine = this->quarantine.delta(
-        this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), now);
+    news.quarantine =
+        this->quarantine.delta(this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), now);
     this->quarantineVersions.push_back(news.quarantine.at("version").get<std::uint64_t>());
     if (this->quarantineVersions.size() > quarantineRepeats)
         this->quarantineVersions.pop_front();
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -47,7 +47,8 @@
 {
 public:
     /// @p kv and the hooks of @p transport use @p http.
-    RelayProcess(asio::io_context &loop, RelaySettings settings, HttpClient &http, KvAccess kv, RelayTransport transport);
+    RelayProcess(
+        asio::io_context &loop, RelaySettings settings, HttpClient &http, KvAccess kv, RelayTransport transport);
 
     void start();
 
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -203,8 +203,8 @@
     started.since = now;
     started.pendingTokens = isModel ? (ticket.parts.empty() ? ticket.promptTokens : decision.tokensToCompute) : 0.0;
     if (const auto view = this->pool.viewOf(upstream->id); view && isModel)
-        started.expectedDelay = std::chrono::milliseconds(
-            std::llround((view->pendingTokens + started.pendingTokens) / tokensPerMs));
+        started.expectedDelay =
+            std::chrono::milliseconds(std::llround((view->pendingTokens + started.pendingTokens) / tokensPerMs));
     if (!ticket.parts.empty()) {
         // Requests that follow are computed after this one, which has left its parts in the cache by then.
         this->modelRouter.notePartsCached(upstream->id, ticket.parts);
--- a/src/libhemlock/relay/relaytransport.h
+++ b/src/libhemlock/relay/relaytransport.h
@@ -53,10 +53,8 @@
     std::function<RelayConfig(const std::string &value)> decodeConfig;
     std::function<Upstream(const std::string &id, const std::string &value)> decodeUpstream;
 
-    std::function<void(const DutyStamp &stamp,
-                       std::int64_t window,
-                       const UsageCounts &counts,
-                       std::function<void(DutyResult)> done)>
+    std::function<void(
+        const DutyStamp &stamp, std::int64_t window, const UsageCounts &counts, std::function<void(DutyResult)> done)>
         reportUsage;
     std::function<void(const DutyStamp &stamp, const UpstreamOrder &order, std::function<void(DutyResult)> done)>
         orderUpstreams;
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -90,11 +90,12 @@
         this->setReachable(false, error);
         this->timer.expires_after(this->pause);
         this->pause = std::min(this->pause * 2, this->settings.longestPause);
-        this->timer.async_wait([weak = this->weak_from_this(), action = std::move(action)](const asio::error_code &failure) {
-            const auto self = weak.lock();
-            if (!failure && self)
-                action(*self);
-        });
+        this->timer.async_wait(
+            [weak = this->weak_from_this(), action = std::move(action)](const asio::error_code &failure) {
+                const auto self = weak.lock();
+                if (!failure && self)
+                    action(*self);
+            });
     }
 
     void setReachable(bool reachable, const std::string &error)
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -157,7 +157,8 @@
     Activity &activity = this->activities[id];
     activity.failureShare += ((failed ? 1.0 : 0.0) - activity.failureShare) * observationWeight;
     if (!failed)
-        activity.excessDelayMs += (static_cast<double>(excessDelay.count()) - activity.excessDelayMs) * observationWeight;
+        activity.excessDelayMs +=
+            (static_cast<double>(excessDelay.count()) - activity.excessDelayMs) * observationWeight;
     activity.observedAt = now;
     this->updateView(upstream->second);
 }
