--- a/src/libhemlock/relay/accountquota.cpp
+++ b/src/libhemlock/relay/accountquota.cpp
@@ -17,7 +17,7 @@
         Bucket &bucket = this->buckets[account];
         if (!bucket.isStarted) {
             bucket.isStarted = true;
-            bucket.level += this->settings.startsFull ? this->capacity(limit) : this->settings.extraBurst;
+            bucket.level += this->settings.startsFull ? this->capacity(limit) : this->settings.restartLevel;
             bucket.updated = now;
         }
         this->refill(bucket, limit, peers, now);
--- a/src/libhemlock/relay/accountquota.h
+++ b/src/libhemlock/relay/accountquota.h
@@ -20,6 +20,7 @@
     double extraBurst = 0.0; ///< Units that may pass beyond the burst.
     std::chrono::milliseconds silence{1000}; ///< A peer that said nothing for so long is taken to use its fair part.
     bool startsFull = true; ///< False after a restart, when the burst may have been used just before.
+    double restartLevel = 0.0; ///< Units that may pass at once after a restart.
 };
 
 /// Rate limits of client accounts over all entry VMs: one token bucket an account that all of them draw on.
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -20,6 +20,16 @@
     return json.dump();
 }
 
+using RunCounts = std::map<std::int64_t, std::map<std::string, UsageCounts>>;
+
+std::string encodeCounts(const RunCounts &windows)
+{
+    nlohmann::json json = nlohmann::json::object();
+    for (const auto &[window, runs] : windows)
+        json[std::to_string(window)] = runs;
+    return json.dump();
+}
+
 std::map<std::int64_t, UsageCounts> decodeRecord(const std::string &text)
 {
     std::map<std::int64_t, UsageCounts> windows;
@@ -88,8 +98,10 @@
         this->loadRecord();
     if (!this->isActing(time))
         return;
-    if (this->reportsUsage)
+    if (this->reportsUsage) {
         this->reportNext(time, wallTime);
+        this->saveCounts(time, wallTime);
+    }
     if (this->ordersUpstreams)
         this->orderNext(time);
 }
@@ -106,6 +118,11 @@
     return this->settings.keyPrefix + "/holder";
 }
 
+std::string DutyRunner::countsKey() const
+{
+    return this->settings.keyPrefix + "/counts";
+}
+
 std::string DutyRunner::usageKey() const
 {
     return this->settings.keyPrefix + "/usage";
@@ -115,6 +132,32 @@
 {
     if (std::exchange(this->isLoadingRecord, true))
         return;
+    this->kv.range(
+        this->countsKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+            if (!alive.expired())
+                this->countsLoaded(result);
+        });
+}
+
+void DutyRunner::countsLoaded(const KvRangeResult &result)
+{
+    if (result.status != KvStatus::Ok || !this->role.isHeld()) {
+        this->isLoadingRecord = false;
+        return;
+    }
+    if (!result.entries.empty()) {
+        try {
+            const auto json = nlohmann::json::parse(result.entries.front().value);
+            for (const auto &[window, runs] : json.items()) {
+                for (const auto &[run, counts] : runs.items()) {
+                    if (run != this->settings.run)
+                        this->usage.peerCounts(run, {{std::stoll(window), counts.get<UsageCounts>()}});
+                }
+            }
+        } catch (const std::exception &error) {
+            logEvent(LogLevel::Error, "duty-counts", {{"error", error.what()}});
+        }
+    }
     this->kv.range(
         this->usageKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
             if (!alive.expired())
@@ -181,6 +224,27 @@
                       });
 }
 
+void DutyRunner::saveCounts(TimePoint time, WallTime wallTime)
+{
+    if (this->isSaving || time < this->nextSave)
+        return;
+    this->nextSave = time + this->settings.saveInterval;
+    auto windows = this->usage.all(this->settings.run);
+    windows.erase(windows.begin(), windows.lower_bound(this->usage.windowAt(wallTime - this->settings.countDelay)));
+    std::string counts = encodeCounts(windows);
+    if (counts == this->savedCounts)
+        return;
+    this->isSaving = true;
+    this->role.commit({{this->countsKey(), counts, 0}},
+                      [this, counts, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
+                          if (alive.expired())
+                              return;
+                          this->isSaving = false;
+                          if (result == LeaderRole::CommitResult::Committed)
+                              this->savedCounts = counts;
+                      });
+}
+
 void DutyRunner::sendReport(std::int64_t window, TimePoint)
 {
     this->isReporting = true;
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -20,6 +20,7 @@
 struct DutySettings
 {
     std::string holder; ///< Name of this node.
+    std::string run; ///< Of this process; differs between two starts of the node.
     std::string keyPrefix; ///< Of all records of the duties, such as "hemlock/duties".
     std::chrono::seconds leaseTtl{3};
     /// A new holder waits so long before its first call: calls of the holder before may still be on their way.
@@ -28,6 +29,8 @@
     std::chrono::milliseconds callMargin{1000};
     /// After the end of a window the last counts of peers arrive.
     std::chrono::milliseconds countDelay{2000};
+    /// Counts of windows that still run are saved so often, for a successor after a stop of all VMs.
+    std::chrono::milliseconds saveInterval{400};
     std::size_t keptWindows = 6; ///< Windows whose counts the record keeps for a successor.
 };
 
@@ -64,6 +67,9 @@
 
 private:
     std::string usageKey() const;
+    std::string countsKey() const;
+    void saveCounts(TimePoint now, WallTime wallTime);
+    void countsLoaded(const KvRangeResult &result);
     void loadRecord();
     void recordLoaded(const KvRangeResult &result);
     void reportNext(TimePoint now, WallTime wallTime);
@@ -82,6 +88,9 @@
     TimePoint now;
     bool isRecordLoaded = false;
     bool isLoadingRecord = false;
+    bool isSaving = false;
+    TimePoint nextSave;
+    std::string savedCounts;
     bool isReporting = false;
     bool isOrdering = false;
     std::map<std::int64_t, UsageCounts> recorded; ///< Windows whose counts stand in the store.
--- a/src/libhemlock/relay/fleetplanner.cpp
+++ b/src/libhemlock/relay/fleetplanner.cpp
@@ -17,7 +17,7 @@
         return orders;
     for (const auto &[zone, price] : service.scaling->zonePrices) {
         orders.insert({service.name, zone, 1, false});
-        orders.insert({service.name, zone, 4, true});
+        orders.insert({service.name, zone, 3, true});
     }
     return orders;
 }
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -65,9 +65,10 @@
     return settings;
 }
 
-DutySettings dutySettings(const RelaySettings &settings)
+DutySettings dutySettings(const RelaySettings &settings, const std::string &run)
 {
     DutySettings duties;
+    duties.run = run;
     duties.holder = settings.node;
     duties.keyPrefix = std::string(ownPrefix) + "duties";
     duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
@@ -83,13 +84,14 @@
     , settings(std::move(relaySettings))
     , http(http)
     , transport(std::move(relayTransport))
+    , run(makeUniqueId())
     , random(std::random_device()())
     , scheduler(this->settings.zone, RandomEngine(this->random()))
     , quota(this->settings.quota)
     , retries(this->settings.retries)
     , usage(this->settings.usageWindow)
     , registry(kv, std::string(ownPrefix) + "nodes/", this->settings.node, this->settings.peers)
-    , duties(kv, dutySettings(this->settings), this->transport, this->usage)
+    , duties(kv, dutySettings(this->settings, this->run), this->transport, this->usage)
     , context{
           loop,
           http,
@@ -141,7 +143,6 @@
     , ticker(loop)
     , newsTimer(loop)
     , drainTimer(loop)
-    , run(makeUniqueId())
 {
     this->duties.setDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
 }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -85,6 +85,7 @@
     RelaySettings settings;
     HttpClient &http;
     RelayTransport transport;
+    std::string run; ///< Differs between two starts of this VM.
     RandomEngine random;
     RelayScheduler scheduler;
     AccountQuota quota;
@@ -107,7 +108,6 @@
     asio::steady_timer newsTimer;
     asio::steady_timer drainTimer;
 
-    std::string run; ///< Differs between two starts of this VM.
     std::int64_t newsSequence = 0;
     TimePoint newsSent;
     std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
--- a/src/libhemlock/relay/usageledger.cpp
+++ b/src/libhemlock/relay/usageledger.cpp
@@ -1,5 +1,7 @@
 #include "relay/usageledger.h"
 
+#include <algorithm>
+
 namespace hemlock {
 
 UsageLedger::UsageLedger(std::chrono::milliseconds window)
@@ -29,8 +31,20 @@
 
 void UsageLedger::peerCounts(const std::string &peerRun, const std::map<std::int64_t, UsageCounts> &windows)
 {
-    for (const auto &[window, counts] : windows)
-        this->peerWindows[window][peerRun] = counts;
+    for (const auto &[window, counts] : windows) {
+        UsageCounts &known = this->peerWindows[window][peerRun];
+        // Counts of a run only grow, so that the greater one is the later one.
+        for (const auto &[account, count] : counts)
+            known[account] = std::max(known[account], count);
+    }
+}
+
+std::map<std::int64_t, std::map<std::string, UsageCounts>> UsageLedger::all(const std::string &ownRun) const
+{
+    auto windows = this->peerWindows;
+    for (const auto &[window, counts] : this->ownWindows)
+        windows[window][ownRun] = counts;
+    return windows;
 }
 
 UsageCounts UsageLedger::total(std::int64_t window) const
--- a/src/libhemlock/relay/usageledger.h
+++ b/src/libhemlock/relay/usageledger.h
@@ -30,6 +30,9 @@
     /// Replaces what a run of a peer said of its windows; windows that it no longer names stay.
     void peerCounts(const std::string &peerRun, const std::map<std::int64_t, UsageCounts> &windows);
 
+    /// Counts by window and run, those of this process under @p ownRun: what a successor needs if all VMs stop at once.
+    std::map<std::int64_t, std::map<std::string, UsageCounts>> all(const std::string &ownRun) const;
+
     /// Sum over all processes.
     UsageCounts total(std::int64_t window) const;
 
