--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -66,6 +66,9 @@
 /// RESTinio numbers the requests of a connection from 0.
 constexpr restinio::request_id_t unknownRequest = std::numeric_limits<restinio::request_id_t>::max();
 
+/// An aborted stream with more unsent bytes has a caller that does not read.
+constexpr std::size_t flushedBeforeAbort = std::size_t{64} * 1024;
+
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
@@ -122,19 +125,15 @@
     {
         if (!this->request && !this->stream)
             return;
-        const auto open = this->connection.lock();
         this->table->remove(this->connectionId);
         this->disconnected = nullptr;
         this->stream.reset();
         this->request.reset();
-        if (!open)
-            return;
-        // RESTinio has no call that closes a connection; it does so on a part of an answer to an unknown request.
-        open->write_response_parts(
-            unknownRequest,
-            restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
-                                              restinio::response_connection_attr_t::connection_close},
-            restinio::write_group_t{restinio::writable_items_container_t{}});
+        // What was written goes out first, unless the caller does not read it.
+        if (this->output->pending > 0 && this->output->pending < flushedBeforeAbort)
+            this->output->drained = [connection = this->connection] { closeConnection(connection); };
+        else
+            closeConnection(this->connection);
     }
 
     void write(std::string chunk) override
@@ -142,11 +141,12 @@
         if (!this->stream || chunk.empty())
             return;
         const std::size_t size = chunk.size();
-        this->pending += size;
+        this->output->pending += size;
         this->stream->append_chunk(std::move(chunk));
-        this->stream->flush([self = this->weak_from_this(), size](const asio::error_code &) {
-            if (const auto responder = self.lock())
-                responder->pending -= size;
+        this->stream->flush([output = this->output, size](const asio::error_code &) {
+            output->pending -= size;
+            if (output->pending == 0 && output->drained)
+                std::exchange(output->drained, nullptr)();
         });
     }
 
@@ -161,7 +161,7 @@
 
     std::size_t pendingBytes() const override
     {
-        return this->pending;
+        return this->output->pending;
     }
 
     bool isConnected() const override
@@ -183,6 +183,26 @@
     }
 
 private:
+    /// Bytes of a stream on their way to the socket; outlives the responder.
+    struct Output
+    {
+        std::size_t pending = 0;
+        std::function<void()> drained;
+    };
+
+    static void closeConnection(const std::weak_ptr<restinio::impl::connection_base_t> &connection)
+    {
+        const auto open = connection.lock();
+        if (!open)
+            return;
+        // RESTinio has no call that closes a connection; it does so on a part of an answer to an unknown request.
+        open->write_response_parts(
+            unknownRequest,
+            restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
+                                              restinio::response_connection_attr_t::connection_close},
+            restinio::write_group_t{restinio::writable_items_container_t{}});
+    }
+
     static restinio::http_status_line_t statusLine(int status)
     {
         return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, status < 400 ? "OK" : "Error"};
@@ -210,7 +230,7 @@
     restinio::connection_id_t connectionId;
     std::weak_ptr<restinio::impl::connection_base_t> connection;
     std::unique_ptr<ChunkedBuilder> stream;
-    std::size_t pending = 0;
+    std::shared_ptr<Output> output = std::make_shared<Output>();
     std::function<void()> disconnected;
 };
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlock {
@@ -145,13 +146,16 @@
         this->isLoadingRecord = false;
         return;
     }
+    this->firstSaved.reset();
     if (!result.entries.empty()) {
         try {
             const auto json = nlohmann::json::parse(result.entries.front().value);
             for (const auto &[window, runs] : json.items()) {
+                const std::int64_t number = std::stoll(window);
+                this->firstSaved = std::min(number, this->firstSaved.value_or(number));
                 for (const auto &[run, counts] : runs.items()) {
                     if (run != this->settings.run)
-                        this->usage.peerCounts(run, {{std::stoll(window), counts.get<UsageCounts>()}});
+                        this->usage.peerCounts(run, {{number, counts.get<UsageCounts>()}});
                 }
             }
         } catch (const std::exception &error) {
@@ -197,9 +201,11 @@
         return;
     if (!this->toSend.empty())
         return this->sendReport(*this->toSend.begin(), time);
-    // The first holder of all begins with the window that runs when it takes the role.
-    if (!this->nextWindow)
-        this->nextWindow = this->usage.windowAt(wallTime - this->settings.settleTime);
+    // The first holder of all begins with the window that ran when it took the role.
+    if (!this->nextWindow) {
+        const std::int64_t first = this->usage.windowAt(wallTime - this->settings.settleTime);
+        this->nextWindow = std::min(first, this->firstSaved.value_or(first));
+    }
     const std::int64_t window = *this->nextWindow;
     if (wallTime < this->usage.endOf(window) + this->settings.countDelay)
         return;
@@ -266,13 +272,16 @@
 
 void DutyRunner::orderNext(TimePoint time)
 {
-    if (this->isOrdering || time < this->nextOrder)
+    if (this->isOrdering)
         return;
     for (const UpstreamOrder &order : this->orders) {
         const std::tuple subject(order.service, order.zone, order.isReclaimable);
         const auto last = this->accepted.find(subject);
         if (last != this->accepted.end() && last->second == order.count)
             continue;
+        const auto refused = this->refusedOrders.find(subject);
+        if (refused != this->refusedOrders.end() && time < refused->second + pauseAfterRefusedOrder)
+            continue;
         this->isOrdering = true;
         const DutyStamp stamp{this->settings.holder, this->role.fencingToken()};
         this->transport.orderUpstreams(
@@ -290,7 +299,7 @@
                 if (result == DutyResult::Accepted)
                     this->accepted[subject] = order.count;
                 else
-                    this->nextOrder = this->now + pauseAfterRefusedOrder;
+                    this->refusedOrders[subject] = this->now;
             });
         return;
     }
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -95,10 +95,11 @@
     bool isOrdering = false;
     std::map<std::int64_t, UsageCounts> recorded; ///< Windows whose counts stand in the store.
     std::set<std::int64_t> toSend; ///< Recorded windows that the platform has not accepted from this node.
+    std::optional<std::int64_t> firstSaved; ///< Oldest window whose running counts the holder before saved.
     std::optional<std::int64_t> nextWindow;
     std::set<UpstreamOrder> orders;
     std::map<std::tuple<std::string, std::string, bool>, int> accepted;
-    TimePoint nextOrder;
+    std::map<std::tuple<std::string, std::string, bool>, TimePoint> refusedOrders;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libhemlock/relay/peernews.cpp
+++ b/src/libhemlock/relay/peernews.cpp
@@ -22,6 +22,7 @@
             {"sequence", news.sequence},
             {"quota", news.quotaTotals},
             {"loads", std::move(loads)},
+            {"work", news.work},
             {"usage", std::move(usage)},
             {"cached", std::move(cached)},
             {"quarantine", news.quarantine}};
@@ -35,6 +36,7 @@
     json.at("quota").get_to(news.quotaTotals);
     for (const auto &[upstream, load] : json.at("loads").items())
         news.loads[upstream] = {load.at(0).get<int>(), load.at(1).get<double>()};
+    json.at("work").get_to(news.work);
     for (const auto &[window, counts] : json.at("usage").items())
         news.usage[std::stoll(window)] = counts.get<UsageCounts>();
     for (const nlohmann::json &sent : json.at("cached")) {
--- a/src/libhemlock/relay/peernews.h
+++ b/src/libhemlock/relay/peernews.h
@@ -27,6 +27,7 @@
     std::int64_t sequence = 0; ///< Grows with each message of a run.
     std::map<std::string, double> quotaTotals; ///< Units admitted since the start, by client account.
     std::map<std::string, PeerLoad> loads; ///< By upstream.
+    std::map<std::string, double> work; ///< Prompt tokens sent to be computed since the start, by service.
     std::map<std::int64_t, UsageCounts> usage; ///< By window of the wall clock.
     std::vector<CachedParts> cachedParts; ///< Sent to upstreams since the message before the last one.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -347,6 +347,9 @@
         return this->giveUp(saysNotRun ? "the upstream did not run the request" : "no connection: " + outcome.error);
     if (!outcome.isComplete()) {
         this->verdict = Verdict::MayHaveRun;
+        // The attempt ends a little before the call, so that its end is told in time.
+        if (outcome.failure == HttpFailure::Timeout && this->timeLeft() <= returnTime)
+            return this->timeLimitReached();
         return this->giveUp("attempt failed: " + outcome.error);
     }
     if (this->verdict == Verdict::NotRun)
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -50,6 +50,8 @@
 /// Callers keep connections idle as long as the configuration says, which changes; this is longer than any of it.
 constexpr std::chrono::seconds callerIdleTime{180};
 
+constexpr std::chrono::milliseconds planInterval{500};
+
 constexpr std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 
 constexpr std::string_view ownPrefix = "hemlock/";
@@ -325,27 +327,19 @@
 {
     if (!this->context.routes || !this->duties.isActing(this->now()))
         return;
+    const TimePoint now = this->now();
+    if (!this->planTask.isDue(now, planInterval, this->randomPart()))
+        return;
+    std::map<std::string, double> work = this->scheduler.sentTokens();
+    for (const auto &[node, tokens] : this->peerWork) {
+        for (const auto &[service, total] : tokens)
+            work[service] += total;
+    }
     std::set<UpstreamOrder> orders;
-    const auto upstreams = this->directory.upstreams();
     for (const RelayService &service : this->context.routes->config().services) {
-        ServiceDemand demand;
-        const CandidateSet &sound = this->scheduler.upstreams().sound(service.name, this->now());
-        for (std::size_t i = 0; i < sound.size(); ++i) {
-            demand.requestsInProgress += sound.at(i).load();
-            demand.pendingTokens += sound.at(i).pendingTokens;
-        }
-        orders.merge(this->planner.plan(service, upstreams, demand, this->now()));
+        this->planner.noteWork(service.name, work[service.name], now);
+        orders.merge(this->planner.plan(service, now));
     }
-    if (this->planTask.isDue(this->now(), std::chrono::milliseconds(1000), 0.5))
-        for (const RelayService &service : this->context.routes->config().services) {
-            const CandidateSet &sound = this->scheduler.upstreams().sound(service.name, this->now());
-            double l = 0, p = 0;
-            for (std::size_t i = 0; i < sound.size(); ++i) {
-                l += sound.at(i).load();
-                p += sound.at(i).pendingTokens;
-            }
-            logEvent(LogLevel::Info, "DBG", {{"s", service.name}, {"n", sound.size()}, {"load", l}, {"pend", p}});
-        }
     this->duties.setOrders(orders);
 }
 
@@ -374,6 +368,7 @@
     std::vector<CachedParts> sent = this->scheduler.takeCachedParts();
     news.cachedParts = std::exchange(this->lastCachedParts, sent);
     news.cachedParts.insert(news.cachedParts.end(), sent.begin(), sent.end());
+    news.work = this->scheduler.sentTokens();
     constexpr std::int64_t sentWindows = 4;
     this->usage.forgetBefore(this->usage.windowAt(std::chrono::system_clock::now()) - sentWindows);
     news.usage = this->usage.own();
@@ -418,6 +413,7 @@
         this->registry.heard(news.node, now);
         this->quota.peerTotals(news.node, news.run, news.quotaTotals, now);
         this->usage.peerCounts(news.run, news.usage);
+        this->peerWork[news.run] = news.work;
         this->peerLoads[news.node] = news.loads;
         this->peerLoadTimes[news.node] = now;
         for (const CachedParts &cached : news.cachedParts)
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -114,6 +114,7 @@
     std::map<std::string, std::pair<std::string, std::int64_t>> peerSequences; ///< Run and sequence by node.
     std::map<std::string, std::map<std::string, PeerLoad>> peerLoads;
     std::map<std::string, TimePoint> peerLoadTimes;
+    std::map<std::string, std::map<std::string, double>> peerWork; ///< Prompt tokens by run of a peer and service.
     std::vector<CachedParts> lastCachedParts;
     std::set<std::shared_ptr<RelayCall>> calls;
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -151,6 +151,11 @@
         this->modelRouter.notePartsCached(cached.upstream, cached.parts);
 }
 
+const std::map<std::string, double> &RelayScheduler::sentTokens() const
+{
+    return this->tokensSent;
+}
+
 std::map<std::string, double> RelayScheduler::pendingTokens() const
 {
     std::map<std::string, double> tokens;
@@ -211,6 +216,7 @@
         this->cachedParts.push_back({upstream->id, ticket.parts});
     }
     this->pool.attemptStarted(upstream->id);
+    this->tokensSent[ticket.service] += started.pendingTokens;
     this->pool.addPendingTokens(upstream->id, started.pendingTokens);
     this->startedById[ticket.id] = std::move(started);
     const auto start = std::move(waiting.hooks.start);
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -93,6 +93,9 @@
     std::vector<CachedParts> takeCachedParts();
     void peerCachedParts(const CachedParts &cached);
 
+    /// Prompt tokens that this process has sent to be computed since its start, by service.
+    const std::map<std::string, double> &sentTokens() const;
+
     /// Prompt tokens of this process that wait at each upstream for their first token.
     std::map<std::string, double> pendingTokens() const;
 
@@ -136,6 +139,7 @@
     std::unordered_map<std::string, Waiting> waitingById;
     std::unordered_map<std::string, Started> startedById;
     std::vector<CachedParts> cachedParts;
+    std::map<std::string, double> tokensSent;
 };
 
 } // namespace hemlock
--- /dev/null
+++ b/tests/unit/accountquotatest.cpp
@@ -0,0 +1,178 @@
+#include "relay/accountquota.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <vector>
+
+using namespace hemlock;
+
+namespace {
+
+/// Entry VMs that share the limit of one account and exchange their totals every tenth of a second.
+class AccountQuotaFixture
+{
+protected:
+    static constexpr std::chrono::milliseconds step{10};
+    static constexpr int stepsBetweenNews = 10;
+
+    explicit AccountQuotaFixture(std::size_t vms = 6)
+    {
+        for (std::size_t i = 0; i < vms; ++i)
+            this->addVm(true);
+    }
+
+    void addVm(bool startsFull)
+    {
+        QuotaSettings settings;
+        settings.extraRate = 0.0;
+        settings.startsFull = startsFull;
+        this->vms.emplace_back(settings);
+        this->runs.push_back("run-" + std::to_string(++this->lastRun));
+    }
+
+    void restart(std::size_t vm)
+    {
+        QuotaSettings settings;
+        settings.extraRate = 0.0;
+        settings.startsFull = false;
+        this->vms[vm] = AccountQuota(settings);
+        this->runs[vm] = "run-" + std::to_string(++this->lastRun);
+    }
+
+    /// Offers requests at each VM for a time; returns the units that passed.
+    double offer(double unitsPerSecondAndVm, double unitsPerRequest, std::chrono::milliseconds time)
+    {
+        double passed = 0.0;
+        for (auto end = this->now + time; this->now < end; this->now += step) {
+            for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+                this->due[vm] += unitsPerSecondAndVm * std::chrono::duration<double>(step).count();
+                while (this->due[vm] >= unitsPerRequest) {
+                    this->due[vm] -= unitsPerRequest;
+                    if (this->vms[vm].tryTake("account", this->limit, unitsPerRequest, this->vms.size() - 1, this->now))
+                        passed += unitsPerRequest;
+                }
+            }
+            if (++this->steps % stepsBetweenNews == 0 && !this->isCut)
+                this->exchange();
+        }
+        return passed;
+    }
+
+    void exchange()
+    {
+        for (std::size_t to = 0; to < this->vms.size(); ++to) {
+            for (std::size_t from = 0; from < this->vms.size(); ++from) {
+                if (from != to)
+                    this->vms[to].peerTotals(
+                        "vm-" + std::to_string(from), this->runs[from], this->vms[from].totals(), this->now);
+            }
+        }
+    }
+
+    std::vector<AccountQuota> vms;
+    std::vector<std::string> runs;
+    std::map<std::size_t, double> due;
+    QuotaLimit limit{10000.0, 10000.0};
+    std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+    int steps = 0;
+    int lastRun = 0;
+    bool isCut = false;
+};
+
+} // namespace
+
+// The load is a flood of several times an account's limit over all entry VMs, as on days with one hot account.
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: flood at all VMs: passes the burst and the rate, little more")
+{
+    this->offer(100.0, 100.0, std::chrono::milliseconds(500));
+    const double passed = this->offer(8000.0, 200.0, std::chrono::seconds(8));
+    const double allowed = this->limit.burst + this->limit.rate * 8.0;
+    CHECK(passed > allowed * 0.9);
+    // Six VMs that each offer 8,000 units a second overshoot by what they admit between two messages.
+    CHECK(passed < allowed + 6 * 8000.0 * 0.2);
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: demand at one VM only: may use the whole limit")
+{
+    double passed = 0.0;
+    for (int i = 0; i < 800; ++i) {
+        this->now += step;
+        if (this->vms[0].tryTake("account", this->limit, 90.0, 5, this->now))
+            passed += 90.0;
+        if (i % stepsBetweenNews == 0)
+            this->exchange();
+    }
+    CHECK(passed == Approx(72000.0));
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: all VMs restart in a flood: the burst is not given out again")
+{
+    this->offer(8000.0, 200.0, std::chrono::seconds(3));
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
+        this->restart(vm);
+    this->exchange();
+    const double passed = this->offer(8000.0, 200.0, std::chrono::seconds(2));
+    CHECK(passed < this->limit.rate * 2.0 + 6 * 8000.0 * 0.2);
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: VMs cannot reach each other: together they stay near the rate")
+{
+    this->offer(8000.0, 200.0, std::chrono::seconds(3));
+    this->isCut = true;
+    this->offer(8000.0, 200.0, std::chrono::seconds(2));
+    const double passed = this->offer(8000.0, 200.0, std::chrono::seconds(8));
+    CHECK(passed < this->limit.rate * 8.0 * 1.1);
+    CHECK(passed > this->limit.rate * 8.0 * 0.8);
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: large and small requests at the limit: pass alike")
+{
+    this->offer(8000.0, 200.0, std::chrono::seconds(3));
+    int large = 0;
+    int small = 0;
+    std::mt19937 random(11);
+    for (int i = 0; i < 4000; ++i) {
+        this->now += step;
+        AccountQuota &vm = this->vms[0];
+        const bool isLarge = (random() & 1U) == 0;
+        large += isLarge && vm.tryTake("account", this->limit, 4000.0, 0, this->now) ? 1 : 0;
+        small += !isLarge && vm.tryTake("account", this->limit, 40.0, 0, this->now) ? 1 : 0;
+    }
+    CHECK(large > 50);
+    CHECK(small > 50);
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: refused request: passes after the wait that it was told")
+{
+    AccountQuota quota;
+    REQUIRE(quota.tryTake("account", this->limit, 25000.0, 0, this->now));
+    REQUIRE_FALSE(quota.tryTake("account", this->limit, 100.0, 0, this->now));
+    const auto wait = quota.waitTime("account", this->limit);
+    CHECK(wait > std::chrono::milliseconds(1400));
+    CHECK(wait < std::chrono::milliseconds(1600));
+    CHECK(quota.tryTake("account", this->limit, 100.0, 0, this->now + wait));
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: account without a limit: always passes")
+{
+    AccountQuota quota;
+    for (int i = 0; i < 1000; ++i)
+        CHECK(quota.tryTake("account", {}, 1e6, 5, this->now));
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture,
+                 "AccountQuota: long-lived peer is met for the first time: its past is not charged")
+{
+    AccountQuota quota;
+    quota.peerTotals("vm-9", "old", {{"account", 1e9}}, this->now);
+    CHECK(quota.tryTake("account", this->limit, 100.0, 1, this->now));
+}
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: account used at peers only so far: their use counts here")
+{
+    AccountQuota quota;
+    quota.peerTotals("vm-9", "run", {{"account", 0.0}}, this->now);
+    quota.peerTotals("vm-9", "run", {{"account", 30000.0}}, this->now);
+    CHECK_FALSE(quota.tryTake("account", this->limit, 100.0, 1, this->now));
+}
--- /dev/null
+++ b/tests/unit/eventsplittertest.cpp
@@ -0,0 +1,41 @@
+#include "relay/eventsplitter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+class EventSplitterFixture
+{
+protected:
+    EventSplitter splitter;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(EventSplitterFixture, "EventSplitter: bytes end within an event: the rest is kept back")
+{
+    CHECK(this->splitter.append("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(this->splitter.lastEventId() == "1");
+    CHECK(this->splitter.hasRest());
+    CHECK(this->splitter.append("ta: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(this->splitter.lastEventId() == "2");
+    CHECK_FALSE(this->splitter.hasRest());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "EventSplitter: separator comes in two pieces: event is passed on when it is whole")
+{
+    CHECK(this->splitter.append("id:7\r\ndata: a\r\n").empty());
+    CHECK(this->splitter.append("\r\n") == "id:7\r\ndata: a\r\n\r\n");
+    CHECK(this->splitter.lastEventId() == "7");
+}
+
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "EventSplitter: stream goes on from another upstream: the unfinished event is dropped")
+{
+    this->splitter.append("id: 1\ndata: a\n\nid: 2\nda");
+    this->splitter.dropRest();
+    CHECK(this->splitter.append("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+}
--- /dev/null
+++ b/tests/unit/platformadaptertest.cpp
@@ -0,0 +1,224 @@
+#include "operatorconfig.h"
+#include "platformsettings.h"
+#include "relayheaders.h"
+#include "settings.h"
+#include "upstreamentry.h"
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+using nlohmann::json;
+
+namespace {
+
+class PlatformAdapterFixture
+{
+protected:
+    static json settings()
+    {
+        return {{"node-name", "frontend-1"},
+                {"zone", "zone-a"},
+                {"ip", "10.1.0.14"},
+                {"port-range", {7600, 7615}},
+                {"bootstrap", true},
+                {"listen", {{"front", "10.1.0.14:8221"}, {"ready", "10.1.0.14:8224"}, {"control", "10.1.0.14:8229"}}},
+                {"bounds", {{"retry-slack", 60}, {"retry-ratio", 0.2}, {"usage-window-s", 5}, {"grace-s", 8}}},
+                {"platform", {{"address", "10.200.1.7:8225"}}},
+                {"cloud", {{"address", "10.200.0.35:8225"}, {"duties", {"usage_report"}}}}};
+    }
+
+    static json route()
+    {
+        return {{"name", "r"},
+                {"hostname", "h.example"},
+                {"path-prefix", "/p/"},
+                {"kind", "streaming"},
+                {"timeout-ms", 12000},
+                {"target-latency-ms", 1000},
+                {"priority", 1},
+                {"max-attempts", 2},
+                {"public", false},
+                {"resumable", true},
+                {"service", "s"}};
+    }
+
+    static HttpRequest request()
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/p/2f?x=1";
+        request.path = "/p/2f";
+        request.headers = {{"Host", "h.example"},
+                           {"X-Hemlockflow-Attempt-Id", "9c41"},
+                           {"X-Hemlockflow-Token-Usage", "1460,80"},
+                           {"X-Hemlockflow-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                           {"X-Hemlockflow-Deadline-Ms", "12000"},
+                           {"Api-Key", "secret"},
+                           {"X-Hemlockflow-Tenant", "forged"},
+                           {"X-Hemlockflow-Hold", "forged"},
+                           {"Kv-From", "forged"},
+                           {"Connection", "close, X-Hop"},
+                           {"X-Hop", "1"},
+                           {"X-Own", "2"}};
+        request.body = "{}";
+        return request;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: settings of the platform: are read into the product's")
+{
+    const auto parsed = platform::parsePlatformSettings(settings());
+    CHECK(parsed.relay.node == "frontend-1");
+    CHECK(parsed.relay.callers == "10.1.0.14:8221");
+    CHECK(parsed.relay.peers == "10.1.0.14:7600");
+    CHECK(parsed.store == "10.200.1.7:8225");
+    CHECK(parsed.relay.reportsUsage);
+    CHECK_FALSE(parsed.relay.ordersUpstreams);
+    CHECK(parsed.relay.drainTime == std::chrono::seconds(8));
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: unknown field: is ignored")
+{
+    json json = settings();
+    json["new-field"] = {1, 2};
+    CHECK_NOTHROW(platform::parsePlatformSettings(json));
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: field is missing or malformed: the error names it")
+{
+    json missing = settings();
+    missing["listen"].erase("ready");
+    CHECK_THROWS_WITH(platform::parsePlatformSettings(missing), Catch::Contains("ready"));
+    json malformed = settings();
+    malformed["platform"]["address"] = "10.200.1.7";
+    CHECK_THROWS_WITH(platform::parsePlatformSettings(malformed), Catch::Contains("address"));
+    CHECK_THROWS_AS(platform::parsePlatformSettings(json::array()), SettingsError);
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture,
+                 "decodeOperatorConfig: route with one service and with a split: both have targets")
+{
+    json split = route();
+    split.erase("service");
+    split["traffic-split"] = {{{"service", "a"}, {"weight", 90}}, {{"service", "b"}, {"weight", 10}}};
+    const json document = {{"version", 7},
+                           {"routes", {route(), split}},
+                           {"services", {{{"name", "s"}, {"engine", {{"kv-cache-tokens", 500000}}}}}},
+                           {"tenants", {{{"name", "t"}, {"api-keys", {"k"}}, {"unit", "token_stream"}}}}};
+    const RelayConfig config = platform::decodeOperatorConfig(document.dump());
+    CHECK(config.version == 7);
+    REQUIRE(config.routes.size() == 2);
+    CHECK(config.routes[0].kind == CallKind::Stream);
+    CHECK(config.routes[0].targets.size() == 1);
+    CHECK(config.routes[1].targets.size() == 2);
+    CHECK(config.services[0].isModel);
+    CHECK(config.accounts[0].countsTokens);
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "decodeOperatorConfig: unknown kind of route: is refused")
+{
+    json unknown = route();
+    unknown["kind"] = "sometimes";
+    const json document = {{"version", 7}, {"routes", {unknown}}, {"services", json::array()}};
+    CHECK_THROWS(platform::decodeOperatorConfig(document.dump()));
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "decodeUpstreamEntry: entry of a worker: is read with its start and kind")
+{
+    const json entry = {{"service", "s"},
+                        {"address", "10.2.0.1:80"},
+                        {"zone", "zone-a"},
+                        {"slots", 64},
+                        {"state", "draining"},
+                        {"born", 1700000000000},
+                        {"spot", true}};
+    const Upstream upstream = platform::decodeUpstreamEntry("i-1", entry.dump());
+    CHECK(upstream.id == "i-1");
+    CHECK(upstream.state == UpstreamState::Leaving);
+    CHECK(upstream.isReclaimable);
+    CHECK(upstream.incarnation == "1700000000000");
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "decodeUpstreamEntry: entry of another writer: names no upstream")
+{
+    const json entry = {
+        {"service", "s"}, {"address", "10.2.0.1:80"}, {"zone", "zone-a"}, {"slots", 64}, {"state", "ready"}};
+    for (const char *name : {"service", "address", "zone", "slots", "state"}) {
+        json missing = entry;
+        missing.erase(name);
+        CHECK_THROWS(platform::decodeUpstreamEntry("i-1", missing.dump()));
+        json mistyped = entry;
+        mistyped[name] = json::array();
+        CHECK_THROWS(platform::decodeUpstreamEntry("i-1", mistyped.dump()));
+    }
+    json unknown = entry;
+    unknown["state"] = "dancing";
+    CHECK_THROWS(platform::decodeUpstreamEntry("i-1", unknown.dump()));
+    CHECK_THROWS(platform::decodeUpstreamEntry("i-1", "not json"));
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture,
+                 "decodeRelayRequest: caller's request: is decoded, and fields that are not the caller's are dropped")
+{
+    const auto decoded = platform::decodeRelayRequest(request());
+    const auto &relayed = std::get<RelayRequest>(decoded);
+    CHECK(relayed.attemptId == "9c41");
+    CHECK(relayed.apiKey == "secret");
+    CHECK(relayed.target == "/p/2f?x=1");
+    CHECK(*relayed.promptTokens == 1460.0);
+    CHECK(relayed.answerTokens == 80.0);
+    REQUIRE(relayed.parts.size() == 3);
+    CHECK(relayed.parts[0].id == 0x5c1e07a2);
+    CHECK(relayed.parts[2].tokens == 250.0);
+    for (const char *dropped :
+         {"Api-Key", "X-Hemlockflow-Tenant", "X-Hemlockflow-Hold", "Kv-From", "Connection", "X-Hop"})
+        CHECK_FALSE(relayed.headers.has(dropped));
+    CHECK(relayed.headers.value("X-Own") == "2");
+    CHECK(relayed.headers.value("X-Hemlockflow-Prompt-Prefix") == "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture, "decodeRelayRequest: request without an identifier: is a bad request")
+{
+    HttpRequest unnamed = request();
+    unnamed.headers.remove("X-Hemlockflow-Attempt-Id");
+    const auto decoded = platform::decodeRelayRequest(unnamed);
+    CHECK(std::get<RequestError>(decoded).status == 400);
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture,
+                 "encodeRelayAttempt: request to an upstream: names it, the account and the time that is left")
+{
+    const auto decoded = platform::decodeRelayRequest(request());
+    RelayAttempt attempt;
+    attempt.upstreamId = "i-1";
+    attempt.address = "10.2.0.1:80";
+    attempt.clientAccount = "account";
+    attempt.timeLeft = std::chrono::milliseconds(900);
+    attempt.lastEventId = "12";
+    const HttpCall call = platform::encodeRelayAttempt(std::get<RelayRequest>(decoded), attempt);
+    CHECK(call.target == "/p/2f?x=1");
+    CHECK(call.body == "{}");
+    CHECK(call.headers.value("X-Hemlockflow-Expect-Instance") == "i-1");
+    CHECK(call.headers.value("X-Hemlockflow-Tenant") == "account");
+    CHECK(call.headers.value("X-Hemlockflow-Deadline-Ms") == "900");
+    CHECK(call.headers.value("X-Hemlockflow-Attempt-Id") == "9c41");
+    CHECK(call.headers.value("Last-Event-Id") == "12");
+    CHECK_FALSE(call.headers.has("Api-Key"));
+}
+
+TEST_CASE_METHOD(PlatformAdapterFixture,
+                 "decodeRelayAnswer: head of an answer: tells who vouches for it and whether it ran")
+{
+    const HttpHeaders head = {{"X-Hemlockflow-Attempt-Id", "9c41"},
+                              {"X-Hemlockflow-Not-Executed", "1"},
+                              {"Keep-Alive", "timeout=7, max=100"}};
+    const RelayAnswer answer = platform::decodeRelayAnswer(head);
+    CHECK(answer.attemptId == "9c41");
+    CHECK(answer.isNotExecuted);
+    CHECK_FALSE(answer.isSigned);
+    CHECK(answer.keepAlive == std::chrono::seconds(7));
+}
--- /dev/null
+++ b/tests/unit/relaycalltest.cpp
@@ -0,0 +1,391 @@
+#include "relay/relaycall.h"
+#include "httpserver.h"
+#include "relayheaders.h"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+using UpstreamHandler = std::function<void(const HttpRequest &request, const HttpResponderPtr &responder)>;
+
+/// An upstream on a loopback port that answers by a hook and keeps what it received.
+class FakeUpstream
+{
+public:
+    FakeUpstream(asio::io_context &loop, const std::string &id)
+        : server(loop, {}, [this](HttpRequest request, const HttpResponderPtr &responder) {
+            this->requests.push_back(request);
+            this->handler(request, responder);
+        })
+    {
+        this->upstream.id = id;
+        this->upstream.address = this->server.start();
+        this->upstream.zone = {"zone-a"};
+        this->upstream.state = UpstreamState::Serving;
+        this->upstream.slots = 4;
+    }
+
+    HttpServer server;
+    Upstream upstream;
+    UpstreamHandler handler;
+    std::vector<HttpRequest> requests;
+};
+
+HttpHeaders answerHeaders(const HttpRequest &request)
+{
+    return {{"X-Hemlockflow-Attempt-Id", request.headers.value("X-Hemlockflow-Attempt-Id")},
+            {"X-Hemlockflow-Response-Signature", "signed"}};
+}
+
+void answer(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    responder->reply(200, answerHeaders(request), "whole");
+}
+
+void answerNotExecuted(const HttpRequest &request, const HttpResponderPtr &responder)
+{
+    HttpHeaders headers = {{"X-Hemlockflow-Attempt-Id", request.headers.value("X-Hemlockflow-Attempt-Id")},
+                           {"X-Hemlockflow-Not-Executed", "1"}};
+    responder->reply(503, headers, "");
+}
+
+/// What a caller got.
+struct CallerOutcome
+{
+    HttpOutcome outcome;
+    std::string bytes;
+};
+
+/// One entry process between callers and two upstreams, with real sockets on one loop.
+class RelayCallFixture
+{
+protected:
+    RelayCallFixture()
+    {
+        for (FakeUpstream *fake : {&this->first, &this->second}) {
+            fake->upstream.service = "service";
+            fake->handler = answer;
+        }
+        this->transport.decodeRequest = platform::decodeRelayRequest;
+        this->transport.encodeAttempt = platform::encodeRelayAttempt;
+        this->transport.decodeAnswer = platform::decodeRelayAnswer;
+        this->context.accepts = [this](CallKind) { return this->isAccepting; };
+        this->context.peers = [] { return std::size_t{0}; };
+        this->context.now = [] { return std::chrono::steady_clock::now(); };
+        this->context.wallTime = [] { return std::chrono::system_clock::now(); };
+        this->context.brokenOff = [this](const Upstream &, const std::string &) { ++this->broken; };
+        this->context.promptSent = [](double) {};
+        this->scheduler.applyUpstreams({this->first.upstream, this->second.upstream}, std::chrono::steady_clock::now());
+        this->configure(CallKind::Idempotent, 2);
+        this->address = this->entry.start();
+    }
+
+    void configure(CallKind kind, int maxAttempts, bool isResumable = false)
+    {
+        RelayRoute route;
+        route.name = "route";
+        route.host = "h.example";
+        route.pathPrefix = "/p/";
+        route.kind = kind;
+        route.maxAttempts = maxAttempts;
+        route.isResumable = isResumable;
+        route.timeout = this->routeTimeout;
+        route.latencyTarget = std::chrono::milliseconds(1000);
+        route.targets = {{"service", 1.0}};
+        RelayConfig config;
+        config.version = 1;
+        config.routes = {route};
+        config.accounts = {{"account", {"key"}, {}, this->accountRate, 0.0, false, 1.0}};
+        this->context.routes = std::make_shared<const RouteTable>(std::move(config));
+    }
+
+    HttpCall request() const
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.onlyOwnHeaders = true;
+        call.url = endpointUrl(this->address) + "/p/x";
+        call.headers = {{"Host", "h.example"},
+                        {"Api-Key", "key"},
+                        {"X-Hemlockflow-Attempt-Id", "attempt-1"},
+                        {"X-Hemlockflow-Deadline-Ms", "3000"}};
+        call.body = "body";
+        return call;
+    }
+
+    CallerOutcome call(const HttpCall &request)
+    {
+        CallerOutcome result;
+        bool isDone = false;
+        HttpCallHooks hooks;
+        hooks.data = [&result](std::string_view bytes) { result.bytes.append(bytes); };
+        hooks.done = [&result, &isDone](const HttpOutcome &outcome) {
+            result.outcome = outcome;
+            isDone = true;
+        };
+        this->callers.start(request, std::move(hooks));
+        this->runUntil([&isDone] { return isDone; });
+        return result;
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        while (!condition())
+            this->loop.run_one();
+    }
+
+    std::size_t sent() const
+    {
+        return this->first.requests.size() + this->second.requests.size();
+    }
+
+    void bothAnswer(const UpstreamHandler &handler)
+    {
+        this->first.handler = handler;
+        this->second.handler = handler;
+    }
+
+    asio::io_context loop{1};
+    FakeUpstream first{this->loop, "upstream-1"};
+    FakeUpstream second{this->loop, "upstream-2"};
+    HttpClient http{this->loop};
+    HttpClient callers{this->loop};
+    RelayTransport transport;
+    RelayScheduler scheduler{{"zone-a"}, RandomEngine(1)};
+    AccountQuota quota;
+    RetryBudget retries;
+    Quarantine quarantine;
+    UsageLedger usage{std::chrono::milliseconds(5000)};
+    Metrics metrics;
+    RelayContext context{this->loop,
+                         this->http,
+                         this->transport,
+                         this->scheduler,
+                         this->quota,
+                         this->retries,
+                         this->quarantine,
+                         this->usage,
+                         this->metrics,
+                         {},
+                         nullptr,
+                         std::chrono::seconds(10),
+                         {},
+                         {},
+                         {},
+                         {},
+                         {}};
+    std::set<std::shared_ptr<RelayCall>> calls;
+    std::size_t ended = 0;
+    HttpServer entry{this->loop, {}, [this](HttpRequest request, const HttpResponderPtr &responder) {
+                         auto relay = std::make_shared<RelayCall>(this->context, responder, [this] { ++this->ended; });
+                         this->calls.insert(relay);
+                         relay->start(std::move(request));
+                     }};
+    std::string address;
+    std::chrono::milliseconds routeTimeout{3000};
+    double accountRate = 0.0;
+    bool isAccepting = true;
+    int broken = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: upstream answers: status, body and signature come back unchanged")
+{
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 200);
+    CHECK(result.bytes == "whole");
+    CHECK(result.outcome.headers.value("X-Hemlockflow-Response-Signature") == "signed");
+    REQUIRE(this->sent() == 1);
+    const HttpRequest &received =
+        this->first.requests.empty() ? this->second.requests.front() : this->first.requests.front();
+    CHECK(received.body == "body");
+    CHECK(received.headers.value("X-Hemlockflow-Tenant") == "account");
+    CHECK(std::stol(received.headers.value("X-Hemlockflow-Deadline-Ms")) <= 3000);
+    CHECK_FALSE(received.headers.has("Content-Type"));
+    CHECK(this->usage.own().begin()->second.at("account") == 1);
+}
+
+TEST_CASE_METHOD(
+    RelayCallFixture,
+    "RelayCall: upstream says that it did not run the call: another one gets it, also when it may run once")
+{
+    this->configure(CallKind::NonIdempotent, 2);
+    int refusals = 0;
+    this->bothAnswer([&refusals](const HttpRequest &request, const HttpResponderPtr &responder) {
+        if (refusals++ == 0)
+            answerNotExecuted(request, responder);
+        else
+            answer(request, responder);
+    });
+    CHECK(this->call(this->request()).outcome.status == 200);
+    CHECK(this->first.requests.size() == 1);
+    CHECK(this->second.requests.size() == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: no upstream ran the call: the caller is told so and when to come back")
+{
+    this->configure(CallKind::NonIdempotent, 2);
+    this->bothAnswer(answerNotExecuted);
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 503);
+    CHECK(result.outcome.headers.has("Retry-After"));
+    CHECK(this->sent() == 2);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: answer of a call that may run once is lost: it is not sent again, nor called not run")
+{
+    this->configure(CallKind::NonIdempotent, 3);
+    this->bothAnswer([](const HttpRequest &, const HttpResponderPtr &responder) { responder->abort(); });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 502);
+    CHECK(this->sent() == 1);
+    CHECK(this->broken == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: answer of an idempotent call is lost: another upstream gets it")
+{
+    int answers = 0;
+    this->bothAnswer([&answers](const HttpRequest &request, const HttpResponderPtr &responder) {
+        if (answers++ == 0)
+            responder->abort();
+        else
+            answer(request, responder);
+    });
+    CHECK(this->call(this->request()).outcome.status == 200);
+    CHECK(this->sent() == 2);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: answer names another call: it reaches no caller")
+{
+    this->configure(CallKind::NonIdempotent, 1);
+    this->bothAnswer([](const HttpRequest &, const HttpResponderPtr &responder) {
+        HttpHeaders headers = {{"X-Hemlockflow-Attempt-Id", "other"}, {"X-Hemlockflow-Response-Signature", "signed"}};
+        responder->reply(200, headers, "of another call");
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 502);
+    CHECK(result.bytes.find("of another call") == std::string::npos);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: success without a signature: is no success")
+{
+    this->configure(CallKind::NonIdempotent, 1);
+    this->bothAnswer([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        HttpHeaders headers = {{"X-Hemlockflow-Attempt-Id", request.headers.value("X-Hemlockflow-Attempt-Id")}};
+        responder->reply(200, headers, "unsigned");
+    });
+    CHECK(this->call(this->request()).outcome.status == 502);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: upstream fails a call that may run once: its own answer comes back")
+{
+    this->configure(CallKind::NonIdempotent, 2);
+    this->bothAnswer([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->reply(500, answerHeaders(request), "failed");
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 500);
+    CHECK(result.bytes == "failed");
+    CHECK(this->sent() == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: upstream is silent beyond the route's timeout: the caller gets 504 by then")
+{
+    this->routeTimeout = std::chrono::milliseconds(100);
+    this->configure(CallKind::NonIdempotent, 2);
+    std::vector<HttpResponderPtr> kept;
+    this->bothAnswer([&kept](const HttpRequest &, const HttpResponderPtr &responder) { kept.push_back(responder); });
+    CHECK(this->call(this->request()).outcome.status == 504);
+    CHECK(this->sent() == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: caller leaves: the upstream's connection is closed")
+{
+    bool isCancelled = false;
+    std::vector<HttpResponderPtr> kept;
+    this->bothAnswer([&](const HttpRequest &, const HttpResponderPtr &responder) {
+        responder->setDisconnected([&isCancelled] { isCancelled = true; });
+        kept.push_back(responder);
+    });
+    const auto id = this->callers.start(this->request(), {{}, {}, [](const HttpOutcome &) {}});
+    this->runUntil([this] { return this->sent() == 1; });
+    this->callers.cancel(id);
+    this->runUntil([&isCancelled] { return isCancelled; });
+    CHECK(this->ended == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: account is over its rate: 429 with the time to wait, nothing is sent")
+{
+    this->accountRate = 0.001;
+    this->configure(CallKind::Idempotent, 2);
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 429);
+    CHECK(result.outcome.headers.has("Retry-After"));
+    CHECK(this->sent() == 0);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: unknown route, unknown key, no configuration, end of the process: each has its status")
+{
+    HttpCall elsewhere = this->request();
+    elsewhere.url = endpointUrl(this->address) + "/q/x";
+    CHECK(this->call(elsewhere).outcome.status == 404);
+    HttpCall keyless = this->request();
+    keyless.headers.remove("Api-Key");
+    CHECK(this->call(keyless).outcome.status == 401);
+    this->isAccepting = false;
+    CHECK(this->call(this->request()).outcome.status == 503);
+    this->context.routes = nullptr;
+    CHECK(this->call(this->request()).outcome.status == 503);
+    CHECK(this->sent() == 0);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: stream breaks and may be resumed: goes on after its last whole event within one answer")
+{
+    this->configure(CallKind::Stream, 2, true);
+    this->bothAnswer([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        if (request.headers.value("Last-Event-Id") == "2") {
+            responder->write("id: 3\ndata: c\n\n");
+            responder->endStream();
+            return;
+        }
+        responder->write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+        responder->abort();
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.isComplete());
+    CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: stream breaks and may not be resumed: does not look complete")
+{
+    this->configure(CallKind::Stream, 2, false);
+    this->bothAnswer([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: a\n\n");
+        responder->abort();
+    });
+    const auto result = this->call(this->request());
+    CHECK_FALSE(result.outcome.isComplete());
+    CHECK(this->sent() == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: stream ends within an event: does not look complete")
+{
+    this->configure(CallKind::Stream, 1, false);
+    this->bothAnswer([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: a\n\nid: 2\nda");
+        responder->endStream();
+    });
+    CHECK_FALSE(this->call(this->request()).outcome.isComplete());
+}
--- /dev/null
+++ b/tests/unit/relayschedulertest.cpp
@@ -0,0 +1,191 @@
+#include "relay/relayscheduler.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+class RelaySchedulerFixture
+{
+protected:
+    RelaySchedulerFixture()
+    {
+        this->scheduler.setModelServices({"model"});
+        this->upstreams = {
+            this->upstream("m1", "model", 64), this->upstream("m2", "model", 64), this->upstream("p1", "plain", 2)};
+        this->scheduler.applyUpstreams(this->upstreams, this->now);
+    }
+
+    static Upstream upstream(const std::string &id, const std::string &service, int slots)
+    {
+        Upstream upstream;
+        upstream.id = id;
+        upstream.service = service;
+        upstream.address = "10.0.0.1:80";
+        upstream.zone = {"zone-a"};
+        upstream.state = UpstreamState::Serving;
+        upstream.slots = slots;
+        return upstream;
+    }
+
+    RelayTicket ticket(const std::string &id, const std::string &service, double promptTokens = 0.0) const
+    {
+        RelayTicket ticket;
+        ticket.id = id;
+        ticket.service = service;
+        ticket.clientAccount = "account";
+        ticket.promptTokens = promptTokens;
+        ticket.latestStart = this->now + std::chrono::seconds(1);
+        return ticket;
+    }
+
+    void submit(const RelayTicket &ticket)
+    {
+        RelayTicketHooks hooks;
+        hooks.start = [this, id = ticket.id](const Upstream &chosen, const RouteDecision &) {
+            this->started.push_back(id);
+            this->places[id] = chosen.id;
+        };
+        hooks.refuse = [this, id = ticket.id](const RequestError &error) { this->refused[id] = error; };
+        this->scheduler.submit(ticket, std::move(hooks), this->now);
+    }
+
+    RelayScheduler scheduler{{"zone-a"}, RandomEngine(3)};
+    std::vector<Upstream> upstreams;
+    std::vector<std::string> started;
+    std::map<std::string, std::string> places;
+    std::map<std::string, RequestError> refused;
+    std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+// The load is a flood on a transactional service with few slots, as when many users come at once.
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: more calls than slots: the rest waits for one to end")
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        this->submit(this->ticket(id, "plain"));
+    CHECK(this->started == Names{"a", "b", "c"});
+    CHECK(this->scheduler.waiting("plain") == 1);
+    this->scheduler.ended("a", false, this->now);
+    CHECK(this->started == Names{"a", "b", "c", "d"});
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: urgent call comes later: starts before the waiting ones")
+{
+    for (const char *id : {"a", "b", "c"})
+        this->submit(this->ticket(id, "plain"));
+    RelayTicket late = this->ticket("late", "plain");
+    late.rank = 2;
+    this->submit(late);
+    RelayTicket urgent = this->ticket("urgent", "plain");
+    urgent.rank = 0;
+    this->submit(urgent);
+    this->scheduler.ended("a", false, this->now);
+    CHECK(this->started.back() == "urgent");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: place ends several times: waiting calls of a rank keep their order")
+{
+    for (const char *id : {"a", "b", "c", "d", "e", "f"})
+        this->submit(this->ticket(id, "plain"));
+    for (const char *id : {"a", "b", "c"})
+        this->scheduler.ended(id, false, this->now);
+    CHECK(this->started == Names{"a", "b", "c", "d", "e", "f"});
+}
+
+// The load is a run of long prompts: short requests must not wait behind all of them at one upstream.
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: long prompts wait at all upstreams: the next one waits here")
+{
+    this->submit(this->ticket("a", "model", 25000.0));
+    this->submit(this->ticket("b", "model", 25000.0));
+    this->submit(this->ticket("c", "model", 25000.0));
+    CHECK(this->started == Names{"a", "b"});
+    CHECK(this->places["a"] != this->places["b"]);
+    this->scheduler.answerBegan("a", this->now);
+    CHECK(this->started == Names{"a", "b", "c"});
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: prompt beyond the bound: starts at an upstream without others")
+{
+    this->submit(this->ticket("huge", "model", 90000.0));
+    CHECK(this->started == Names{"huge"});
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: no place by the latest start: is refused as not run, to come back")
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        this->submit(this->ticket(id, "plain"));
+    this->now += std::chrono::seconds(1);
+    this->scheduler.tick(this->now);
+    REQUIRE(this->refused.contains("d"));
+    CHECK(this->refused["d"].verdict == Verdict::NotRun);
+    CHECK(this->refused["d"].status == 503);
+    CHECK(this->refused["d"].retryAfter);
+    this->scheduler.ended("a", false, this->now);
+    CHECK(this->started == Names{"a", "b", "c"});
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: upstream leaves: gets no further request")
+{
+    this->upstreams[0].state = UpstreamState::Leaving;
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    for (int i = 0; i < 10; ++i)
+        this->submit(this->ticket("r" + std::to_string(i), "model", 10.0));
+    for (const auto &[id, place] : this->places)
+        CHECK(place == "m2");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: request was sent to an upstream before: goes to another one")
+{
+    for (int i = 0; i < 10; ++i) {
+        RelayTicket again = this->ticket("r" + std::to_string(i), "model", 10.0);
+        again.excluded = {"m1"};
+        this->submit(again);
+    }
+    for (const auto &[id, place] : this->places)
+        CHECK(place == "m2");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: caller left while waiting: nothing starts for it")
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        this->submit(this->ticket(id, "plain"));
+    this->scheduler.cancel("d", this->now);
+    this->scheduler.ended("a", false, this->now);
+    CHECK(this->started == Names{"a", "b", "c"});
+    CHECK(this->scheduler.waiting("plain") == 0);
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: peers fill the slots: own calls wait")
+{
+    this->scheduler.upstreams().peerLoadReported("p1", 3.0, 0.0, this->now);
+    this->submit(this->ticket("a", "plain"));
+    CHECK(this->started.empty());
+    this->scheduler.upstreams().peerLoadReported("p1", 0.0, 0.0, this->now);
+    this->scheduler.tick(this->now);
+    CHECK(this->started == Names{"a"});
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: upstream restarts under its identifier: its cache is taken as empty")
+{
+    RelayTicket first = this->ticket("a", "model", 16000.0);
+    first.parts = {{5, 13000.0}, {6, 3000.0}};
+    this->submit(first);
+    this->scheduler.answerBegan("a", this->now);
+    this->scheduler.ended("a", false, this->now);
+    const double before = this->scheduler.sentTokens().at("model");
+    for (Upstream &upstream : this->upstreams)
+        upstream.incarnation = "second";
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    RelayTicket second = this->ticket("b", "model", 16000.0);
+    second.parts = {{5, 13000.0}, {7, 3000.0}};
+    this->submit(second);
+    CHECK(this->scheduler.sentTokens().at("model") - before == Approx(16000.0));
+}
