Reload on SIGHUP, time of day by the median of all entry VMs, duties that survive a change of holder

Cause: SIGHUP ended the process (LOST on own-nodes); a stepped clock moved requests into other usage windows; a new holder waited a whole lease before it acted, and every successor repeated six windows. Change: SettingsWatch, FleetClock; holders let their lease lapse, so that two never act in turn within its time, and settle for 0.3 s; the record keeps what was not accepted yet.

--- a/src/libhemlock/relay/accountquota.cpp
+++ b/src/libhemlock/relay/accountquota.cpp
@@ -10,6 +10,11 @@
 {
 }
 
+void AccountQuota::setSettings(const QuotaSettings &changed)
+{
+    this->settings = changed;
+}
+
 bool AccountQuota::tryTake(
     const std::string &account, const QuotaLimit &limit, double units, std::size_t peers, TimePoint now)
 {
--- a/src/libhemlock/relay/accountquota.h
+++ b/src/libhemlock/relay/accountquota.h
@@ -37,6 +37,8 @@
 
     explicit AccountQuota(QuotaSettings settings = {});
 
+    void setSettings(const QuotaSettings &changed);
+
     /// Admits a request of this many units or refuses it. @p peers counts the other entry VMs.
     bool tryTake(const std::string &account, const QuotaLimit &limit, double units, std::size_t peers, TimePoint now);
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -107,13 +107,6 @@
         this->orderNext(time);
 }
 
-void DutyRunner::release()
-{
-    this->role.release();
-    this->heldSince.reset();
-    this->isRecordLoaded = false;
-}
-
 std::string DutyRunner::holderKey() const
 {
     return this->settings.keyPrefix + "/holder";
@@ -203,16 +196,15 @@
         return this->sendReport(*this->toSend.begin(), time);
     // The first holder of all begins with the window that ran when it took the role.
     if (!this->nextWindow) {
-        const std::int64_t first = this->usage.windowAt(wallTime - this->settings.settleTime);
+        const std::int64_t first = this->usage.windowAt(wallTime - this->settings.firstReach);
         this->nextWindow = std::min(first, this->firstSaved.value_or(first));
     }
     const std::int64_t window = *this->nextWindow;
     if (wallTime < this->usage.endOf(window) + this->settings.countDelay)
         return;
-    auto next = this->recorded;
+    // What this holder saw accepted needs no repetition by a successor.
+    std::map<std::int64_t, UsageCounts> next;
     next[window] = this->usage.total(window);
-    while (next.size() > this->settings.keptWindows)
-        next.erase(next.begin());
     this->isReporting = true;
     this->role.commit({{this->usageKey(), encodeRecord(next), 0}},
                       [this, window, next, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -24,20 +24,22 @@
     std::string keyPrefix; ///< Of all records of the duties, such as "hemlock/duties".
     std::chrono::seconds leaseTtl{3};
     /// A new holder waits so long before its first call: calls of the holder before may still be on their way.
-    std::chrono::milliseconds settleTime{3000};
+    std::chrono::milliseconds settleTime{300};
+    /// The first holder reports windows from so long before.
+    std::chrono::milliseconds firstReach{3000};
     /// Rest of the lease that a call needs to arrive in.
     std::chrono::milliseconds callMargin{1000};
     /// After the end of a window the last counts of peers arrive.
     std::chrono::milliseconds countDelay{2000};
     /// Counts of windows that still run are saved so often, for a successor after a stop of all VMs.
     std::chrono::milliseconds saveInterval{400};
-    std::size_t keptWindows = 6; ///< Windows whose counts the record keeps for a successor.
 };
 
 /// Acts for the whole system while this node holds the role: reports usage and orders upstreams.
 ///
 /// What a call says is written to the store first, under the condition that this node holds the role. A successor
-/// finds it there and repeats it exactly.
+/// finds it there and repeats it exactly. A node that stops lets its lease lapse rather than give the role up, so that
+/// two holders never act in turn within the time of a lease.
 class DutyRunner
 {
 public:
@@ -60,9 +62,6 @@
 
     void tick(TimePoint now, WallTime wallTime, double random);
 
-    /// Gives the role up.
-    void release();
-
     std::string holderKey() const;
 
 private:
--- a/src/libhemlock/relay/peernews.cpp
+++ b/src/libhemlock/relay/peernews.cpp
@@ -17,15 +17,17 @@
             parts.push_back({part.id, part.tokens});
         cached.push_back({sent.upstream, std::move(parts)});
     }
-    json = {{"node", news.node},
-            {"run", news.run},
-            {"sequence", news.sequence},
-            {"quota", news.quotaTotals},
-            {"loads", std::move(loads)},
-            {"work", news.work},
-            {"usage", std::move(usage)},
-            {"cached", std::move(cached)},
-            {"quarantine", news.quarantine}};
+    json = {
+        {"node", news.node},
+        {"run", news.run},
+        {"sequence", news.sequence},
+        {"timeMs", std::chrono::duration_cast<std::chrono::milliseconds>(news.timeOfDay.time_since_epoch()).count()},
+        {"quota", news.quotaTotals},
+        {"loads", std::move(loads)},
+        {"work", news.work},
+        {"usage", std::move(usage)},
+        {"cached", std::move(cached)},
+        {"quarantine", news.quarantine}};
 }
 
 void from_json(const nlohmann::json &json, PeerNews &news)
@@ -33,6 +35,8 @@
     json.at("node").get_to(news.node);
     json.at("run").get_to(news.run);
     json.at("sequence").get_to(news.sequence);
+    news.timeOfDay =
+        std::chrono::system_clock::time_point(std::chrono::milliseconds(json.at("timeMs").get<std::int64_t>()));
     json.at("quota").get_to(news.quotaTotals);
     for (const auto &[upstream, load] : json.at("loads").items())
         news.loads[upstream] = {load.at(0).get<int>(), load.at(1).get<double>()};
--- a/src/libhemlock/relay/peernews.h
+++ b/src/libhemlock/relay/peernews.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,6 +26,7 @@
     std::string node;
     std::string run; ///< Differs between two starts of the node.
     std::int64_t sequence = 0; ///< Grows with each message of a run.
+    std::chrono::system_clock::time_point timeOfDay; ///< By the sender's clock.
     std::map<std::string, double> quotaTotals; ///< Units admitted since the start, by client account.
     std::map<std::string, PeerLoad> loads; ///< By upstream.
     std::map<std::string, double> work; ///< Prompt tokens sent to be computed since the start, by service.
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -74,7 +74,6 @@
     duties.holder = settings.node;
     duties.keyPrefix = std::string(ownPrefix) + "duties";
     duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
-    duties.settleTime = settings.dutyLease;
     return duties;
 }
 
@@ -109,7 +108,7 @@
           std::chrono::seconds(10),
           [this] { return this->registry.count(this->now()); },
           [this] { return this->now(); },
-          [] { return std::chrono::system_clock::now(); },
+          [this] { return this->wallTime(); },
           [this](const Upstream &upstream, const std::string &fingerprint) { this->brokenOff(upstream, fingerprint); },
           [this](double tokens) {
               if (tokens >= longPromptTokens)
@@ -161,6 +160,24 @@
     this->exchangeNews();
 }
 
+void RelayProcess::applySettings(const RelaySettings &changed)
+{
+    this->settings.drainTime = changed.drainTime;
+    this->settings.reportsUsage = changed.reportsUsage;
+    this->settings.ordersUpstreams = changed.ordersUpstreams;
+    this->duties.setDuties(changed.reportsUsage, changed.ordersUpstreams);
+    // Whether the whole system starts for the first time was decided at the start.
+    const bool startsFull = this->settings.quota.startsFull;
+    this->settings.quota = changed.quota;
+    this->settings.quota.startsFull = startsFull;
+    this->quota.setSettings(this->settings.quota);
+}
+
+std::chrono::system_clock::time_point RelayProcess::wallTime()
+{
+    return this->clock.timeOfDay(std::chrono::system_clock::now(), this->now());
+}
+
 RelayProcess::TimePoint RelayProcess::now() const
 {
     // Unlike the steady clock, this one counts the time for which the VM was suspended.
@@ -315,7 +332,7 @@
         this->registry.tick(now, this->randomPart());
     this->plan();
     if (!this->isDraining)
-        this->duties.tick(now, std::chrono::system_clock::now(), this->randomPart());
+        this->duties.tick(now, this->wallTime(), this->randomPart());
     this->ticker.expires_after(tickInterval);
     this->ticker.async_wait([this](const asio::error_code &error) {
         if (!error)
@@ -359,6 +376,7 @@
     news.node = this->settings.node;
     news.run = this->run;
     news.sequence = ++this->newsSequence;
+    news.timeOfDay = std::chrono::system_clock::now();
     news.quotaTotals = this->quota.totals();
     for (const auto &[upstream, requests] : this->scheduler.upstreams().inFlight())
         news.loads[upstream].requests = requests;
@@ -370,7 +388,7 @@
     news.cachedParts.insert(news.cachedParts.end(), sent.begin(), sent.end());
     news.work = this->scheduler.sentTokens();
     constexpr std::int64_t sentWindows = 4;
-    this->usage.forgetBefore(this->usage.windowAt(std::chrono::system_clock::now()) - sentWindows);
+    this->usage.forgetBefore(this->usage.windowAt(this->wallTime()) - sentWindows);
     news.usage = this->usage.own();
     news.quarantine =
         this->quarantine.delta(this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), now);
@@ -411,6 +429,7 @@
         peerRun = news.run;
         sequence = news.sequence;
         this->registry.heard(news.node, now);
+        this->clock.peerTime(news.node, news.timeOfDay, now);
         this->quota.peerTotals(news.node, news.run, news.quotaTotals, now);
         this->usage.peerCounts(news.run, news.usage);
         this->peerWork[news.run] = news.work;
@@ -468,7 +487,6 @@
     this->drainBegan = this->now();
     logEvent(LogLevel::Info, "drain", {{"calls", this->calls.size()}});
     this->callers.setDraining(true);
-    this->duties.release();
     this->registry.leave();
     this->checkDrained();
 }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -4,6 +4,7 @@
 #include "httpserver.h"
 #include "metrics.h"
 #include "relay/dutyrunner.h"
+#include "relay/fleetclock.h"
 #include "relay/fleetplanner.h"
 #include "relay/peerlink.h"
 #include "relay/peernews.h"
@@ -52,10 +53,14 @@
 
     void start();
 
+    /// Takes over what may change while the process runs: the duties, the drain time and the tolerance of quotas.
+    void applySettings(const RelaySettings &changed);
+
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
 
     TimePoint now() const;
+    std::chrono::system_clock::time_point wallTime();
     double randomPart();
     void handleCaller(HttpRequest request, const HttpResponderPtr &responder);
     void handleReadiness(const HttpResponderPtr &responder) const;
@@ -93,6 +98,7 @@
     Quarantine quarantine;
     UsageLedger usage;
     Metrics metrics;
+    FleetClock clock;
     UpstreamDirectory directory;
     PeerRegistry registry;
     DutyRunner duties;
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -151,7 +151,8 @@
 {
     Node node(*this, "a", "run-a");
     node.runner.setOrders({{"model", "zone-a", 2, false}});
-    this->run(node, std::chrono::milliseconds(2500));
+    this->run(node, std::chrono::milliseconds(200));
+    CHECK(node.runner.isActing(this->now) == false);
     CHECK(this->orders.empty());
     this->run(node, std::chrono::milliseconds(1500));
     CHECK(this->orders.size() == 1);
