Watch three prefixes, tell news to eight peers at a time, log to standard output without blocking

Change: config, upstreams and own keys are watched apart, saved counts by nobody; news go to eight peers in turn; a bounded log sink that leaves lines out rather than wait and counts them; idle connections are not used past the upstream's own limit.

--- a/src/libhemlock/logger.cpp
+++ b/src/libhemlock/logger.cpp
@@ -2,15 +2,80 @@
 
 #include <nlohmann/json.hpp>
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <iostream>
+#include <string_view>
+#include <utility>
 
 namespace hemlock {
 
 namespace {
 
+/// Lines a second that one process writes at most.
+constexpr std::size_t maxLinesPerSecond = 2000;
+
+/// Writes lines to a descriptor, but never waits for its reader.
+class BoundedSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    explicit BoundedSink(int descriptor)
+        : descriptor(descriptor)
+    {
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        const auto second = std::chrono::floor<std::chrono::seconds>(std::chrono::steady_clock::now());
+        if (second != this->second) {
+            this->second = second;
+            this->lines = 0;
+        }
+        if (++this->lines > maxLinesPerSecond || !this->isWritable()) {
+            ++this->omitted;
+            return;
+        }
+        if (this->omitted > 0)
+            this->write(fmt::format("{{\"event\":\"log-omitted\",\"lines\":{}}}\n", std::exchange(this->omitted, 0)));
+        spdlog::memory_buf_t line;
+        this->formatter_->format(message, line);
+        this->write(std::string_view(line.data(), line.size()));
+    }
+
+    void flush_() override
+    {
+    }
+
+private:
+    bool isWritable() const
+    {
+        pollfd request{this->descriptor, POLLOUT, 0};
+        return poll(&request, 1, 0) == 1 && (request.revents & POLLOUT) != 0;
+    }
+
+    void write(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const ssize_t written = ::write(this->descriptor, bytes.data(), bytes.size());
+            if (written <= 0)
+                return;
+            bytes.remove_prefix(static_cast<std::size_t>(written));
+        }
+    }
+
+    int descriptor;
+    std::chrono::time_point<std::chrono::steady_clock, std::chrono::seconds> second;
+    std::size_t lines = 0;
+    std::size_t omitted = 0;
+};
+
 struct LoggerState
 {
     std::string program = "hemlockflow";
@@ -22,7 +87,7 @@
 {
     static LoggerState state;
     if (!state.sink) {
-        state.sink = std::make_shared<spdlog::logger>("json", std::make_shared<spdlog::sinks::stderr_sink_st>());
+        state.sink = std::make_shared<spdlog::logger>("json", std::make_shared<BoundedSink>(STDERR_FILENO));
         state.sink->set_pattern("%v");
     }
     return state;
@@ -77,9 +142,12 @@
 
 } // namespace
 
-void setupLogger(std::string program, std::string instance, LogLevel lowest)
+void setupLogger(std::string program, std::string instance, LogLevel lowest, LogTarget target)
 {
     LoggerState &state = loggerState();
+    const int descriptor = target == LogTarget::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    state.sink = std::make_shared<spdlog::logger>("json", std::make_shared<BoundedSink>(descriptor));
+    state.sink->set_pattern("%v");
     state.program = std::move(program);
     state.instance = std::move(instance);
     state.sink->set_level(spdlogLevel(lowest));
--- a/src/libhemlock/logger.h
+++ b/src/libhemlock/logger.h
@@ -14,10 +14,20 @@
     Error,
 };
 
-/// Sets the "program" and "instance" fields of each later line, and the lowest level that is written.
-void setupLogger(std::string program, std::string instance, LogLevel lowest = LogLevel::Info);
+enum class LogTarget {
+    StandardError,
+    StandardOutput,
+};
+
+/// Sets the "program" and "instance" fields of each later line, the lowest level that is written, and where to.
+void setupLogger(std::string program,
+                 std::string instance,
+                 LogLevel lowest = LogLevel::Info,
+                 LogTarget target = LogTarget::StandardError);
 
-/// Writes one JSON line to stderr: time (ISO 8601, UTC), level, program, instance, event and the given fields.
+/// Writes one JSON line. Lines beyond a number a second, and those that the target does not take at once, are left out;
+/// the next line that is written is preceded by "log-omitted" with their count. Fields: time (ISO 8601, UTC), level,
+/// program, instance, event and the given fields.
 void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields);
 
 /// Writes {"event":"listening","address":ADDRESS} to stdout, from which tests and scripts learn the port.
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -112,11 +112,6 @@
     return this->settings.keyPrefix + "/holder";
 }
 
-std::string DutyRunner::countsKey() const
-{
-    return this->settings.keyPrefix + "/counts";
-}
-
 std::string DutyRunner::usageKey() const
 {
     return this->settings.keyPrefix + "/usage";
@@ -127,7 +122,7 @@
     if (std::exchange(this->isLoadingRecord, true))
         return;
     this->kv.range(
-        this->countsKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+        this->settings.countsKey, false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
             if (!alive.expired())
                 this->countsLoaded(result);
         });
@@ -233,7 +228,7 @@
     if (counts == this->savedCounts)
         return;
     this->isSaving = true;
-    this->role.commit({{this->countsKey(), counts, 0}},
+    this->role.commit({{this->settings.countsKey, counts, 0}},
                       [this, counts, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
                           if (alive.expired())
                               return;
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds callMargin{1000};
     /// After the end of a window the last counts of peers arrive.
     std::chrono::milliseconds countDelay{2000};
+    std::string countsKey; ///< Where the counts of running windows are saved.
     /// Counts of windows that still run are saved so often, for a successor after a stop of all VMs.
     std::chrono::milliseconds saveInterval{400};
 };
@@ -66,7 +67,6 @@
 
 private:
     std::string usageKey() const;
-    std::string countsKey() const;
     void saveCounts(TimePoint now, WallTime wallTime);
     void countsLoaded(const KvRangeResult &result);
     void loadRecord();
--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ranges>
 
 namespace hemlock {
 
@@ -52,7 +53,7 @@
     // Equal upstreams are told apart at random, so that entry VMs do not all choose the same one.
     constexpr double tieMs = 0.5;
     std::uniform_real_distribution<double> tie(0.0, tieMs);
-    const UpstreamView *best = nullptr;
+    const UpstreamView *best = &candidates.at(0);
     double least = std::numeric_limits<double>::max();
     double missing = 0.0;
     double shared = 0.0;
@@ -108,14 +109,14 @@
 {
     Held &held = this->heldByUpstream[upstream];
     // The first part is noted last, so that a prefix outlives what follows it.
-    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        if (const auto known = held.places.find(part->id); known != held.places.end()) {
+    for (const PromptPart &part : std::views::reverse(parts)) {
+        if (const auto known = held.places.find(part.id); known != held.places.end()) {
             held.tokens -= known->second->tokens;
             held.order.erase(known->second);
         }
-        held.order.push_front(*part);
-        held.places[part->id] = held.order.begin();
-        held.tokens += part->tokens;
+        held.order.push_front(part);
+        held.places[part.id] = held.order.begin();
+        held.tokens += part.tokens;
     }
     while (held.tokens > this->settings.rememberedTokens && held.order.size() > 1) {
         held.tokens -= held.order.back().tokens;
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -29,6 +29,9 @@
 /// Requests that name no deadline, on routes without a timeout.
 constexpr std::chrono::milliseconds defaultTimeLimit{60000};
 
+/// An idle connection may be gone without notice, and what is sent on it then is lost; such calls are not sent again.
+constexpr std::chrono::seconds idleLimitOfCallsThatRunOnce{2};
+
 constexpr int lowestPriorityOfUpstreams = 9;
 
 bool isConnectionField(const std::string &name)
@@ -217,7 +220,7 @@
         attempt.priority = std::min(this->route->priority, lowestPriorityOfUpstreams);
     HttpCall call = this->context.transport.encodeAttempt(this->request, attempt);
     call.connectTimeout = std::min(connectTimeout, attempt.timeLeft);
-    call.maxIdle = this->context.idleLimit;
+    call.maxIdle = this->route->kind == CallKind::NonIdempotent ? idleLimitOfCallsThatRunOnce : this->context.idleLimit;
     logEvent(LogLevel::Info,
              "route",
              {{"request", this->request.attemptId},
@@ -255,6 +258,9 @@
     this->status = headStatus;
     this->headers = head;
     this->answer = this->context.transport.decodeAnswer(head);
+    // A second less than the upstream says, since it counts from its own end of the connection.
+    if (this->answer.keepAlive && *this->answer.keepAlive > std::chrono::seconds(1))
+        this->context.idleLimit = std::min(this->context.idleLimit, *this->answer.keepAlive - std::chrono::seconds(1));
     const bool isNamed = !this->answer.attemptId.empty();
     this->isForeign = isNamed ? this->answer.attemptId != this->request.attemptId : headStatus < 300;
     if (this->isForeign) {
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -22,11 +22,15 @@
 constexpr std::chrono::milliseconds leastNewsInterval{20};
 constexpr double longPromptTokens = 5000.0;
 
+/// Peers that are told at a time; with more of them, each is told in turn, so that the messages of a VM do not grow
+/// with the fleet.
+constexpr std::size_t newsFanOut = 8;
+
 /// Loads of a peer that said nothing for so long are dropped.
 constexpr std::chrono::milliseconds newsLifetime{1500};
 
 /// Each change of the quarantine is repeated in so many messages, since datagrams are lost.
-constexpr std::size_t quarantineRepeats = 10;
+constexpr std::size_t quarantineRepeats = 30;
 
 /// The load balancer asks once a second and takes a VM out after two misses.
 constexpr std::chrono::milliseconds leastDrainTime{3500};
@@ -56,6 +60,12 @@
 
 constexpr std::string_view ownPrefix = "hemlock/";
 
+/// Written several times a second, so that it lies where no VM waits for changes.
+constexpr std::string_view countsKey = "hemlock-counts/usage";
+
+/// Records of peers and of the duties' holder change rarely, and peers are heard of without them.
+constexpr std::chrono::milliseconds ownKeysWait{4000};
+
 HttpServerSettings serverSettings(const std::string &address)
 {
     HttpServerSettings settings;
@@ -67,12 +77,21 @@
     return settings;
 }
 
+StoreFollowerSettings followerSettings(const std::string &prefix, std::chrono::milliseconds wait)
+{
+    StoreFollowerSettings settings;
+    settings.prefix = prefix;
+    settings.wait = wait;
+    return settings;
+}
+
 DutySettings dutySettings(const RelaySettings &settings, const std::string &run)
 {
     DutySettings duties;
     duties.run = run;
     duties.holder = settings.node;
     duties.keyPrefix = std::string(ownPrefix) + "duties";
+    duties.countsKey = std::string(countsKey);
     duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
     return duties;
 }
@@ -114,18 +133,31 @@
               if (tokens >= longPromptTokens)
                   this->expediteNews();
           }}
-    , store(loop,
-            kv,
-            {},
-            {[this](const std::map<std::string, std::string> &values) { this->storeLoaded(values); },
-             [this](const std::vector<KvEvent> &events) { this->storeChanged(events); },
-             [this](bool reachable, const std::string &error) {
-                 logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
-                          reachable ? "store-regained" : "store-lost",
-                          {{"error", error}, {"revision", this->store.revision()}});
-                 if (reachable)
-                     this->directory.storeReturned(this->now());
-             }})
+    , configStore(loop,
+                  kv,
+                  followerSettings(this->settings.configKey, this->settings.storeWait),
+                  this->followerHooks([this](const std::map<std::string, std::string> &values) {
+                      for (const auto &[key, value] : values)
+                          this->entrySeen(key, value);
+                  }))
+    , upstreamStore(loop,
+                    kv,
+                    followerSettings(this->settings.upstreamPrefix, this->settings.storeWait),
+                    [this] {
+                        StoreFollowerHooks hooks =
+                            this->followerHooks([this](const std::map<std::string, std::string> &values) {
+                                this->upstreamsLoaded(values);
+                            });
+                        hooks.reachabilityChanged = [this](bool reachable, const std::string &error) {
+                            this->storeReachabilityChanged(reachable, error);
+                        };
+                        return hooks;
+                    }())
+    , ownStore(loop,
+               kv,
+               followerSettings(std::string(ownPrefix), ownKeysWait),
+               this->followerHooks(
+                   [this](const std::map<std::string, std::string> &values) { this->ownKeysLoaded(values); }))
     , callers(loop,
               serverSettings(this->settings.callers),
               [this](HttpRequest request, const HttpResponderPtr &responder) {
@@ -151,7 +183,9 @@
 void RelayProcess::start()
 {
     this->awaitSignal();
-    this->store.start();
+    this->configStore.start();
+    this->upstreamStore.start();
+    this->ownStore.start();
     this->callers.start();
     this->readiness.start();
     this->control.start();
@@ -218,28 +252,44 @@
     responder->reply(404, {}, "unknown path\n");
 }
 
-void RelayProcess::storeLoaded(const std::map<std::string, std::string> &values)
+StoreFollowerHooks RelayProcess::followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded)
+{
+    StoreFollowerHooks hooks;
+    hooks.loaded = std::move(loaded);
+    hooks.changed = [this](const std::vector<KvEvent> &events) { this->storeChanged(events); };
+    return hooks;
+}
+
+void RelayProcess::storeReachabilityChanged(bool reachable, const std::string &error)
+{
+    logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
+             reachable ? "store-regained" : "store-lost",
+             {{"error", error}, {"revision", this->upstreamStore.revision()}});
+    if (reachable)
+        this->directory.storeReturned(this->now());
+}
+
+void RelayProcess::upstreamsLoaded(const std::map<std::string, std::string> &values)
 {
     std::vector<Upstream> listed;
-    bool holderExists = false;
     for (const auto &[key, value] : values) {
-        if (key == this->duties.holderKey())
-            holderExists = true;
-        if (!key.starts_with(this->settings.upstreamPrefix)) {
-            this->entrySeen(key, value);
-            continue;
-        }
         try {
             listed.push_back(this->transport.decodeUpstream(key.substr(this->settings.upstreamPrefix.size()), value));
         } catch (const std::exception &) {
             this->upstreamSeen(key, value);
         }
     }
-    this->duties.holderSeen(holderExists);
     this->directory.replaceAll(listed, this->now());
     this->applyUpstreams();
 }
 
+void RelayProcess::ownKeysLoaded(const std::map<std::string, std::string> &values)
+{
+    this->duties.holderSeen(values.contains(this->duties.holderKey()));
+    for (const auto &[key, value] : values)
+        this->entrySeen(key, value);
+}
+
 void RelayProcess::storeChanged(const std::vector<KvEvent> &events)
 {
     bool upstreamsChanged = false;
@@ -315,11 +365,29 @@
 
 void RelayProcess::applyUpstreams()
 {
-    nlohmann::json states = nlohmann::json::object();
-    for (const Upstream &upstream : this->directory.upstreams())
-        states[upstream.id] = upstreamStateName(upstream.state);
-    logEvent(LogLevel::Info, "upstreams", {{"states", std::move(states)}, {"revision", this->store.revision()}});
-    this->scheduler.applyUpstreams(this->directory.upstreams(), this->now());
+    const auto upstreams = this->directory.upstreams();
+    std::map<std::string, UpstreamState> states;
+    for (const Upstream &upstream : upstreams)
+        states[upstream.id] = upstream.state;
+    for (const Upstream &upstream : upstreams) {
+        const auto known = this->upstreamStates.find(upstream.id);
+        if (known != this->upstreamStates.end() && known->second == upstream.state)
+            continue;
+        logEvent(LogLevel::Info,
+                 "upstream",
+                 {{"upstream", upstream.id},
+                  {"service", upstream.service},
+                  {"state", upstreamStateName(upstream.state)},
+                  {"revision", this->upstreamStore.revision()}});
+    }
+    for (const auto &[id, state] : this->upstreamStates) {
+        if (!states.contains(id))
+            logEvent(LogLevel::Info,
+                     "upstream",
+                     {{"upstream", id}, {"state", "gone"}, {"revision", this->upstreamStore.revision()}});
+    }
+    this->upstreamStates = std::move(states);
+    this->scheduler.applyUpstreams(upstreams, this->now());
 }
 
 void RelayProcess::tick()
@@ -360,8 +428,33 @@
     this->duties.setOrders(orders);
 }
 
+std::set<std::string> RelayProcess::nextReceivers(TimePoint now)
+{
+    const std::set<std::string> all = this->registry.addresses(now);
+    if (all.size() <= newsFanOut)
+        return all;
+    std::set<std::string> receivers;
+    auto next = all.upper_bound(this->lastReceiver);
+    while (receivers.size() < newsFanOut) {
+        if (next == all.end())
+            next = all.begin();
+        this->lastReceiver = *next;
+        receivers.insert(*next++);
+    }
+    return receivers;
+}
+
+std::chrono::milliseconds RelayProcess::newsPeriod() const
+{
+    const std::size_t rounds = (this->registry.count(this->now()) + newsFanOut - 1) / newsFanOut;
+    return newsInterval * std::max<std::size_t>(1, rounds);
+}
+
 void RelayProcess::expediteNews()
 {
+    // In a large fleet most peers would not be told.
+    if (this->registry.count(this->now()) > newsFanOut)
+        return;
     if (this->now() - this->newsSent < leastNewsInterval)
         return;
     this->newsTimer.cancel();
@@ -384,8 +477,17 @@
         news.loads[upstream].pendingTokens = tokens;
     // Each is sent twice, since datagrams are lost.
     std::vector<CachedParts> sent = this->scheduler.takeCachedParts();
-    news.cachedParts = std::exchange(this->lastCachedParts, sent);
-    news.cachedParts.insert(news.cachedParts.end(), sent.begin(), sent.end());
+    this->lastCachedParts.insert(this->lastCachedParts.end(), sent.begin(), sent.end());
+    this->sentPartCounts.push_back(sent.size());
+    // In a large fleet a peer is told once in a period; what was sent in it before is told again.
+    const auto kept = static_cast<std::size_t>(this->newsPeriod() / newsInterval) + 1;
+    while (this->sentPartCounts.size() > kept) {
+        this->lastCachedParts.erase(this->lastCachedParts.begin(),
+                                    this->lastCachedParts.begin()
+                                        + static_cast<std::ptrdiff_t>(this->sentPartCounts.front()));
+        this->sentPartCounts.pop_front();
+    }
+    news.cachedParts = this->lastCachedParts;
     news.work = this->scheduler.sentTokens();
     constexpr std::int64_t sentWindows = 4;
     this->usage.forgetBefore(this->usage.windowAt(this->wallTime()) - sentWindows);
@@ -395,11 +497,11 @@
     this->quarantineVersions.push_back(news.quarantine.at("version").get<std::uint64_t>());
     if (this->quarantineVersions.size() > quarantineRepeats)
         this->quarantineVersions.pop_front();
-    this->peers.send(nlohmann::json(news).dump(), this->registry.addresses(now));
+    this->peers.send(nlohmann::json(news).dump(), this->nextReceivers(now));
 
     std::map<std::string, PeerLoad> sums;
     for (const auto &[peer, loads] : this->peerLoads) {
-        if (now - this->peerLoadTimes[peer] > newsLifetime)
+        if (now - this->peerLoadTimes[peer] > newsLifetime + this->newsPeriod())
             continue;
         for (const auto &[upstream, load] : loads) {
             sums[upstream].requests += load.requests;
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -38,6 +38,8 @@
     std::chrono::milliseconds usageWindow{5000};
     std::chrono::milliseconds drainTime{8000}; ///< Between SIGTERM and the end.
     std::chrono::milliseconds dutyLease{3000};
+    /// How long a read of the store waits for changes; a silent connection is noticed a little later.
+    std::chrono::milliseconds storeWait{1500};
     QuotaSettings quota;
     RetryBudgetSettings retries;
     std::size_t expectedVms = 6;
@@ -66,7 +68,10 @@
     void handleReadiness(const HttpResponderPtr &responder) const;
     void handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const;
 
-    void storeLoaded(const std::map<std::string, std::string> &values);
+    StoreFollowerHooks followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded);
+    void storeReachabilityChanged(bool reachable, const std::string &error);
+    void upstreamsLoaded(const std::map<std::string, std::string> &values);
+    void ownKeysLoaded(const std::map<std::string, std::string> &values);
     void storeChanged(const std::vector<KvEvent> &events);
     void entrySeen(const std::string &key, const std::string &value);
     void entryRemoved(const std::string &key);
@@ -75,6 +80,8 @@
     void applyUpstreams();
 
     void tick();
+    std::set<std::string> nextReceivers(TimePoint now);
+    std::chrono::milliseconds newsPeriod() const;
     void expediteNews();
     void exchangeNews();
     void newsReceived(std::string_view datagram);
@@ -104,7 +111,9 @@
     DutyRunner duties;
     FleetPlanner planner;
     RelayContext context;
-    StoreFollower store;
+    StoreFollower configStore;
+    StoreFollower upstreamStore;
+    StoreFollower ownStore;
     HttpServer callers;
     HttpServer readiness;
     HttpServer control;
@@ -122,6 +131,9 @@
     std::map<std::string, TimePoint> peerLoadTimes;
     std::map<std::string, std::map<std::string, double>> peerWork; ///< Prompt tokens by run of a peer and service.
     std::vector<CachedParts> lastCachedParts;
+    std::deque<std::size_t> sentPartCounts; ///< Of lastCachedParts, by message.
+    std::string lastReceiver;
+    std::map<std::string, UpstreamState> upstreamStates; ///< As logged.
     std::set<std::shared_ptr<RelayCall>> calls;
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
     std::map<std::string, std::string> unreadable; ///< Values that were reported once, by key.
--- a/src/libhemlock/relay/relaytransport.h
+++ b/src/libhemlock/relay/relaytransport.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 
 namespace hemlock {
@@ -32,7 +33,11 @@
     int count = 0;
     bool isReclaimable = false;
 
-    auto operator<=>(const UpstreamOrder &) const = default;
+    bool operator<(const UpstreamOrder &other) const
+    {
+        return std::tie(this->service, this->zone, this->count, this->isReclaimable)
+            < std::tie(other.service, other.zone, other.count, other.isReclaimable);
+    }
 };
 
 /// How the platform took a duty call.
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -32,6 +32,7 @@
             settings.holder = name;
             settings.run = run;
             settings.keyPrefix = "duties";
+            settings.countsKey = "counts";
             return settings;
         }
 
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -29,7 +29,7 @@
             throw std::invalid_argument("no upstream");
         };
         this->kv.page =
-            [this](const std::string &, const std::string &, const std::function<void(const KvPage &)> &done) {
+            [this](const std::string &prefix, const std::string &, const std::function<void(const KvPage &)> &done) {
                 ++this->reads;
                 KvPage page;
                 if (!this->storeIsOut) {
@@ -38,7 +38,8 @@
                     KvEntry entry;
                     entry.key = "config";
                     entry.value = this->configVersion;
-                    page.range.entries.push_back(entry);
+                    if (entry.key.starts_with(prefix))
+                        page.range.entries.push_back(entry);
                 }
                 asio::post(this->loop, [done, page] { done(page); });
             };
@@ -55,11 +56,17 @@
         this->kv.keepLeaseAlive = [](std::int64_t, const std::function<void(const KvLeaseResult &)> &) {};
     }
 
-    static std::string freeAddress()
+    /// Loopback addresses that are free; all are held until the last is known, so that they differ.
+    static std::vector<std::string> freeAddresses(std::size_t count)
     {
         asio::io_context loop;
-        const asio::ip::tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
-        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        std::vector<asio::ip::tcp::acceptor> acceptors;
+        std::vector<std::string> addresses;
+        for (std::size_t i = 0; i < count; ++i) {
+            acceptors.emplace_back(loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+            addresses.push_back("127.0.0.1:" + std::to_string(acceptors.back().local_endpoint().port()));
+        }
+        return addresses;
     }
 
     void start()
@@ -67,10 +74,11 @@
         RelaySettings settings;
         settings.node = "vm-1";
         settings.zone = {"zone-a"};
-        settings.callers = freeAddress();
-        settings.readiness = freeAddress();
-        settings.control = freeAddress();
-        settings.peers = freeAddress();
+        const auto addresses = freeAddresses(4);
+        settings.callers = addresses[0];
+        settings.readiness = addresses[1];
+        settings.control = addresses[2];
+        settings.peers = addresses[3];
         settings.configKey = "config";
         settings.upstreamPrefix = "servers/";
         this->settings = settings;
