--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -220,7 +220,9 @@
         attempt.priority = std::min(this->route->priority, lowestPriorityOfUpstreams);
     HttpCall call = this->context.transport.encodeAttempt(this->request, attempt);
     call.connectTimeout = std::min(connectTimeout, attempt.timeLeft);
-    call.maxIdle = this->route->kind == CallKind::NonIdempotent ? idleLimitOfCallsThatRunOnce : this->context.idleLimit;
+    const bool mayRepeat = this->route->kind == CallKind::Idempotent
+        || (this->route->kind == CallKind::Stream && this->route->isResumable);
+    call.maxIdle = mayRepeat ? this->context.idleLimit : idleLimitOfCallsThatRunOnce;
     logEvent(LogLevel::Info,
              "route",
              {{"request", this->request.attemptId},
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -396,6 +396,7 @@
     if (this->directory.expire(now))
         this->applyUpstreams();
     this->scheduler.tick(now);
+    this->retries.setMaxRetries(this->retriesOfOneVm(now));
     if (!this->isDraining)
         this->registry.tick(now, this->randomPart());
     this->plan();
@@ -408,6 +409,12 @@
     });
 }
 
+double RelayProcess::retriesOfOneVm(TimePoint now) const
+{
+    const std::size_t vms = std::max(this->settings.expectedVms, this->registry.count(now) + 1);
+    return std::max(1.0, this->settings.keptRetries / static_cast<double>(vms));
+}
+
 void RelayProcess::plan()
 {
     if (!this->context.routes || !this->duties.isActing(this->now()))
@@ -526,8 +533,10 @@
             return;
         const TimePoint now = this->now();
         auto &[peerRun, sequence] = this->peerSequences[news.node];
-        if (peerRun == news.run && news.sequence <= sequence)
+        if (this->endedRuns.contains(news.run) || (peerRun == news.run && news.sequence <= sequence))
             return;
+        if (!peerRun.empty() && peerRun != news.run)
+            this->endedRuns.insert(peerRun);
         peerRun = news.run;
         sequence = news.sequence;
         this->registry.heard(news.node, now);
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -41,8 +41,9 @@
     /// How long a read of the store waits for changes; a silent connection is noticed a little later.
     std::chrono::milliseconds storeWait{1500};
     QuotaSettings quota;
-    RetryBudgetSettings retries;
-    std::size_t expectedVms = 6;
+    RetryBudgetSettings retries; ///< Of one entry VM but for the number of kept retries.
+    double keptRetries = 30.0; ///< Of all entry VMs together.
+    std::size_t expectedVms = 6; ///< Entry VMs that share a limit until more are known.
 };
 
 /// The entry process of a deployment whose calls are relayed as they are: one on each entry VM.
@@ -86,6 +87,7 @@
     void exchangeNews();
     void newsReceived(std::string_view datagram);
     void brokenOff(const Upstream &upstream, const std::string &fingerprint);
+    double retriesOfOneVm(TimePoint now) const;
     void plan();
 
     bool accepts(CallKind kind) const;
@@ -127,6 +129,7 @@
     TimePoint newsSent;
     std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
     std::map<std::string, std::pair<std::string, std::int64_t>> peerSequences; ///< Run and sequence by node.
+    std::set<std::string> endedRuns; ///< Runs of peers that a later one followed.
     std::map<std::string, std::map<std::string, PeerLoad>> peerLoads;
     std::map<std::string, TimePoint> peerLoadTimes;
     std::map<std::string, std::map<std::string, double>> peerWork; ///< Prompt tokens by run of a peer and service.
--- a/src/libhemlock/retrybudget.cpp
+++ b/src/libhemlock/retrybudget.cpp
@@ -33,6 +33,11 @@
     balance.retries = std::min(this->settings.maxRetries, balance.retries + this->settings.earnedPerRequest);
 }
 
+void RetryBudget::setMaxRetries(double maxRetries)
+{
+    this->settings.maxRetries = maxRetries;
+}
+
 void RetryBudget::noteRequest(const std::string &clientAccount, const std::string &upstream, Time now)
 {
     this->earn(this->accounts, clientAccount, now);
--- a/src/libhemlock/retrybudget.h
+++ b/src/libhemlock/retrybudget.h
@@ -22,6 +22,9 @@
 
     explicit RetryBudget(RetryBudgetSettings settings = {});
 
+    /// Changes how many earned retries are kept; balances above it shrink at their next use.
+    void setMaxRetries(double maxRetries);
+
     /// Counts the first attempt of a request.
     void noteRequest(const std::string &clientAccount, const std::string &upstream, Time now);
 
--- /dev/null
+++ b/tests/models/duty.pml
@@ -0,0 +1,120 @@
+/* Duties that one node at a time performs: fencing tokens only grow, and two holders never act in turn within the time
+ * of a lease. A node may be paused at any step; the store's answer to a claim may be lost.
+ * Mutations: NO_LEASE_CHECK, REUSE_TOKEN, RELEASE. */
+
+#define NODES 2
+#define TTL 3      /* ticks of a lease */
+#define MARGIN 1   /* rest of the lease that a call needs to arrive in */
+#define END 8      /* ticks of a run */
+
+byte clock = 0;
+
+#ifdef NO_LEASE_CHECK
+#define LEASE_IS_CURRENT true
+#else
+#define LEASE_IS_CURRENT (clock + MARGIN < leaseSent[me] + TTL)
+#endif
+
+/* The store. */
+byte released = 0; /* by nodes that give the role up */
+byte holder = 0;   /* node number, 0 for none */
+byte leaseEnd = 0;
+byte token = 0;
+
+/* What each node believes. */
+bool held[NODES + 1];
+byte knownToken[NODES + 1];
+byte leaseSent[NODES + 1];
+
+/* A call on its way to the platform. */
+byte flyingFrom = 0;
+byte flyingToken = 0;
+byte flyingSince = 0;
+
+/* What the platform saw. */
+byte highestToken = 0;
+byte holderOfToken[32];
+byte lastActor = 0;
+byte actorBefore = 0;
+byte actorBeforeTime = 0;
+byte lastTime = 0;
+
+inline arrive() {
+    assert(flyingToken >= highestToken);
+    assert(holderOfToken[flyingToken] == 0 || holderOfToken[flyingToken] == flyingFrom);
+    highestToken = flyingToken;
+    holderOfToken[flyingToken] = flyingFrom;
+    if
+    :: flyingFrom != lastActor ->
+        assert(actorBefore != flyingFrom || flyingSince - actorBeforeTime >= TTL);
+        actorBefore = lastActor;
+        actorBeforeTime = lastTime;
+        lastActor = flyingFrom
+    :: else
+    fi;
+    lastTime = flyingSince;
+    flyingFrom = 0
+}
+
+proctype Node(byte me) {
+    byte sent;
+    do
+    :: atomic { clock < END && !held[me] && holder == 0 ->
+            sent = clock;
+            holder = me;
+            leaseEnd = clock + TTL;
+#ifndef REUSE_TOKEN
+            token++
+#else
+            if :: token == 0 -> token = 1 :: else fi
+#endif
+        };
+        /* The answer may come later or be lost; reading back finds the own claim while it stands. */
+        if
+        :: atomic { holder == me -> held[me] = true; knownToken[me] = token; leaseSent[me] = sent }
+        :: skip
+        fi
+    :: atomic { clock < END && held[me] && holder == me ->
+            sent = clock;
+            leaseEnd = clock + TTL
+        };
+        leaseSent[me] = sent
+    :: atomic { held[me] && holder != me -> held[me] = false }
+    :: atomic { clock < END && held[me] && flyingFrom == 0 && LEASE_IS_CURRENT ->
+            flyingFrom = me;
+            flyingToken = knownToken[me];
+            flyingSince = clock
+        }
+#ifdef RELEASE
+    :: atomic { held[me] && holder == me && flyingFrom != me && released < 3 ->
+            holder = 0;
+            held[me] = false;
+            released++
+        }
+#endif
+    :: clock >= END -> break
+    od
+}
+
+/* Time passes when no call would be late. */
+proctype Time() {
+    do
+    :: atomic { flyingFrom != 0 -> arrive() }
+    :: atomic { clock < END && (flyingFrom == 0 || clock < flyingSince + MARGIN) ->
+            clock++;
+            if
+            :: holder != 0 && clock >= leaseEnd -> holder = 0
+            :: else
+            fi
+        }
+    :: clock >= END && flyingFrom == 0 -> break
+    od
+}
+
+init {
+    atomic {
+        run Node(1);
+        run Node(2);
+        run Time()
+    }
+}
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -68,3 +68,11 @@
         this->budget.noteRequest("account", "upstream " + std::to_string(i), this->now);
     CHECK(this->budget.size() < 5000);
 }
+
+TEST_CASE_METHOD(RetryBudgetFixture,
+                 "RetryBudget: fewer retries may be kept, as the fleet grows: balances shrink to that")
+{
+    this->budget.noteRequest("account", "upstream", this->now);
+    this->budget.setMaxRetries(3.0);
+    CHECK(this->retriesLeft("account", "upstream") == 3);
+}
