--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <ranges>
+#include <vector>
 
 namespace hemlock {
 
@@ -109,7 +109,8 @@
 {
     Held &held = this->heldByUpstream[upstream];
     // The first part is noted last, so that a prefix outlives what follows it.
-    for (const PromptPart &part : std::views::reverse(parts)) {
+    const std::vector<PromptPart> lastFirst(parts.rbegin(), parts.rend());
+    for (const PromptPart &part : lastFirst) {
         if (const auto known = held.places.find(part.id); known != held.places.end()) {
             held.tokens -= known->second->tokens;
             held.order.erase(known->second);
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -34,19 +34,6 @@
 
 constexpr int lowestPriorityOfUpstreams = 9;
 
-bool isConnectionField(const std::string &name)
-{
-    static const HttpHeaders fields = {{"Connection", ""},
-                                       {"Keep-Alive", ""},
-                                       {"Proxy-Connection", ""},
-                                       {"Transfer-Encoding", ""},
-                                       {"Content-Length", ""},
-                                       {"TE", ""},
-                                       {"Trailer", ""},
-                                       {"Upgrade", ""}};
-    return fields.has(name);
-}
-
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
     HttpHeaders kept;
--- a/src/libhemlock/relay/relayrequest.h
+++ b/src/libhemlock/relay/relayrequest.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hemlock {
@@ -45,6 +46,9 @@
     std::optional<int> priority; ///< 0 is the most urgent, 9 the least.
 };
 
+/// Whether a header field concerns one connection only and is not passed on.
+bool isConnectionField(std::string_view name);
+
 /// The head of an upstream's answer, decoded from its transport.
 struct RelayAnswer
 {
