--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -100,7 +100,7 @@
     if (!this->isActing(time))
         return;
     if (this->reportsUsage) {
-        this->reportNext(time, wallTime);
+        this->reportNext(wallTime);
         this->saveCounts(time, wallTime);
     }
     if (this->ordersUpstreams)
@@ -183,12 +183,12 @@
     this->isRecordLoaded = true;
 }
 
-void DutyRunner::reportNext(TimePoint time, WallTime wallTime)
+void DutyRunner::reportNext(WallTime wallTime)
 {
     if (this->isReporting)
         return;
     if (!this->toSend.empty())
-        return this->sendReport(*this->toSend.begin(), time);
+        return this->sendReport(*this->toSend.begin());
     // The first holder of all begins with the window that ran when it took the role.
     if (!this->nextWindow) {
         const std::int64_t first = this->usage.windowAt(wallTime - this->settings.firstReach);
@@ -238,7 +238,7 @@
                       });
 }
 
-void DutyRunner::sendReport(std::int64_t window, TimePoint)
+void DutyRunner::sendReport(std::int64_t window)
 {
     this->isReporting = true;
     const DutyStamp stamp{this->settings.holder, this->role.fencingToken()};
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -71,8 +71,8 @@
     void countsLoaded(const KvRangeResult &result);
     void loadRecord();
     void recordLoaded(const KvRangeResult &result);
-    void reportNext(TimePoint now, WallTime wallTime);
-    void sendReport(std::int64_t window, TimePoint now);
+    void reportNext(WallTime wallTime);
+    void sendReport(std::int64_t window);
     void orderNext(TimePoint now);
 
     KvAccess kv;
--- a/src/libhemlock/relay/relayconfig.h
+++ b/src/libhemlock/relay/relayconfig.h
@@ -55,9 +55,7 @@
 struct RelayService
 {
     std::string name;
-    int maxConnections = 0; ///< That one upstream takes from all callers.
     bool isModel = false;
-    double cacheTokens = 0.0; ///< Memory of one model upstream.
     std::optional<ScalingLimits> scaling;
 };
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -102,7 +102,6 @@
     asio::io_context &loop, RelaySettings relaySettings, HttpClient &http, KvAccess kv, RelayTransport relayTransport)
     : loop(loop)
     , settings(std::move(relaySettings))
-    , http(http)
     , transport(std::move(relayTransport))
     , run(makeUniqueId())
     , random(std::random_device()())
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -97,7 +97,6 @@
 
     asio::io_context &loop;
     RelaySettings settings;
-    HttpClient &http;
     RelayTransport transport;
     std::string run; ///< Differs between two starts of this VM.
     RandomEngine random;
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -56,10 +56,10 @@
     queued.cost = std::max(1.0, requestCost(ticket.promptTokens, ticket.answerTokens));
     queued.latestStart = ticket.latestStart;
     const int rank = ticket.rank;
-    this->waitingById[id] = {std::move(ticket), std::move(hooks), now};
+    this->waitingById[id] = {std::move(ticket), std::move(hooks)};
     FairQueue &queue = this->queues[service].try_emplace(rank).first->second;
     for (const QueueRefusal &refusal : queue.push(queued, now))
-        this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
+        this->refuse(refusal.request.requestId, refusal.code, refusal.message);
     this->dispatch(service, now);
 }
 
@@ -82,7 +82,7 @@
     started.hasBegun = true;
     const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - started.since);
     const auto excess = std::max(std::chrono::milliseconds(0), delay - started.expectedDelay - usualDelay);
-    this->pool.outcomeObserved(started.upstream, false, excess, now);
+    this->pool.outcomeObserved(started.upstream, false, excess);
     this->pool.addPendingTokens(started.upstream, -std::exchange(started.pendingTokens, 0.0));
     this->dispatch(started.service, now);
 }
@@ -97,7 +97,7 @@
     this->pool.addPendingTokens(started.upstream, -started.pendingTokens);
     this->pool.attemptEnded(started.upstream);
     if (failed)
-        this->pool.outcomeObserved(started.upstream, true, {}, now);
+        this->pool.outcomeObserved(started.upstream, true, {});
     this->queues[started.service][started.rank].finished(started.queued);
     this->dispatch(started.service, now);
 }
@@ -120,7 +120,7 @@
     for (const std::string &id : late) {
         const RelayTicket &ticket = this->waitingById.at(id).ticket;
         this->queues[ticket.service][ticket.rank].cancel(id);
-        this->refuse(id, "overload", "no upstream can start the request in time", now);
+        this->refuse(id, "overload", "no upstream can start the request in time");
     }
 }
 
@@ -245,14 +245,14 @@
         for (QueuedRequest &queued : unplaced)
             queue.push(std::move(queued), now);
         for (const QueueRefusal &refusal : refused)
-            this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
+            this->refuse(refusal.request.requestId, refusal.code, refusal.message);
         // A less urgent request must not take the place that a more urgent one waits for.
         if (!unplaced.empty())
             return;
     }
 }
 
-void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint)
+void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message)
 {
     const auto found = this->waitingById.find(id);
     if (found == this->waitingById.end())
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -104,7 +104,6 @@
     {
         RelayTicket ticket;
         RelayTicketHooks hooks;
-        TimePoint since;
     };
 
     struct Started
@@ -125,7 +124,7 @@
     bool isFull(const UpstreamView &view, const RelayTicket &ticket) const;
     bool tryStart(Waiting &waiting, const QueuedRequest &queued, TimePoint now);
     void dispatch(const std::string &service, TimePoint now);
-    void refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now);
+    void refuse(const std::string &id, const std::string &code, const std::string &message);
     std::chrono::seconds retryAfter(const std::string &service) const;
 
     AvailabilityZone zone;
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -140,11 +140,6 @@
     this->d->load();
 }
 
-bool StoreFollower::isReachable() const
-{
-    return this->d->isReachable;
-}
-
 std::int64_t StoreFollower::revision() const
 {
     return this->d->revision;
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -48,7 +48,6 @@
 
     void start();
 
-    bool isReachable() const;
     std::int64_t revision() const;
 
 private:
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -149,7 +149,7 @@
     this->refreshCandidate(upstream->second, now);
 }
 
-void UpstreamPool::outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay, Time now)
+void UpstreamPool::outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay)
 {
     const auto upstream = this->upstreams.find(id);
     if (upstream == this->upstreams.end())
@@ -159,7 +159,6 @@
     if (!failed)
         activity.excessDelayMs +=
             (static_cast<double>(excessDelay.count()) - activity.excessDelayMs) * observationWeight;
-    activity.observedAt = now;
     this->updateView(upstream->second);
 }
 
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -50,7 +50,7 @@
     void peerLoadReported(const std::string &id, double requests, double pendingTokens, Time now);
 
     /// Notes how an attempt went: whether the upstream failed, and its time to the first byte beyond the expected one.
-    void outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay, Time now);
+    void outcomeObserved(const std::string &id, bool failed, std::chrono::milliseconds excessDelay);
 
     /// The upstream's state as the router sees it; none when it is unknown.
     std::optional<UpstreamView> viewOf(const std::string &id) const;
@@ -91,7 +91,6 @@
         double peerPendingTokens = 0.0;
         double failureShare = 0.0;
         double excessDelayMs = 0.0;
-        Time observedAt;
     };
 
     void updateView(const Upstream &upstream);
