--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -44,6 +44,8 @@
                                         std::chrono::milliseconds wait,
                                         std::function<void(const KvChanges &)> done)>
         changes;
+    /// Whether the store answers at all, as cheaply as the store allows. Unset where nothing needs it.
+    std::function<void(std::function<void(KvStatus status, const std::string &error)> done)> ping;
     /// Watches one key; the result ends the watch.
     std::function<std::function<void()>(const std::string &key, KvClient::WatchHooks hooks)> watch;
 };
--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -34,6 +34,12 @@
 {
 }
 
+std::string LeaderRole::holderOf(const std::string &record)
+{
+    const auto json = nlohmann::json::parse(record, nullptr, false);
+    return json.is_object() ? json.value("holder", "") : std::string();
+}
+
 void LeaderRole::tick(TimePoint now, double random)
 {
     if (this->isBusy || !this->task.isDue(now, this->settings.ttl / renewalsPerLease, random))
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -37,6 +37,9 @@
 
     LeaderRole(KvAccess kv, LeaderRoleSettings settings);
 
+    /// Name of the holder in the holder's record; empty when it cannot be read.
+    static std::string holderOf(const std::string &record);
+
     /// Claims the role when it is free, or renews its lease. @p random is uniform in [0, 1).
     void tick(TimePoint now, double random);
 
--- a/src/libhemlock/relay/accountquota.cpp
+++ b/src/libhemlock/relay/accountquota.cpp
@@ -34,6 +34,12 @@
     return true;
 }
 
+void AccountQuota::giveBack(const std::string &account, double units)
+{
+    this->buckets[account].level += units;
+    this->own[account] -= units;
+}
+
 std::chrono::milliseconds AccountQuota::waitTime(const std::string &account, const QuotaLimit &limit) const
 {
     const auto found = this->buckets.find(account);
@@ -51,6 +57,7 @@
 void AccountQuota::peerTotals(const std::string &peer,
                               const std::string &run,
                               const std::map<std::string, double> &totals,
+                              std::size_t vms,
                               TimePoint now)
 {
     Peer &known = this->peersByName[peer];
@@ -59,9 +66,9 @@
     const bool isContinued = known.run == run && now - known.heard < this->settings.silence;
     if (isContinued) {
         for (const auto &[account, total] : totals)
-            this->buckets[account].level -= std::max(0.0, total - known.totals[account]);
+            this->buckets[account].level -= total - known.totals[account];
     }
-    known = {run, totals, now};
+    known = {run, totals, vms, now};
 }
 
 double AccountQuota::capacity(const QuotaLimit &limit) const
@@ -71,10 +78,11 @@
 
 double AccountQuota::ownPart(std::size_t peers, TimePoint now) const
 {
-    const auto heard = static_cast<std::size_t>(
-        std::count_if(this->peersByName.begin(), this->peersByName.end(), [this, now](const auto &peer) {
-            return now - peer.second.heard < this->settings.silence;
-        }));
+    std::size_t heard = 0;
+    for (const auto &[name, peer] : this->peersByName) {
+        if (now - peer.heard < this->settings.silence)
+            heard += peer.vms;
+    }
     const std::size_t silent = peers > heard ? peers - heard : 0;
     return 1.0 - static_cast<double>(silent) / static_cast<double>(peers + 1);
 }
--- a/src/libhemlock/relay/accountquota.h
+++ b/src/libhemlock/relay/accountquota.h
@@ -42,16 +42,20 @@
     /// Admits a request of this many units or refuses it. @p peers counts the other entry VMs.
     bool tryTake(const std::string &account, const QuotaLimit &limit, double units, std::size_t peers, TimePoint now);
 
+    /// A request that was admitted did not run after all.
+    void giveBack(const std::string &account, double units);
+
     /// When the account's next request is likely to pass.
     std::chrono::milliseconds waitTime(const std::string &account, const QuotaLimit &limit) const;
 
-    /// Units that this process has admitted by account, since its start.
+    /// Units that this process has admitted by account, since its start, less those given back.
     const std::map<std::string, double> &totals() const;
 
-    /// Running totals of a peer; @p run changes when the peer restarts.
+    /// Running totals of a peer, or of a group of @p vms peers; @p run changes when they start anew.
     void peerTotals(const std::string &peer,
                     const std::string &run,
                     const std::map<std::string, double> &totals,
+                    std::size_t vms,
                     TimePoint now);
 
 private:
@@ -66,6 +70,7 @@
     {
         std::string run;
         std::map<std::string, double> totals;
+        std::size_t vms = 1;
         TimePoint heard;
     };
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -57,9 +57,15 @@
     this->ordersUpstreams = upstreamOrders;
 }
 
-void DutyRunner::holderSeen(bool exists)
+void DutyRunner::holderSeen(const std::string &record)
 {
-    this->holderExists = exists;
+    this->holderExists = !record.empty();
+    this->seenHolder = LeaderRole::holderOf(record);
+}
+
+const std::string &DutyRunner::holder() const
+{
+    return this->seenHolder;
 }
 
 void DutyRunner::setOrders(const std::set<UpstreamOrder> &wanted)
@@ -67,6 +73,11 @@
     this->orders = wanted;
 }
 
+void DutyRunner::setOrderRefused(std::function<void(const UpstreamOrder &order)> hook)
+{
+    this->orderRefused = std::move(hook);
+}
+
 bool DutyRunner::isActing(TimePoint at) const
 {
     return this->heldSince && this->isRecordLoaded && at >= *this->heldSince + this->settings.settleTime
@@ -287,6 +298,8 @@
                     this->accepted[subject] = order.count;
                 else
                     this->refusedOrders[subject] = this->now;
+                if (result == DutyResult::Refused && this->orderRefused)
+                    this->orderRefused(order);
             });
         return;
     }
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -53,11 +53,17 @@
     void setDuties(bool reportsUsage, bool ordersUpstreams);
 
     /// Record of the role's holder in the store changed; empty when there is none.
-    void holderSeen(bool exists);
+    void holderSeen(const std::string &record);
+
+    /// Node that holds the role by its record; empty when there is none.
+    const std::string &holder() const;
 
     /// Wanted orders; only what differs from the last accepted order is sent.
     void setOrders(const std::set<UpstreamOrder> &orders);
 
+    /// Calls @p hook when the platform refused an order.
+    void setOrderRefused(std::function<void(const UpstreamOrder &order)> hook);
+
     /// Whether this node may act now.
     bool isActing(TimePoint now) const;
 
@@ -83,6 +89,7 @@
     bool reportsUsage = false;
     bool ordersUpstreams = false;
     bool holderExists = false;
+    std::string seenHolder;
     std::optional<TimePoint> heldSince;
     TimePoint now;
     bool isRecordLoaded = false;
@@ -97,6 +104,7 @@
     std::optional<std::int64_t> firstSaved; ///< Oldest window whose running counts the holder before saved.
     std::optional<std::int64_t> nextWindow;
     std::set<UpstreamOrder> orders;
+    std::function<void(const UpstreamOrder &order)> orderRefused;
     std::map<std::tuple<std::string, std::string, bool>, int> accepted;
     std::map<std::tuple<std::string, std::string, bool>, TimePoint> refusedOrders;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/libhemlock/relay/fleetplanner.cpp
+++ b/src/libhemlock/relay/fleetplanner.cpp
@@ -10,63 +10,123 @@
 {
 }
 
-void FleetPlanner::noteWork(const std::string &service, double totalTokens, TimePoint now)
+void FleetPlanner::noteDemand(const std::string &service, double totalTokens, TimePoint now)
 {
     Demand &demand = this->demands[service];
     const double added = totalTokens - demand.total;
     const double seconds = std::chrono::duration<double>(now - demand.updated).count();
+    const bool isFirst = demand.updated == TimePoint();
     demand.total = totalTokens;
     demand.updated = now;
-    // The first total, and one that shrank because a VM restarted, say nothing about the rate.
-    if (demand.began == TimePoint()) {
-        demand.began = now;
-        return;
-    }
-    if (added < 0.0 || seconds <= 0.0 || (!demand.rate && added == 0.0))
+    if (isFirst || added < 0.0 || seconds <= 0.0 || (!demand.rate && added == 0.0))
         return;
     const double weight = 1.0 - std::exp(-seconds / std::chrono::duration<double>(this->settings.averaging).count());
     const double before = demand.rate.value_or(added / seconds);
     demand.rate = before + (added / seconds - before) * weight;
 }
 
+void FleetPlanner::noteSupply(const std::string &service, const Supply &supply)
+{
+    Demand &demand = this->demands[service];
+    for (auto &[name, zone] : demand.zones)
+        zone.supply = {};
+    for (const auto &[name, present] : supply)
+        demand.zones[name].supply = present;
+}
+
+void FleetPlanner::noteRefused(const std::string &service, const std::string &zone)
+{
+    this->demands[service].zones[zone].isScarce = true;
+}
+
 std::set<UpstreamOrder> FleetPlanner::plan(const RelayService &service, TimePoint now)
 {
     std::set<UpstreamOrder> orders;
-    if (!service.scaling)
+    if (!service.scaling || service.scaling->zonePrices.empty())
         return orders;
     const ScalingLimits &limits = *service.scaling;
-    const int wanted = this->perZone(service, this->demands[service.name], now);
+    Demand &demand = this->demands[service.name];
+    const int zones = static_cast<int>(limits.zonePrices.size());
+    const int needed = this->upstreamsNeeded(service, demand, now);
+    const int share = (needed + zones - 1) / zones;
     const int least = std::max(1, limits.min);
-    for (const auto &[zone, price] : limits.zonePrices) {
-        if (!limits.reclaimablePrice) {
-            orders.insert({service.name, zone, std::clamp(wanted, least, std::max(least, limits.max)), false});
-            continue;
-        }
-        orders.insert({service.name, zone, least, false});
-        orders.insert({service.name, zone, std::clamp(wanted - least, 0, std::max(0, limits.max - least)), true});
+    if (!limits.reclaimablePrice) {
+        for (const auto &[zone, price] : limits.zonePrices)
+            orders.insert({service.name, zone, std::clamp(share, least, std::max(least, limits.max)), false});
+        return orders;
+    }
+    this->updateScarcity(limits, demand, now);
+    const int scarce =
+        static_cast<int>(std::count_if(limits.zonePrices.begin(), limits.zonePrices.end(), [&demand](const auto &zone) {
+            return demand.zones[zone.first].isScarce;
+        }));
+    const int open = zones - scarce;
+    const int room = std::max(0, limits.max - least);
+    const int reclaimable = std::max(0, needed - least * zones);
+    const int perOpenZone = open > 0 ? std::min(room, (reclaimable + open - 1) / open) : 0;
+    // Upstreams on demand cost several times as much, so that they are used more fully, and only as the load needs.
+    const double loaded = demand.rate.value_or(0.0) / (this->settings.tokensPerSecond * this->settings.onDemandUse);
+    const double missing = std::max(0.0, loaded - least * zones - perOpenZone * open);
+    const int extra = scarce > 0 ? std::min(room, static_cast<int>(std::ceil(missing / scarce))) : 0;
+    for (const auto &[name, price] : limits.zonePrices) {
+        Zone &zone = demand.zones[name];
+        const int onDemand = least + (zone.isScarce ? extra : 0);
+        zone.wanted = std::clamp(zone.isScarce ? share - least : perOpenZone, 0, std::max(0, limits.max - onDemand));
+        orders.insert({service.name, name, onDemand, false});
+        orders.insert({service.name, name, zone.wanted, true});
     }
     return orders;
 }
 
-int FleetPlanner::perZone(const RelayService &service, Demand &demand, TimePoint now) const
+int FleetPlanner::upstreamsNeeded(const RelayService &service, Demand &demand, TimePoint now) const
 {
     const ScalingLimits &limits = *service.scaling;
-    const int least = std::max(1, limits.min);
     const bool isCheap = limits.reclaimablePrice.has_value();
-    int needed = least + (isCheap ? this->settings.firstPerZone : 1);
+    const int zones = static_cast<int>(limits.zonePrices.size());
+    const int least = zones * (std::max(1, limits.min) + (isCheap ? this->settings.leastPerZone : 0));
+    int present = 0;
+    for (const auto &[name, zone] : demand.zones)
+        present += zone.supply.onDemand + zone.supply.reclaimable;
+    // A holder of the duty that started just now keeps what its predecessor ordered.
+    if (demand.needed == 0) {
+        demand.needed = demand.rate ? present : static_cast<int>(std::ceil(present * this->settings.firstShare));
+        demand.lastNeeded = now;
+    }
+    int needed = std::max(least, demand.rate ? 0 : demand.needed);
     if (demand.rate) {
         const double use = isCheap ? this->settings.reclaimableUse : this->settings.onDemandUse;
-        const double upstreams = *demand.rate / (this->settings.tokensPerSecond * use);
-        const auto zones = static_cast<double>(std::max<std::size_t>(1, limits.zonePrices.size()));
-        needed = std::max(static_cast<int>(std::ceil(upstreams / zones)),
-                          least + (isCheap ? this->settings.leastPerZone : 0));
+        needed = std::max(needed, static_cast<int>(std::ceil(*demand.rate / (this->settings.tokensPerSecond * use))));
     }
-    needed = std::min(needed, std::max(least, limits.max));
-    if (needed >= demand.perZone || now - demand.lastNeeded >= this->settings.shrinkDelay) {
-        demand.perZone = needed;
+    const int most = zones * std::max(std::max(1, limits.min), limits.max);
+    needed = std::min(needed, most);
+    const bool isGrowing = needed > demand.needed;
+    const int margin = isGrowing ? static_cast<int>(needed * (this->settings.growthMargin - 1.0)) : 0;
+    // What the margin covers is still needed, so that the fleet does not shrink and grow by turns.
+    if (needed * this->settings.growthMargin >= demand.needed)
+        demand.lastNeeded = now;
+    if (isGrowing || now - demand.lastNeeded >= this->settings.shrinkDelay) {
+        demand.needed = std::min(most, needed + margin);
         demand.lastNeeded = now;
     }
-    return demand.perZone;
+    return demand.needed;
+}
+
+void FleetPlanner::updateScarcity(const ScalingLimits &limits, Demand &demand, TimePoint now) const
+{
+    for (const auto &[name, price] : limits.zonePrices) {
+        Zone &zone = demand.zones[name];
+        const ZoneSupply &supply = zone.supply;
+        if (zone.enough == TimePoint())
+            zone.enough = now;
+        if (supply.reclaimable * 2 >= zone.wanted) {
+            zone.enough = now;
+            zone.isScarce = false;
+        } else if (supply.leaving * 2 >= supply.reclaimable + supply.leaving && supply.leaving > 0) {
+            zone.isScarce = true;
+        } else if (now - zone.enough > limits.bootTime + this->settings.bootSlack) {
+            zone.isScarce = true;
+        }
+    }
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/fleetplanner.h
+++ b/src/libhemlock/relay/fleetplanner.h
@@ -19,42 +19,71 @@
     double reclaimableUse = 0.2;
     /// The same where upstreams cost their full price.
     double onDemandUse = 0.35;
-    /// Reclaimable upstreams in each availability zone before any demand was measured: all caches are empty then.
-    int firstPerZone = 3;
+    /// Upstreams before any demand was measured, as a multiple of those that are there: all caches are empty then.
+    double firstShare = 1.5;
     int leastPerZone = 2; ///< Reclaimable upstreams in each availability zone, however low the demand.
+    /// A fleet that is too small grows by this factor beyond its need, so that a rising demand does not order upstreams
+    /// one by one: each change of a large fleet wakes all entry VMs.
+    double growthMargin = 1.1;
     std::chrono::seconds averaging{5}; ///< Over which the demand is averaged.
     std::chrono::seconds shrinkDelay{15}; ///< The fleet shrinks when the demand has been low for so long.
+    /// Ordered upstreams that are not there so long after their boot time are not to be had.
+    std::chrono::milliseconds bootSlack{2000};
+};
+
+/// Upstreams of one service that an availability zone has.
+struct ZoneSupply
+{
+    int onDemand = 0; ///< Serving.
+    int reclaimable = 0; ///< Serving.
+    int leaving = 0; ///< Reclaimable ones that announced their end.
 };
 
 /// Decides how many upstreams of which kind each availability zone should have.
 ///
 /// One zone's reclaimable upstreams can all vanish at once, so that they are spread evenly over the zones, beside the
-/// least number on demand. It grows at once and shrinks late, since new upstreams start with empty caches.
+/// least number on demand. While a zone has none to offer, the other zones take over its part, and upstreams on demand
+/// what they have no room for. The fleet grows at once and shrinks late, since new upstreams start with empty caches.
 class FleetPlanner
 {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
+    using Supply = std::map<std::string, ZoneSupply>; ///< By availability zone.
 
     explicit FleetPlanner(FleetPlannerSettings settings = {});
 
-    /// Notes the prompt tokens that upstreams of a service have been sent to compute, as a running total over all entry
-    /// VMs.
-    void noteWork(const std::string &service, double totalTokens, TimePoint now);
+    /// Notes the prompt tokens that requests for a service needed computed, refused requests included, as a running
+    /// total over all entry VMs. Without the refused ones a fleet that is too small would never grow.
+    void noteDemand(const std::string &service, double totalTokens, TimePoint now);
+
+    void noteSupply(const std::string &service, const Supply &supply);
+
+    /// The platform had no reclaimable upstreams to offer there.
+    void noteRefused(const std::string &service, const std::string &zone);
 
     std::set<UpstreamOrder> plan(const RelayService &service, TimePoint now);
 
 private:
+    struct Zone
+    {
+        ZoneSupply supply;
+        int wanted = 0; ///< Reclaimable upstreams.
+        TimePoint enough; ///< When half of the wanted ones were last there.
+        bool isScarce = false;
+    };
+
     struct Demand
     {
         double total = 0.0;
         std::optional<double> rate; ///< Tokens a second; none before it was measured for a while.
-        TimePoint began;
         TimePoint updated;
-        int perZone = 0; ///< In force.
+        int needed = 0; ///< Upstreams of all zones, as in force.
         TimePoint lastNeeded; ///< When the number in force was last called for.
+        std::map<std::string, Zone> zones;
     };
 
-    int perZone(const RelayService &service, Demand &demand, TimePoint now) const;
+    int upstreamsNeeded(const RelayService &service, Demand &demand, TimePoint now) const;
+    void updateScarcity(const ScalingLimits &limits, Demand &demand, TimePoint now) const;
 
     FleetPlannerSettings settings;
     std::map<std::string, Demand> demands;
--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A part whose home is busy goes to the next one, which then holds it too.
+constexpr std::size_t homesOfPart = 2;
+
 std::uint64_t rendezvousWeight(std::uint64_t part, const std::string &upstream)
 {
     std::uint64_t value = part ^ (std::hash<std::string>()(upstream) * 0x9e3779b97f4a7c15ULL);
@@ -22,22 +25,27 @@
     return query.parts.empty() ? 0 : query.parts.size() - 1;
 }
 
-const UpstreamView *homeOf(const RouteQuery &query, const CandidateSet &candidates)
+/// Homes of the last shared part, the first one first; none for a prompt without shared parts.
+std::vector<const UpstreamView *> homesOf(const RouteQuery &query, const CandidateSet &candidates)
 {
     const std::size_t shared = sharedParts(query);
     if (shared == 0)
-        return nullptr;
+        return {};
     const std::uint64_t part = query.parts[shared - 1].id;
-    const UpstreamView *home = nullptr;
-    std::uint64_t greatest = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const std::uint64_t weight = rendezvousWeight(part, candidates.at(i).id);
-        if (!home || weight > greatest) {
-            home = &candidates.at(i);
-            greatest = weight;
-        }
-    }
-    return home;
+    using Ranked = std::pair<std::uint64_t, const UpstreamView *>;
+    std::vector<Ranked> ranked;
+    ranked.reserve(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        ranked.emplace_back(rendezvousWeight(part, candidates.at(i).id), &candidates.at(i));
+    const std::size_t count = std::min(homesOfPart, ranked.size());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(),
+                      [](const Ranked &a, const Ranked &b) { return a.first > b.first; });
+    std::vector<const UpstreamView *> homes;
+    for (std::size_t i = 0; i < count; ++i)
+        homes.push_back(ranked[i].second);
+    return homes;
 }
 
 } // namespace
@@ -49,7 +57,8 @@
 
 RouteDecision PartAffinityPolicy::choose(const RouteQuery &query, const CandidateSet &candidates, RandomEngine &random)
 {
-    const UpstreamView *home = homeOf(query, candidates);
+    const std::vector<const UpstreamView *> homes = homesOf(query, candidates);
+    const UpstreamView *home = homes.empty() ? nullptr : homes.front();
     // Equal upstreams are told apart at random, so that entry VMs do not all choose the same one.
     constexpr double tieMs = 0.5;
     std::uniform_real_distribution<double> tie(0.0, tieMs);
@@ -62,10 +71,11 @@
         total += part.tokens;
     for (std::size_t i = 0; i < sharedParts(query); ++i)
         shared += query.parts[i].tokens;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const UpstreamView &view = candidates.at(i);
+    for (const UpstreamView *candidate : this->weighed(homes, candidates, random)) {
+        const UpstreamView &view = *candidate;
         const double tokens = this->missingTokens(query, view.id);
-        const double weighed = tokens - (&view == home ? this->settings.homeCredit * std::min(tokens, shared) : 0.0);
+        const double credit = this->homeCredit(view, homes, candidates);
+        const double weighed = tokens - credit * std::min(tokens, shared);
         // A computed token is compared with all before it, cached or not.
         const double pairs = weighed * (total - weighed / 2) / 1e6;
         const double cost = (view.pendingTokens + weighed) / this->settings.tokensPerMs + pairs * this->settings.pairsMs
@@ -75,7 +85,8 @@
         if (cost >= least)
             continue;
         least = cost;
-        missing = tokens;
+        // What a home is trusted to hold is not computed; in a small fleet the credit only settles where a part goes.
+        missing = candidates.size() > this->settings.weighedUpstreams ? weighed : tokens;
         best = &view;
     }
     RouteDecision decision;
@@ -87,6 +98,37 @@
     return decision;
 }
 
+std::vector<const UpstreamView *> PartAffinityPolicy::weighed(const std::vector<const UpstreamView *> &homes,
+                                                              const CandidateSet &candidates,
+                                                              RandomEngine &random) const
+{
+    std::vector<const UpstreamView *> weighed;
+    if (candidates.size() <= this->settings.weighedUpstreams) {
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            weighed.push_back(&candidates.at(i));
+        return weighed;
+    }
+    weighed = homes;
+    for (std::size_t i = 0; i < this->settings.sampledUpstreams; ++i)
+        weighed.push_back(&candidates.randomChoice(random));
+    return weighed;
+}
+
+double PartAffinityPolicy::homeCredit(const UpstreamView &view,
+                                      const std::vector<const UpstreamView *> &homes,
+                                      const CandidateSet &candidates) const
+{
+    const auto found = std::find(homes.begin(), homes.end(), &view);
+    if (found == homes.end())
+        return 0.0;
+    // In a large fleet peers do not tell which parts they sent where, so that the home stands for the cache.
+    const bool isLarge = candidates.size() > this->settings.weighedUpstreams;
+    const double credit = isLarge ? this->settings.largeFleetHomeCredit : this->settings.homeCredit;
+    if (found == homes.begin())
+        return credit;
+    return isLarge ? credit / 2 : 0.0;
+}
+
 double PartAffinityPolicy::missingTokens(const RouteQuery &query, const std::string &upstream) const
 {
     const auto held = this->heldByUpstream.find(upstream);
--- a/src/libhemlock/relay/partaffinity.h
+++ b/src/libhemlock/relay/partaffinity.h
@@ -18,6 +18,11 @@
     double failureMs = 3000.0; ///< Delay that a certain failure is worth.
     /// Part of a shared part's cost that its home is let off, so that entry VMs agree on a place for a new one.
     double homeCredit = 0.3;
+    double largeFleetHomeCredit = 0.8; ///< The same where the home is likely to hold the part.
+    /// Among more upstreams than this, only the homes of the shared part and some random ones are weighed: entry VMs
+    /// that read the same old loads would all choose the one upstream that looks idle.
+    std::size_t weighedUpstreams = 24;
+    std::size_t sampledUpstreams = 8;
     /// Shared tokens that an upstream is taken to hold; its memory less what running requests need.
     double rememberedTokens = 400000.0;
 };
@@ -44,6 +49,11 @@
         double tokens = 0.0;
     };
 
+    std::vector<const UpstreamView *>
+    weighed(const std::vector<const UpstreamView *> &homes, const CandidateSet &candidates, RandomEngine &random) const;
+    double homeCredit(const UpstreamView &view,
+                      const std::vector<const UpstreamView *> &homes,
+                      const CandidateSet &candidates) const;
     double missingTokens(const RouteQuery &query, const std::string &upstream) const;
 
     PartAffinitySettings settings;
--- a/src/libhemlock/relay/peerregistry.cpp
+++ b/src/libhemlock/relay/peerregistry.cpp
@@ -1,6 +1,11 @@
 #include "relay/peerregistry.h"
 
+#include "logger.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <tuple>
 
 namespace hemlock {
 
@@ -15,11 +20,12 @@
 
 } // namespace
 
-PeerRegistry::PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address)
+PeerRegistry::PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address, std::string zone)
     : kv(std::move(kv))
     , keyPrefix(std::move(prefix))
     , node(std::move(node))
     , address(std::move(address))
+    , zone(std::move(zone))
 {
 }
 
@@ -33,15 +39,23 @@
         this->keepAlive();
 }
 
-void PeerRegistry::recordSeen(const std::string &key, const std::string &peerAddress, TimePoint now)
+void PeerRegistry::recordSeen(const std::string &key, const std::string &value, TimePoint now)
 {
     const std::string name = key.substr(std::min(key.size(), this->keyPrefix.size()));
     if (name == this->node)
         return;
     Peer &peer = this->peers[name];
-    peer.isRegistered = !peerAddress.empty();
-    if (peer.isRegistered)
-        peer.address = peerAddress;
+    peer.isRegistered = false;
+    if (!value.empty()) {
+        try {
+            const auto record = nlohmann::json::parse(value);
+            record.at("address").get_to(peer.address);
+            record.at("zone").get_to(peer.zone);
+            peer.isRegistered = true;
+        } catch (const std::exception &error) {
+            logEvent(LogLevel::Warning, "peer-record", {{"key", key}, {"error", error.what()}});
+        }
+    }
     std::erase_if(this->peers, [this, now](const auto &entry) { return !this->isAlive(entry.second, now); });
 }
 
@@ -66,6 +80,50 @@
     return addresses;
 }
 
+std::set<std::string> PeerRegistry::addressesIn(const std::string &wanted, TimePoint now) const
+{
+    std::set<std::string> addresses;
+    for (const auto &[name, peer] : this->peers) {
+        if (peer.zone == wanted && this->isAlive(peer, now))
+            addresses.insert(peer.address);
+    }
+    return addresses;
+}
+
+std::map<std::string, std::vector<std::string>> PeerRegistry::addressesByZone(TimePoint now) const
+{
+    std::map<std::string, std::vector<std::string>> addresses;
+    for (const auto &[name, peer] : this->peers) {
+        if (this->isAlive(peer, now))
+            addresses[peer.zone].push_back(peer.address);
+    }
+    return addresses;
+}
+
+std::string PeerRegistry::addressOf(const std::string &wanted) const
+{
+    const auto found = this->peers.find(wanted);
+    return found == this->peers.end() ? std::string() : found->second.address;
+}
+
+std::size_t PeerRegistry::heardIn(const std::string &wanted, TimePoint since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [&wanted, since](const auto &peer) {
+            return peer.second.zone == wanted && peer.second.heard >= since;
+        }));
+}
+
+std::size_t PeerRegistry::heardBefore(const std::string &wanted, TimePoint since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [this, &wanted, since](const auto &peer) {
+            const auto &name = peer.first;
+            return peer.second.zone == wanted && peer.second.heard >= since
+                && std::tuple(name.size(), name) < std::tuple(this->node.size(), this->node);
+        }));
+}
+
 std::size_t PeerRegistry::count(TimePoint now) const
 {
     return static_cast<std::size_t>(
@@ -89,7 +147,8 @@
         if (grant.status != KvStatus::Ok || grant.lease == 0)
             return this->task.expedite();
         KvTxn txn;
-        txn.puts.push_back({this->keyPrefix + this->node, this->address, grant.lease});
+        const nlohmann::json record = {{"address", this->address}, {"zone", this->zone}};
+        txn.puts.push_back({this->keyPrefix + this->node, record.dump(), grant.lease});
         this->isCalling = true;
         this->kv.txn(txn, [this, alive, lease = grant.lease](const KvTxnResult &result) {
             if (alive.expired())
--- a/src/libhemlock/relay/peerregistry.h
+++ b/src/libhemlock/relay/peerregistry.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hemlock {
 
@@ -18,12 +19,12 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     /// @p prefix ends with a slash; @p address is where this VM receives datagrams.
-    PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address);
+    PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address, std::string zone);
 
     void tick(TimePoint now, double random);
 
-    /// A record below the prefix was written, or removed when the address is empty.
-    void recordSeen(const std::string &key, const std::string &peerAddress, TimePoint now);
+    /// A record below the prefix was written, or removed when the value is empty.
+    void recordSeen(const std::string &key, const std::string &value, TimePoint now);
 
     /// A peer's datagram arrived: it lives, whatever its record says.
     void heard(const std::string &peer, TimePoint now);
@@ -31,6 +32,21 @@
     /// Addresses of the other entry VMs.
     std::set<std::string> addresses(TimePoint now) const;
 
+    /// Addresses of the other entry VMs in an availability zone.
+    std::set<std::string> addressesIn(const std::string &zone, TimePoint now) const;
+
+    /// Addresses of the other entry VMs by availability zone, in the order of their names.
+    std::map<std::string, std::vector<std::string>> addressesByZone(TimePoint now) const;
+
+    /// Empty for an unknown node.
+    std::string addressOf(const std::string &node) const;
+
+    /// Number of other entry VMs in an availability zone that were heard of since a time.
+    std::size_t heardIn(const std::string &zone, TimePoint since) const;
+
+    /// The same, of those whose names come before the own one. Shorter names come first.
+    std::size_t heardBefore(const std::string &zone, TimePoint since) const;
+
     /// Number of other entry VMs that are registered or were heard of just now.
     std::size_t count(TimePoint now) const;
 
@@ -43,6 +59,7 @@
     struct Peer
     {
         std::string address;
+        std::string zone;
         bool isRegistered = false;
         TimePoint heard;
     };
@@ -55,6 +72,7 @@
     std::string keyPrefix;
     std::string node;
     std::string address;
+    std::string zone;
     PeriodicTask task;
     std::map<std::string, Peer> peers;
     std::int64_t lease = 0;
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -134,8 +134,10 @@
         this->account->countsTokens ? this->request.totalTokens().value_or(this->account->plainTokens) : 1.0;
     const QuotaLimit quota{this->account->rate, this->account->burst};
     const auto now = this->context.now();
-    if (this->context.quota.tryTake(this->account->name, quota, units, this->context.peers(), now))
+    if (this->context.quota.tryTake(this->account->name, quota, units, this->context.peers(), now)) {
+        this->quotaUnits = units;
         return true;
+    }
     const auto wait = this->context.quota.waitTime(this->account->name, quota);
     this->refuse({Verdict::NotRun,
                   429,
@@ -455,6 +457,9 @@
     this->isFinished = true;
     this->timer.cancel();
     const auto keep = this->shared_from_this();
+    // The limit counts requests that run; one that comes back after a refusal must not use it up twice.
+    if (this->verdict == Verdict::NotRun && !this->isSending && this->quotaUnits > 0.0)
+        this->context.quota.giveBack(this->account->name, this->quotaUnits);
     if (this->isSending) {
         this->context.http.cancel(this->call);
         this->endAttempt(false);
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -78,6 +78,7 @@
     bool isWaiting = false;
     bool isFinished = false;
     bool isCounted = false; ///< In the usage ledger.
+    double quotaUnits = 0.0; ///< Admitted by the account's limit.
 
     int status = 0; ///< Of the attempt in progress.
     HttpHeaders headers;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -2,7 +2,6 @@
 
 #include "encoding.h"
 #include "logger.h"
-#include "relay/peernews.h"
 
 #include <asio/post.hpp>
 
@@ -15,23 +14,9 @@
 
 constexpr std::chrono::milliseconds tickInterval{100};
 
-/// Peers' counts are this old at most; a tenth of a second of a flood fits into the slack of the shared limits.
-constexpr std::chrono::milliseconds newsInterval{100};
-
-/// A long prompt is told at once, so that other VMs send no short one behind it; not more often than this.
-constexpr std::chrono::milliseconds leastNewsInterval{20};
+/// Prompts of so many tokens are told to peers at once.
 constexpr double longPromptTokens = 5000.0;
 
-/// Peers that are told at a time; with more of them, each is told in turn, so that the messages of a VM do not grow
-/// with the fleet.
-constexpr std::size_t newsFanOut = 8;
-
-/// Loads of a peer that said nothing for so long are dropped.
-constexpr std::chrono::milliseconds newsLifetime{1500};
-
-/// Each change of the quarantine is repeated in so many messages, since datagrams are lost.
-constexpr std::size_t quarantineRepeats = 30;
-
 /// The load balancer asks once a second and takes a VM out after two misses.
 constexpr std::chrono::milliseconds leastDrainTime{3500};
 
@@ -63,8 +48,13 @@
 /// Written several times a second, so that it lies where no VM waits for changes.
 constexpr std::string_view countsKey = "hemlock-counts/usage";
 
-/// Records of peers and of the duties' holder change rarely, and peers are heard of without them.
-constexpr std::chrono::milliseconds ownKeysWait{4000};
+/// Upstreams come and go in swarms, and each change wakes every VM. Short against the seconds that an upstream goes on
+/// after it announced its leave.
+constexpr std::chrono::milliseconds upstreamChangePause{250};
+
+/// All VMs register when the system starts. Peers are heard of without their records; the record of the duties' holder
+/// lapses seconds after the holder's end.
+constexpr std::chrono::milliseconds ownChangePause{500};
 
 HttpServerSettings serverSettings(const std::string &address)
 {
@@ -77,11 +67,13 @@
     return settings;
 }
 
-StoreFollowerSettings followerSettings(const std::string &prefix, std::chrono::milliseconds wait)
+StoreFollowerSettings
+followerSettings(const std::string &prefix, std::chrono::milliseconds wait, std::chrono::milliseconds changePause)
 {
     StoreFollowerSettings settings;
     settings.prefix = prefix;
     settings.wait = wait;
+    settings.changePause = changePause;
     return settings;
 }
 
@@ -109,7 +101,8 @@
     , quota(this->settings.quota)
     , retries(this->settings.retries)
     , usage(this->settings.usageWindow)
-    , registry(kv, std::string(ownPrefix) + "nodes/", this->settings.node, this->settings.peers)
+    , registry(
+          kv, std::string(ownPrefix) + "nodes/", this->settings.node, this->settings.peers, this->settings.zone.name)
     , duties(kv, dutySettings(this->settings, this->run), this->transport, this->usage)
     , context{
           loop,
@@ -130,18 +123,18 @@
           [this](const Upstream &upstream, const std::string &fingerprint) { this->brokenOff(upstream, fingerprint); },
           [this](double tokens) {
               if (tokens >= longPromptTokens)
-                  this->expediteNews();
+                  this->peers.expedite();
           }}
     , configStore(loop,
                   kv,
-                  followerSettings(this->settings.configKey, this->settings.storeWait),
+                  followerSettings(this->settings.configKey, this->settings.storeWait, std::chrono::milliseconds(0)),
                   this->followerHooks([this](const std::map<std::string, std::string> &values) {
                       for (const auto &[key, value] : values)
                           this->entrySeen(key, value);
                   }))
     , upstreamStore(loop,
                     kv,
-                    followerSettings(this->settings.upstreamPrefix, this->settings.storeWait),
+                    followerSettings(this->settings.upstreamPrefix, this->settings.storeWait, upstreamChangePause),
                     [this] {
                         StoreFollowerHooks hooks =
                             this->followerHooks([this](const std::map<std::string, std::string> &values) {
@@ -154,9 +147,10 @@
                     }())
     , ownStore(loop,
                kv,
-               followerSettings(std::string(ownPrefix), ownKeysWait),
+               followerSettings(std::string(ownPrefix), this->settings.storeWait, ownChangePause),
                this->followerHooks(
                    [this](const std::map<std::string, std::string> &values) { this->ownKeysLoaded(values); }))
+    , storeProbe(loop, kv, [this](const std::string &error) { this->storeSilent(error); })
     , callers(loop,
               serverSettings(this->settings.callers),
               [this](HttpRequest request, const HttpResponderPtr &responder) {
@@ -170,13 +164,21 @@
               [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                   this->handleControl(request, responder);
               })
-    , peers(loop, this->settings.peers, [this](std::string_view datagram) { this->newsReceived(datagram); })
+    , peers(
+          loop,
+          {this->settings.node, this->run, this->settings.zone.name, this->settings.peers},
+          {this->quota, this->usage, this->quarantine, this->scheduler, this->clock, this->registry},
+          [this] { return this->now(); },
+          [this] { return this->wallTime(); })
     , signals(loop, SIGTERM, SIGINT)
     , ticker(loop)
-    , newsTimer(loop)
     , drainTimer(loop)
 {
     this->duties.setDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
+    this->duties.setOrderRefused([this](const UpstreamOrder &order) {
+        if (order.isReclaimable)
+            this->planner.noteRefused(order.service, order.zone);
+    });
 }
 
 void RelayProcess::start()
@@ -185,12 +187,13 @@
     this->configStore.start();
     this->upstreamStore.start();
     this->ownStore.start();
+    this->storeProbe.start();
     this->callers.start();
     this->readiness.start();
     this->control.start();
     logEvent(LogLevel::Info, "start", {{"callers", this->settings.callers}, {"zone", this->settings.zone.name}});
     this->tick();
-    this->exchangeNews();
+    this->peers.start();
 }
 
 void RelayProcess::applySettings(const RelaySettings &changed)
@@ -259,6 +262,13 @@
     return hooks;
 }
 
+void RelayProcess::storeSilent(const std::string &error)
+{
+    this->configStore.interrupt(error);
+    this->upstreamStore.interrupt(error);
+    this->ownStore.interrupt(error);
+}
+
 void RelayProcess::storeReachabilityChanged(bool reachable, const std::string &error)
 {
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
@@ -284,7 +294,8 @@
 
 void RelayProcess::ownKeysLoaded(const std::map<std::string, std::string> &values)
 {
-    this->duties.holderSeen(values.contains(this->duties.holderKey()));
+    const auto holder = values.find(this->duties.holderKey());
+    this->dutyHolderSeen(holder == values.end() ? std::string() : holder->second);
     for (const auto &[key, value] : values)
         this->entrySeen(key, value);
 }
@@ -310,7 +321,7 @@
     else if (key.starts_with(this->settings.upstreamPrefix))
         this->upstreamSeen(key, value);
     else if (key == this->duties.holderKey())
-        this->duties.holderSeen(true);
+        this->dutyHolderSeen(value);
     else if (key.starts_with(this->registry.prefix()))
         this->registry.recordSeen(key, value, this->now());
 }
@@ -320,11 +331,17 @@
     if (key.starts_with(this->settings.upstreamPrefix))
         this->directory.remove(key.substr(this->settings.upstreamPrefix.size()), this->now());
     else if (key == this->duties.holderKey())
-        this->duties.holderSeen(false);
+        this->dutyHolderSeen({});
     else if (key.starts_with(this->registry.prefix()))
         this->registry.recordSeen(key, {}, this->now());
 }
 
+void RelayProcess::dutyHolderSeen(const std::string &record)
+{
+    this->duties.holderSeen(record);
+    this->peers.setDutyHolder(this->duties.holder());
+}
+
 void RelayProcess::applyConfig(const std::string &value)
 {
     try {
@@ -416,141 +433,40 @@
 
 void RelayProcess::plan()
 {
-    if (!this->context.routes || !this->duties.isActing(this->now()))
-        return;
     const TimePoint now = this->now();
-    if (!this->planTask.isDue(now, planInterval, this->randomPart()))
+    if (!this->context.routes || !this->planTask.isDue(now, planInterval, this->randomPart()))
         return;
-    std::map<std::string, double> work = this->scheduler.sentTokens();
-    for (const auto &[node, tokens] : this->peerWork) {
-        for (const auto &[service, total] : tokens)
-            work[service] += total;
+    // Every VM follows the demand, so that a new holder of the duty knows it.
+    for (const RelayService &service : this->context.routes->config().services) {
+        const auto own = this->scheduler.demandedTokens().find(service.name);
+        const double ownTokens = own == this->scheduler.demandedTokens().end() ? 0.0 : own->second;
+        const auto others = this->peers.demand().find(service.name);
+        const double otherTokens = others == this->peers.demand().end() ? 0.0 : others->second;
+        this->planner.noteDemand(service.name, ownTokens + otherTokens, now);
     }
+    if (!this->duties.isActing(now) || this->upstreamStore.revision() == 0)
+        return;
     std::set<UpstreamOrder> orders;
     for (const RelayService &service : this->context.routes->config().services) {
-        this->planner.noteWork(service.name, work[service.name], now);
+        this->planner.noteSupply(service.name, this->supplyOf(service.name));
         orders.merge(this->planner.plan(service, now));
     }
     this->duties.setOrders(orders);
 }
 
-std::set<std::string> RelayProcess::nextReceivers(TimePoint now)
+FleetPlanner::Supply RelayProcess::supplyOf(const std::string &service)
 {
-    const std::set<std::string> all = this->registry.addresses(now);
-    if (all.size() <= newsFanOut)
-        return all;
-    std::set<std::string> receivers;
-    auto next = all.upper_bound(this->lastReceiver);
-    while (receivers.size() < newsFanOut) {
-        if (next == all.end())
-            next = all.begin();
-        this->lastReceiver = *next;
-        receivers.insert(*next++);
-    }
-    return receivers;
-}
-
-std::chrono::milliseconds RelayProcess::newsPeriod() const
-{
-    const std::size_t rounds = (this->registry.count(this->now()) + newsFanOut - 1) / newsFanOut;
-    return newsInterval * std::max<std::size_t>(1, rounds);
-}
-
-void RelayProcess::expediteNews()
-{
-    // In a large fleet most peers would not be told.
-    if (this->registry.count(this->now()) > newsFanOut)
-        return;
-    if (this->now() - this->newsSent < leastNewsInterval)
-        return;
-    this->newsTimer.cancel();
-    asio::post(this->loop, [this] { this->exchangeNews(); });
-}
-
-void RelayProcess::exchangeNews()
-{
-    const TimePoint now = this->now();
-    this->newsSent = now;
-    PeerNews news;
-    news.node = this->settings.node;
-    news.run = this->run;
-    news.sequence = ++this->newsSequence;
-    news.timeOfDay = std::chrono::system_clock::now();
-    news.quotaTotals = this->quota.totals();
-    for (const auto &[upstream, requests] : this->scheduler.upstreams().inFlight())
-        news.loads[upstream].requests = requests;
-    for (const auto &[upstream, tokens] : this->scheduler.pendingTokens())
-        news.loads[upstream].pendingTokens = tokens;
-    // Each is sent twice, since datagrams are lost.
-    std::vector<CachedParts> sent = this->scheduler.takeCachedParts();
-    this->lastCachedParts.insert(this->lastCachedParts.end(), sent.begin(), sent.end());
-    this->sentPartCounts.push_back(sent.size());
-    // In a large fleet a peer is told once in a period; what was sent in it before is told again.
-    const auto kept = static_cast<std::size_t>(this->newsPeriod() / newsInterval) + 1;
-    while (this->sentPartCounts.size() > kept) {
-        this->lastCachedParts.erase(this->lastCachedParts.begin(),
-                                    this->lastCachedParts.begin()
-                                        + static_cast<std::ptrdiff_t>(this->sentPartCounts.front()));
-        this->sentPartCounts.pop_front();
-    }
-    news.cachedParts = this->lastCachedParts;
-    news.work = this->scheduler.sentTokens();
-    constexpr std::int64_t sentWindows = 4;
-    this->usage.forgetBefore(this->usage.windowAt(this->wallTime()) - sentWindows);
-    news.usage = this->usage.own();
-    news.quarantine =
-        this->quarantine.delta(this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), now);
-    this->quarantineVersions.push_back(news.quarantine.at("version").get<std::uint64_t>());
-    if (this->quarantineVersions.size() > quarantineRepeats)
-        this->quarantineVersions.pop_front();
-    this->peers.send(nlohmann::json(news).dump(), this->nextReceivers(now));
-
-    std::map<std::string, PeerLoad> sums;
-    for (const auto &[peer, loads] : this->peerLoads) {
-        if (now - this->peerLoadTimes[peer] > newsLifetime + this->newsPeriod())
+    FleetPlanner::Supply supply;
+    for (const auto &[id, upstream] : this->scheduler.upstreams().all()) {
+        if (upstream.service != service)
             continue;
-        for (const auto &[upstream, load] : loads) {
-            sums[upstream].requests += load.requests;
-            sums[upstream].pendingTokens += load.pendingTokens;
-        }
-    }
-    for (const auto &[id, upstream] : this->scheduler.upstreams().all())
-        this->scheduler.upstreams().peerLoadReported(id, sums[id].requests, sums[id].pendingTokens, now);
-
-    this->newsTimer.expires_after(newsInterval);
-    this->newsTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            this->exchangeNews();
-    });
-}
-
-void RelayProcess::newsReceived(std::string_view datagram)
-{
-    try {
-        const auto news = nlohmann::json::parse(datagram).get<PeerNews>();
-        if (news.node == this->settings.node)
-            return;
-        const TimePoint now = this->now();
-        auto &[peerRun, sequence] = this->peerSequences[news.node];
-        if (this->endedRuns.contains(news.run) || (peerRun == news.run && news.sequence <= sequence))
-            return;
-        if (!peerRun.empty() && peerRun != news.run)
-            this->endedRuns.insert(peerRun);
-        peerRun = news.run;
-        sequence = news.sequence;
-        this->registry.heard(news.node, now);
-        this->clock.peerTime(news.node, news.timeOfDay, now);
-        this->quota.peerTotals(news.node, news.run, news.quotaTotals, now);
-        this->usage.peerCounts(news.run, news.usage);
-        this->peerWork[news.run] = news.work;
-        this->peerLoads[news.node] = news.loads;
-        this->peerLoadTimes[news.node] = now;
-        for (const CachedParts &cached : news.cachedParts)
-            this->scheduler.peerCachedParts(cached);
-        this->quarantine.applyDelta(news.quarantine, now);
-    } catch (const std::exception &error) {
-        logEvent(LogLevel::Warning, "peer-news", {{"error", error.what()}});
+        ZoneSupply &zone = supply[upstream.zone.name];
+        if (upstream.state == UpstreamState::Serving)
+            ++(upstream.isReclaimable ? zone.reclaimable : zone.onDemand);
+        else if (upstream.isReclaimable)
+            ++zone.leaving;
     }
+    return supply;
 }
 
 void RelayProcess::brokenOff(const Upstream &upstream, const std::string &fingerprint)
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -6,11 +6,11 @@
 #include "relay/dutyrunner.h"
 #include "relay/fleetclock.h"
 #include "relay/fleetplanner.h"
-#include "relay/peerlink.h"
-#include "relay/peernews.h"
+#include "relay/peerexchange.h"
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
 #include "relay/storefollower.h"
+#include "relay/storeprobe.h"
 #include "relay/upstreamdirectory.h"
 
 #include <asio/io_context.hpp>
@@ -38,8 +38,9 @@
     std::chrono::milliseconds usageWindow{5000};
     std::chrono::milliseconds drainTime{8000}; ///< Between SIGTERM and the end.
     std::chrono::milliseconds dutyLease{3000};
-    /// How long a read of the store waits for changes; a silent connection is noticed a little later.
-    std::chrono::milliseconds storeWait{1500};
+    /// How long a read of the store waits for changes. Less than the store keeps its history, so that the next one goes
+    /// on from there.
+    std::chrono::milliseconds storeWait{14000};
     QuotaSettings quota;
     RetryBudgetSettings retries; ///< Of one entry VM but for the number of kept retries.
     double keptRetries = 30.0; ///< Of all entry VMs together.
@@ -70,25 +71,23 @@
     void handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const;
 
     StoreFollowerHooks followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded);
+    void storeSilent(const std::string &error);
     void storeReachabilityChanged(bool reachable, const std::string &error);
     void upstreamsLoaded(const std::map<std::string, std::string> &values);
     void ownKeysLoaded(const std::map<std::string, std::string> &values);
     void storeChanged(const std::vector<KvEvent> &events);
     void entrySeen(const std::string &key, const std::string &value);
     void entryRemoved(const std::string &key);
+    void dutyHolderSeen(const std::string &record);
     void applyConfig(const std::string &value);
     void upstreamSeen(const std::string &key, const std::string &value);
     void applyUpstreams();
 
     void tick();
-    std::set<std::string> nextReceivers(TimePoint now);
-    std::chrono::milliseconds newsPeriod() const;
-    void expediteNews();
-    void exchangeNews();
-    void newsReceived(std::string_view datagram);
     void brokenOff(const Upstream &upstream, const std::string &fingerprint);
     double retriesOfOneVm(TimePoint now) const;
     void plan();
+    FleetPlanner::Supply supplyOf(const std::string &service);
 
     bool accepts(CallKind kind) const;
     void awaitSignal();
@@ -115,26 +114,15 @@
     StoreFollower configStore;
     StoreFollower upstreamStore;
     StoreFollower ownStore;
+    StoreProbe storeProbe;
     HttpServer callers;
     HttpServer readiness;
     HttpServer control;
-    PeerLink peers;
+    PeerExchange peers;
     asio::signal_set signals;
     asio::steady_timer ticker;
-    asio::steady_timer newsTimer;
     asio::steady_timer drainTimer;
 
-    std::int64_t newsSequence = 0;
-    TimePoint newsSent;
-    std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
-    std::map<std::string, std::pair<std::string, std::int64_t>> peerSequences; ///< Run and sequence by node.
-    std::set<std::string> endedRuns; ///< Runs of peers that a later one followed.
-    std::map<std::string, std::map<std::string, PeerLoad>> peerLoads;
-    std::map<std::string, TimePoint> peerLoadTimes;
-    std::map<std::string, std::map<std::string, double>> peerWork; ///< Prompt tokens by run of a peer and service.
-    std::vector<CachedParts> lastCachedParts;
-    std::deque<std::size_t> sentPartCounts; ///< Of lastCachedParts, by message.
-    std::string lastReceiver;
     std::map<std::string, UpstreamState> upstreamStates; ///< As logged.
     std::set<std::shared_ptr<RelayCall>> calls;
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -15,6 +15,9 @@
 
 constexpr double tokensPerMs = 50.0;
 
+// Averages over the last fifty or so prompts.
+constexpr double shareWeight = 0.02;
+
 } // namespace
 
 RelayScheduler::RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings)
@@ -151,9 +154,9 @@
         this->modelRouter.notePartsCached(cached.upstream, cached.parts);
 }
 
-const std::map<std::string, double> &RelayScheduler::sentTokens() const
+const std::map<std::string, double> &RelayScheduler::demandedTokens() const
 {
-    return this->tokensSent;
+    return this->tokensDemanded;
 }
 
 std::map<std::string, double> RelayScheduler::pendingTokens() const
@@ -216,7 +219,11 @@
         this->cachedParts.push_back({upstream->id, ticket.parts});
     }
     this->pool.attemptStarted(upstream->id);
-    this->tokensSent[ticket.service] += started.pendingTokens;
+    this->tokensDemanded[ticket.service] += started.pendingTokens;
+    if (isModel && ticket.promptTokens > 0.0) {
+        double &share = this->computedShare.try_emplace(ticket.service, 1.0).first->second;
+        share += (started.pendingTokens / ticket.promptTokens - share) * shareWeight;
+    }
     this->pool.addPendingTokens(upstream->id, started.pendingTokens);
     this->startedById[ticket.id] = std::move(started);
     const auto start = std::move(waiting.hooks.start);
@@ -259,6 +266,9 @@
         return;
     const Waiting waiting = std::move(found->second);
     this->waitingById.erase(found);
+    if (this->modelServices.contains(waiting.ticket.service))
+        this->tokensDemanded[waiting.ticket.service] +=
+            waiting.ticket.promptTokens * this->computedShare.try_emplace(waiting.ticket.service, 1.0).first->second;
     RequestError error;
     error.verdict = Verdict::NotRun;
     error.status = 503;
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -93,8 +93,9 @@
     std::vector<CachedParts> takeCachedParts();
     void peerCachedParts(const CachedParts &cached);
 
-    /// Prompt tokens that this process has sent to be computed since its start, by service.
-    const std::map<std::string, double> &sentTokens() const;
+    /// Prompt tokens that requests needed computed since the start of this process, by service. Refused requests count
+    /// like those that were sent.
+    const std::map<std::string, double> &demandedTokens() const;
 
     /// Prompt tokens of this process that wait at each upstream for their first token.
     std::map<std::string, double> pendingTokens() const;
@@ -138,7 +139,8 @@
     std::unordered_map<std::string, Waiting> waitingById;
     std::unordered_map<std::string, Started> startedById;
     std::vector<CachedParts> cachedParts;
-    std::map<std::string, double> tokensSent;
+    std::map<std::string, double> tokensDemanded;
+    std::map<std::string, double> computedShare; ///< Part of a prompt that is not found in a cache, by service.
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -55,6 +55,7 @@
 
     void follow()
     {
+        this->isFollowing = true;
         this->stop = this->kv.changes(this->settings.prefix,
                                       this->revision,
                                       this->settings.wait,
@@ -64,8 +65,19 @@
                                       });
     }
 
+    void interrupt(const std::string &error)
+    {
+        if (!this->isFollowing)
+            return;
+        this->stop();
+        KvChanges failure;
+        failure.error = error;
+        this->changesRead(failure);
+    }
+
     void changesRead(const KvChanges &changes)
     {
+        this->isFollowing = false;
         if (changes.isCompacted)
             return this->load();
         if (changes.status != KvStatus::Ok) {
@@ -82,14 +94,21 @@
         this->revision = std::max(this->revision, changes.revision);
         if (!changes.events.empty())
             this->hooks.changed(changes.events);
-        this->follow();
+        if (changes.events.empty() || this->settings.changePause.count() == 0)
+            return this->follow();
+        this->after(this->settings.changePause, [](Private &self) { self.follow(); });
     }
 
     void retry(const std::string &error, std::function<void(Private &)> action)
     {
         this->setReachable(false, error);
-        this->timer.expires_after(this->pause);
+        this->after(this->pause, std::move(action));
         this->pause = std::min(this->pause * 2, this->settings.longestPause);
+    }
+
+    void after(std::chrono::milliseconds time, std::function<void(Private &)> action)
+    {
+        this->timer.expires_after(time);
         this->timer.async_wait(
             [weak = this->weak_from_this(), action = std::move(action)](const asio::error_code &failure) {
                 const auto self = weak.lock();
@@ -119,6 +138,7 @@
     std::int64_t loadRevision = 0;
     std::int64_t revision = 0;
     bool isReachable = false;
+    bool isFollowing = false; ///< A waiting read is on its way.
 };
 
 StoreFollower::StoreFollower(asio::io_context &loop,
@@ -140,6 +160,11 @@
     this->d->load();
 }
 
+void StoreFollower::interrupt(const std::string &error)
+{
+    this->d->interrupt(error);
+}
+
 std::int64_t StoreFollower::revision() const
 {
     return this->d->revision;
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -18,9 +18,10 @@
 struct StoreFollowerSettings
 {
     std::string prefix;
-    /// A waiting read that hangs without a word is given up after this time and some slack, which bounds how old the
-    /// followed keys can be while the store works.
+    /// A waiting read that hangs without a word is given up after this time and some slack, unless it is interrupted.
     std::chrono::milliseconds wait{1000};
+    /// After changes, so that those that come in quick succession are read by one call.
+    std::chrono::milliseconds changePause{0};
     std::chrono::milliseconds retryPause{150};
     std::chrono::milliseconds longestPause{1000};
 };
@@ -48,6 +49,9 @@
 
     void start();
 
+    /// The store does not answer other calls: a waiting read would wait in vain and is begun anew.
+    void interrupt(const std::string &error);
+
     std::int64_t revision() const;
 
 private:
--- a/tests/unit/accountquotatest.cpp
+++ b/tests/unit/accountquotatest.cpp
@@ -65,7 +65,7 @@
             for (std::size_t from = 0; from < this->vms.size(); ++from) {
                 if (from != to)
                     this->vms[to].peerTotals(
-                        "vm-" + std::to_string(from), this->runs[from], this->vms[from].totals(), this->now);
+                        "vm-" + std::to_string(from), this->runs[from], this->vms[from].totals(), 1, this->now);
             }
         }
     }
@@ -165,14 +165,26 @@
                  "AccountQuota: long-lived peer is met for the first time: its past is not charged")
 {
     AccountQuota quota;
-    quota.peerTotals("vm-9", "old", {{"account", 1e9}}, this->now);
+    quota.peerTotals("vm-9", "old", {{"account", 1e9}}, 1, this->now);
     CHECK(quota.tryTake("account", this->limit, 100.0, 1, this->now));
 }
 
 TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: account used at peers only so far: their use counts here")
 {
     AccountQuota quota;
-    quota.peerTotals("vm-9", "run", {{"account", 0.0}}, this->now);
-    quota.peerTotals("vm-9", "run", {{"account", 30000.0}}, this->now);
+    quota.peerTotals("vm-9", "run", {{"account", 0.0}}, 1, this->now);
+    quota.peerTotals("vm-9", "run", {{"account", 30000.0}}, 1, this->now);
     CHECK_FALSE(quota.tryTake("account", this->limit, 100.0, 1, this->now));
 }
+
+TEST_CASE_METHOD(AccountQuotaFixture, "AccountQuota: admitted requests did not run: their units pass again everywhere")
+{
+    this->exchange();
+    CHECK(this->vms[0].tryTake("account", this->limit, 20000.0, 5, this->now));
+    this->exchange();
+    CHECK_FALSE(this->vms[1].tryTake("account", this->limit, 1.0, 5, this->now));
+    this->vms[0].giveBack("account", 20000.0);
+    this->exchange();
+    for (AccountQuota &vm : this->vms)
+        CHECK(vm.tryTake("account", this->limit, 1.0, 5, this->now));
+}
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -60,7 +60,8 @@
     {
         for (auto end = this->now + time; this->now < end; this->now += std::chrono::milliseconds(100)) {
             this->wall += std::chrono::milliseconds(100);
-            node.runner.holderSeen(this->store.entries.contains(node.runner.holderKey()));
+            const auto record = this->store.entries.find(node.runner.holderKey());
+            node.runner.holderSeen(record == this->store.entries.end() ? std::string() : record->second.value);
             node.runner.tick(this->now, this->wall, 0.5);
             this->store.runAll();
         }
--- a/tests/unit/fleetplannertest.cpp
+++ b/tests/unit/fleetplannertest.cpp
@@ -20,16 +20,42 @@
         this->service.scaling = limits;
     }
 
-    /// Lets prompts of so many tokens a second be computed for a time.
+    /// Lets prompts of so many tokens a second be needed for a time. The platform follows the orders at once, but for
+    /// reclaimable upstreams in the dry zones.
     void work(double tokensPerSecond, std::chrono::seconds time)
     {
         for (auto end = this->now + time; this->now < end; this->now += std::chrono::milliseconds(500)) {
             this->total += tokensPerSecond / 2;
-            this->planner.noteWork("model", this->total, this->now);
-            this->planner.plan(this->service, this->now);
+            this->planner.noteDemand("model", this->total, this->now);
+            this->planner.noteSupply("model", this->supply);
+            for (const UpstreamOrder &order : this->planner.plan(this->service, this->now)) {
+                ZoneSupply &zone = this->supply[order.zone];
+                if (!order.isReclaimable)
+                    zone.onDemand = order.count;
+                else if (!this->dry.contains(order.zone))
+                    zone.reclaimable = order.count;
+                zone.leaving = 0;
+            }
         }
     }
 
+    /// The platform takes a zone's reclaimable upstreams away and has no others.
+    void reclaim(const std::string &zone)
+    {
+        this->dry.insert(zone);
+        this->supply[zone].leaving = this->supply[zone].reclaimable;
+        this->supply[zone].reclaimable = 0;
+        this->planner.noteSupply("model", this->supply);
+    }
+
+    int serving()
+    {
+        int sum = 0;
+        for (const auto &[name, zone] : this->supply)
+            sum += zone.onDemand + zone.reclaimable;
+        return sum;
+    }
+
     int ordered(const std::string &zone, bool reclaimable)
     {
         for (const UpstreamOrder &order : this->planner.plan(this->service, this->now)) {
@@ -40,6 +66,9 @@
     }
 
     FleetPlanner planner;
+    FleetPlanner::Supply supply{
+        {"zone-a", {3, 0, 0}}, {"zone-b", {2, 0, 0}}, {"zone-c", {2, 0, 0}}, {"zone-d", {2, 0, 0}}};
+    std::set<std::string> dry;
     RelayService service;
     double total = 0.0;
     std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
@@ -50,6 +79,7 @@
 TEST_CASE_METHOD(FleetPlannerFixture,
                  "FleetPlanner: nothing measured yet: each zone has reclaimable upstreams beside the least on demand")
 {
+    this->planner.noteSupply("model", this->supply);
     for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-d"}) {
         CHECK(this->ordered(zone, false) == 1);
         CHECK(this->ordered(zone, true) > 0);
@@ -93,7 +123,7 @@
 {
     this->work(400000.0, std::chrono::seconds(20));
     this->total /= 2;
-    this->planner.noteWork("model", this->total, this->now);
+    this->planner.noteDemand("model", this->total, this->now);
     CHECK(this->ordered("zone-a", true) == 5);
 }
 
@@ -102,3 +132,101 @@
     this->service.scaling.reset();
     CHECK(this->planner.plan(this->service, this->now).empty());
 }
+
+// The load is a calm day on which the platform takes zones back, one after the other.
+TEST_CASE_METHOD(FleetPlannerFixture,
+                 "FleetPlanner: a zone's reclaimable upstreams are taken back: the other zones get its part at once")
+{
+    this->service.scaling->max = 70;
+    this->work(600000.0, std::chrono::seconds(20));
+    this->reclaim("zone-a");
+    CHECK(this->ordered("zone-b", true) == this->ordered("zone-c", true));
+    CHECK(this->ordered("zone-a", false) == 1);
+    CHECK(this->ordered("zone-a", true) > 0);
+    this->work(600000.0, std::chrono::seconds(3));
+    CHECK(this->serving() * 50000.0 * FleetPlannerSettings().reclaimableUse >= 600000.0);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture,
+                 "FleetPlanner: the other zones have no room: upstreams on demand fill in until the zone recovers")
+{
+    this->service.scaling->max = 20;
+    this->work(1300000.0, std::chrono::seconds(20));
+    this->reclaim("zone-a");
+    CHECK(this->ordered("zone-a", false) > 1);
+    CHECK(this->ordered("zone-b", false) == 1);
+    CHECK(this->ordered("zone-a", false) + this->ordered("zone-a", true) <= 20);
+    this->dry.clear();
+    this->work(1300000.0, std::chrono::seconds(3));
+    CHECK(this->ordered("zone-a", false) == 1);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture,
+                 "FleetPlanner: no zone has reclaimable upstreams: upstreams on demand carry the load")
+{
+    this->service.scaling->max = 70;
+    this->work(600000.0, std::chrono::seconds(20));
+    for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-d"})
+        this->reclaim(zone);
+    this->work(600000.0, std::chrono::seconds(3));
+    CHECK(this->serving() * 50000.0 > 600000.0 * 2);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture, "FleetPlanner: order refused: the zone counts as scarce until upstreams serve")
+{
+    this->service.scaling->max = 70;
+    this->work(600000.0, std::chrono::seconds(20));
+    const int before = this->ordered("zone-b", true);
+    this->supply["zone-a"].reclaimable = 0;
+    this->planner.noteSupply("model", this->supply);
+    this->planner.noteRefused("model", "zone-a");
+    CHECK(this->ordered("zone-b", true) > before);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture, "FleetPlanner: ordered upstreams do not come: the zone is scarce after boot time")
+{
+    this->service.scaling->max = 70;
+    this->service.scaling->bootTime = std::chrono::seconds(4);
+    this->work(600000.0, std::chrono::seconds(20));
+    const int before = this->ordered("zone-b", true);
+    this->dry.insert("zone-a");
+    this->supply["zone-a"].reclaimable = 0;
+    this->work(600000.0, std::chrono::seconds(4));
+    CHECK(this->ordered("zone-b", true) == before);
+    this->work(600000.0, std::chrono::seconds(4));
+    CHECK(this->ordered("zone-b", true) > before);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture, "FleetPlanner: a successor takes over: the fleet that it finds is kept")
+{
+    this->service.scaling->max = 70;
+    this->work(600000.0, std::chrono::seconds(20));
+    const int before = this->ordered("zone-b", true);
+    this->planner = FleetPlanner();
+    this->total = 0.0;
+    this->work(600000.0, std::chrono::seconds(2));
+    CHECK(this->ordered("zone-b", true) >= before);
+}
+
+TEST_CASE_METHOD(FleetPlannerFixture,
+                 "FleetPlanner: no zone has reclaimable upstreams, little load: nothing more is ordered on demand")
+{
+    this->service.scaling->max = 70;
+    this->work(40000.0, std::chrono::seconds(20));
+    for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-d"})
+        this->reclaim(zone);
+    CHECK(this->ordered("zone-a", false) == 1);
+}
+
+// The load is a slow rise on a large fleet.
+TEST_CASE_METHOD(FleetPlannerFixture, "FleetPlanner: demand rises slowly: a large fleet grows in few steps")
+{
+    this->service.scaling->max = 70;
+    this->work(600000.0, std::chrono::seconds(30));
+    std::set<int> sizes;
+    for (int i = 0; i < 20; ++i) {
+        this->work(600000.0 + i * 10000.0, std::chrono::seconds(1));
+        sizes.insert(this->ordered("zone-a", true));
+    }
+    CHECK(sizes.size() <= 5);
+}
--- a/tests/unit/partaffinitytest.cpp
+++ b/tests/unit/partaffinitytest.cpp
@@ -124,3 +124,40 @@
     this->policy.notePartsCached("upstream-2", {{12, 3800.0}});
     CHECK(this->policy.choose(this->query, this->candidates, this->random).tokensToCompute == Approx(9200.0));
 }
+
+TEST_CASE_METHOD(PartAffinityFixture,
+                 "PartAffinityPolicy: large fleet: VMs that share no news send a shared part to the same upstream")
+{
+    for (int i = 6; i < 140; ++i) {
+        UpstreamView view;
+        view.id = "upstream-" + std::to_string(i);
+        view.zone = {"zone-b"};
+        this->candidates.set(view);
+    }
+    const std::string home = this->choose();
+    for (std::uint64_t seed = 0; seed < 40; ++seed) {
+        PartAffinityPolicy other;
+        RandomEngine otherRandom{seed};
+        CHECK(other.choose(this->query, this->candidates, otherRandom).upstream == home);
+    }
+}
+
+// The load is a swarm of short prompts while every VM reads the same old loads.
+TEST_CASE_METHOD(PartAffinityFixture,
+                 "PartAffinityPolicy: large fleet, one upstream looks idle: it does not get all prompts")
+{
+    for (int i = 6; i < 140; ++i) {
+        UpstreamView view;
+        view.id = "upstream-" + std::to_string(i);
+        view.zone = {"zone-a"};
+        view.reportedLoad = 5.0;
+        this->candidates.set(view);
+    }
+    this->query.parts = {{99, 1000.0}};
+    for (const UpstreamView &view : {*this->candidates.find("upstream-0"), *this->candidates.find("upstream-1")})
+        this->change(view.id, [](UpstreamView &changed) { changed.reportedLoad = 5.0; });
+    int idle = 0;
+    for (int i = 0; i < 200; ++i)
+        idle += this->choose() == "upstream-2" ? 1 : 0;
+    CHECK(idle < 40);
+}
--- /dev/null
+++ b/tests/unit/peerexchangetest.cpp
@@ -0,0 +1,187 @@
+#include "relay/peerexchange.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace hemlock;
+
+namespace {
+
+/// Entry VMs in one process that exchange datagrams over the loopback interface.
+class PeerExchangeFixture
+{
+protected:
+    struct Vm
+    {
+        Vm(asio::io_context &loop, const PeerExchangeSettings &settings)
+            : usage(std::chrono::seconds(5))
+            , scheduler({settings.zone}, RandomEngine(3))
+            , registry({}, "nodes/", settings.node, settings.address, settings.zone)
+            , exchange(
+                  loop,
+                  settings,
+                  {this->quota, this->usage, this->quarantine, this->scheduler, this->clock, this->registry},
+                  [] { return std::chrono::steady_clock::now(); },
+                  [] { return std::chrono::system_clock::now(); })
+        {
+            Upstream upstream;
+            upstream.id = "m1";
+            upstream.service = "model";
+            upstream.state = UpstreamState::Serving;
+            upstream.slots = 16;
+            this->scheduler.setModelServices({"model"});
+            this->scheduler.applyUpstreams({upstream}, std::chrono::steady_clock::now());
+        }
+
+        AccountQuota quota;
+        UsageLedger usage;
+        Quarantine quarantine;
+        RelayScheduler scheduler;
+        FleetClock clock;
+        PeerRegistry registry;
+        PeerExchange exchange;
+    };
+
+    /// Starts so many VMs in each of three availability zones; all know each other's records.
+    void startFleet(int vmsPerZone)
+    {
+        std::vector<PeerExchangeSettings> all;
+        std::vector<std::unique_ptr<asio::ip::udp::socket>> held;
+        for (int i = 0; i < 3 * vmsPerZone; ++i) {
+            held.push_back(std::make_unique<asio::ip::udp::socket>(
+                this->loop, asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+            const std::string name = "vm-" + std::to_string(i);
+            all.push_back({name,
+                           "run-" + name,
+                           "zone-" + std::to_string(i / vmsPerZone),
+                           "127.0.0.1:" + std::to_string(held.back()->local_endpoint().port())});
+        }
+        held.clear();
+        for (const PeerExchangeSettings &settings : all) {
+            this->vms.push_back(std::make_unique<Vm>(this->loop, settings));
+            for (const PeerExchangeSettings &peer : all) {
+                const nlohmann::json record = {{"address", peer.address}, {"zone", peer.zone}};
+                this->vms.back()->registry.recordSeen(
+                    "nodes/" + peer.node, record.dump(), std::chrono::steady_clock::now());
+            }
+        }
+        for (const auto &vm : this->vms)
+            vm->exchange.start();
+        this->run(std::chrono::milliseconds(900));
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    bool tryTake(std::size_t vm, double units)
+    {
+        return this->vms[vm]->quota.tryTake(
+            "account", this->limit, units, this->vms.size() - 1, std::chrono::steady_clock::now());
+    }
+
+    static void submit(Vm &vm, const std::string &id, double tokens)
+    {
+        RelayTicket ticket;
+        ticket.id = id;
+        ticket.service = "model";
+        ticket.promptTokens = tokens;
+        ticket.latestStart = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        RelayTicketHooks hooks;
+        hooks.start = [](const Upstream &, const RouteDecision &) {};
+        hooks.refuse = [](const RequestError &) {};
+        vm.scheduler.submit(ticket, std::move(hooks), std::chrono::steady_clock::now());
+    }
+
+    asio::io_context loop{1};
+    std::vector<std::unique_ptr<Vm>> vms;
+    QuotaLimit limit{1.0, 1000.0};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange: small fleet, one VM uses up a limit: the others refuse")
+{
+    this->startFleet(2);
+    CHECK(this->tryTake(0, 5000.0));
+    this->run(std::chrono::milliseconds(300));
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
+        CHECK_FALSE(this->tryTake(vm, 1.0));
+}
+
+// The load is a flood of one account at the VMs of one zone.
+TEST_CASE_METHOD(PeerExchangeFixture,
+                 "PeerExchange: large fleet, one VM uses up a limit: VMs of all zones refuse within 1.5 s")
+{
+    this->startFleet(5);
+    CHECK(this->tryTake(3, 5000.0));
+    this->run(std::chrono::milliseconds(1500));
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
+        CHECK_FALSE(this->tryTake(vm, 1.0));
+}
+
+TEST_CASE_METHOD(PeerExchangeFixture,
+                 "PeerExchange: large fleet, one VM uses a part of a limit: the rest passes elsewhere")
+{
+    this->startFleet(5);
+    CHECK(this->tryTake(3, 600.0));
+    this->run(std::chrono::milliseconds(1500));
+    CHECK(this->tryTake(14, 380.0));
+    this->run(std::chrono::milliseconds(1500));
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
+        CHECK(this->tryTake(vm, 1.0));
+}
+
+TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange: large fleet: demand of all zones is known everywhere, once")
+{
+    this->startFleet(5);
+    for (const auto &vm : this->vms)
+        submit(*vm, "r", 1000.0);
+    this->run(std::chrono::milliseconds(1500));
+    for (const auto &vm : this->vms)
+        CHECK(vm->exchange.demand().at("model") == Approx(14000.0));
+}
+
+TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange: large fleet: loads of all zones count at an upstream, once")
+{
+    this->startFleet(5);
+    for (const auto &vm : this->vms)
+        submit(*vm, "r", 100.0);
+    this->run(std::chrono::milliseconds(1500));
+    for (const auto &vm : this->vms) {
+        const auto view = vm->scheduler.upstreams().viewOf("m1");
+        REQUIRE(view);
+        CHECK(view->load() == Approx(15.0));
+        CHECK(view->pendingTokens == Approx(1500.0));
+    }
+}
+
+TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange: large fleet: the duties' holder hears the usage of all VMs")
+{
+    this->startFleet(5);
+    const auto time = std::chrono::system_clock::now();
+    for (const auto &vm : this->vms) {
+        vm->exchange.setDutyHolder("vm-7");
+        vm->usage.count("account", time);
+    }
+    this->run(std::chrono::milliseconds(1500));
+    CHECK(this->vms[7]->usage.total(this->vms[7]->usage.windowAt(time)).at("account") == 15);
+}
+
+TEST_CASE_METHOD(PeerExchangeFixture,
+                 "PeerExchange: large fleet, the VMs that speak for a zone end: others speak for it")
+{
+    this->startFleet(5);
+    this->vms[0].reset();
+    this->vms[1].reset();
+    this->run(std::chrono::milliseconds(1000));
+    CHECK(this->vms[3]->quota.tryTake("account", this->limit, 5000.0, 14, std::chrono::steady_clock::now()));
+    this->run(std::chrono::milliseconds(1500));
+    for (std::size_t vm = 2; vm < this->vms.size(); ++vm)
+        CHECK_FALSE(this->tryTake(vm, 1.0));
+}
--- a/tests/unit/peernewstest.cpp
+++ b/tests/unit/peernewstest.cpp
@@ -16,7 +16,7 @@
         this->news.sequence = 7;
         this->news.quotaTotals = {{"account", 1234.5}};
         this->news.loads = {{"upstream", {3, 17000.0}}};
-        this->news.work = {{"model", 99000.0}};
+        this->news.demand = {{"model", 99000.0}};
         this->news.usage = {{353445120, {{"account", 4}}}};
         this->news.cachedParts = {{"upstream", {{0xffffffffffffffffULL, 13300.0}}}};
         this->news.quarantine = nlohmann::json::object();
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -50,6 +50,9 @@
             this->changesDone = std::move(done);
             return [] {};
         };
+        this->kv.ping = [this](const std::function<void(KvStatus, const std::string &)> &done) {
+            done(this->storeIsOut ? KvStatus::Unknown : KvStatus::Ok, {});
+        };
         this->kv.range = [](const std::string &, bool, const std::function<void(const KvRangeResult &)> &) {};
         this->kv.txn = [](const KvTxn &, const std::function<void(const KvTxnResult &)> &) {};
         this->kv.grantLease = [](std::chrono::seconds, const std::function<void(const KvLeaseResult &)> &) {};
--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -180,12 +180,23 @@
     this->submit(first);
     this->scheduler.answerBegan("a", this->now);
     this->scheduler.ended("a", false, this->now);
-    const double before = this->scheduler.sentTokens().at("model");
+    const double before = this->scheduler.demandedTokens().at("model");
     for (Upstream &upstream : this->upstreams)
         upstream.incarnation = "second";
     this->scheduler.applyUpstreams(this->upstreams, this->now);
     RelayTicket second = this->ticket("b", "model", 16000.0);
     second.parts = {{5, 13000.0}, {7, 3000.0}};
     this->submit(second);
-    CHECK(this->scheduler.sentTokens().at("model") - before == Approx(16000.0));
+    CHECK(this->scheduler.demandedTokens().at("model") - before == Approx(16000.0));
+}
+
+// The load is a flood on a fleet that is far too small: the demand must not look smaller than it is.
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: prompts are refused: they count as demand all the same")
+{
+    for (int i = 0; i < 20; ++i)
+        this->submit(this->ticket("r" + std::to_string(i), "model", 16000.0));
+    this->now += std::chrono::seconds(2);
+    this->scheduler.tick(this->now);
+    CHECK(this->refused.size() > 10);
+    CHECK(this->scheduler.demandedTokens().at("model") == Approx(20 * 16000.0));
 }
--- /dev/null
+++ b/tests/unit/runningtotalstest.cpp
@@ -0,0 +1,46 @@
+#include "relay/runningtotals.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+TEST_CASE("RunningTotals: two witnesses count the same: it is counted once")
+{
+    RunningTotals totals;
+    totals.merge("a", {{"account", 0.0}});
+    totals.merge("b", {{"account", 0.0}});
+    totals.merge("a", {{"account", 10.0}});
+    CHECK(totals.merge("b", {{"account", 10.0}}).at("account") == 10.0);
+}
+
+TEST_CASE("RunningTotals: witness is first heard of late: what it counted before does not count")
+{
+    RunningTotals totals;
+    CHECK(totals.merge("a", {{"account", 500.0}}).at("account") == 0.0);
+    CHECK(totals.merge("a", {{"account", 510.0}}).at("account") == 10.0);
+}
+
+TEST_CASE("RunningTotals: a witness is lost: the other one goes on without a gap")
+{
+    RunningTotals totals;
+    totals.merge("a", {{"account", 0.0}});
+    totals.merge("a", {{"account", 100.0}});
+    totals.merge("b", {{"account", 40.0}});
+    CHECK(totals.merge("b", {{"account", 70.0}}).at("account") == 130.0);
+}
+
+TEST_CASE("RunningTotals: witness restarts and counts from nothing: the totals do not fall")
+{
+    RunningTotals totals;
+    totals.merge("a", {{"account", 0.0}});
+    totals.merge("a", {{"account", 100.0}});
+    CHECK(totals.merge("a-again", {{"account", 1.0}}).at("account") == 100.0);
+    CHECK(totals.merge("a-again", {{"account", 6.0}}).at("account") == 105.0);
+}
+
+TEST_CASE("RunningTotals: name appears later: it is counted from nothing")
+{
+    RunningTotals totals;
+    totals.merge("a", {});
+    CHECK(totals.merge("a", {{"new", 7.0}}).at("new") == 7.0);
+}
--- a/tests/unit/storefollowertest.cpp
+++ b/tests/unit/storefollowertest.cpp
@@ -25,7 +25,7 @@
                             std::function<void(const KvChanges &)> done) -> std::function<void()> {
             this->followed.push_back(revision);
             this->changesDone = std::move(done);
-            return [] {};
+            return [this] { ++this->stopped; };
         };
         StoreFollowerHooks hooks;
         hooks.loaded = [this](const std::map<std::string, std::string> &values) { this->loads.push_back(values); };
@@ -36,6 +36,7 @@
         StoreFollowerSettings settings;
         settings.retryPause = std::chrono::milliseconds(1);
         settings.longestPause = std::chrono::milliseconds(1);
+        settings.changePause = std::chrono::milliseconds(1);
         this->follower = std::make_unique<StoreFollower>(this->loop, kv, settings, hooks);
     }
 
@@ -76,6 +77,7 @@
     std::vector<std::int64_t> followed;
     std::vector<std::map<std::string, std::string>> loads;
     std::size_t events = 0;
+    int stopped = 0;
     std::vector<bool> reachability;
     std::unique_ptr<StoreFollower> follower;
 };
@@ -150,3 +152,44 @@
     CHECK(this->loads.size() == 2);
     CHECK(this->followed.back() == 20);
 }
+
+TEST_CASE_METHOD(StoreFollowerFixture, "StoreFollower: store falls silent: the waiting read is given up and begun anew")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->follower->interrupt("no answer");
+    CHECK(this->stopped == 1);
+    CHECK(this->reachability == std::vector<bool>{true, false});
+    this->runTimers();
+    CHECK(this->followed == std::vector<std::int64_t>{10, 10});
+}
+
+TEST_CASE_METHOD(StoreFollowerFixture, "StoreFollower: store falls silent during a pause: nothing is begun twice")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->changesDone(KvChanges{});
+    this->follower->interrupt("no answer");
+    this->runTimers();
+    CHECK(this->followed.size() == 2);
+}
+
+// The load is a swarm of upstreams that start or leave together.
+TEST_CASE_METHOD(StoreFollowerFixture, "StoreFollower: changes were read: the next read begins after a pause")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->changesDone(changes(12, 1));
+    CHECK(this->events == 1);
+    CHECK(this->followed.size() == 1);
+    this->runTimers();
+    CHECK(this->followed == std::vector<std::int64_t>{10, 12});
+}
+
+TEST_CASE_METHOD(StoreFollowerFixture, "StoreFollower: wait ended without changes: the next read begins at once")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->changesDone(changes(12, 0));
+    CHECK(this->followed == std::vector<std::int64_t>{10, 12});
+}
--- /dev/null
+++ b/tests/unit/storeprobetest.cpp
@@ -0,0 +1,52 @@
+#include "relay/storeprobe.h"
+
+#include <asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+/// A store that answers every question with the next of the given results.
+class StoreProbeFixture
+{
+protected:
+    StoreProbeFixture()
+    {
+        KvAccess kv;
+        kv.ping = [this](std::function<void(KvStatus, const std::string &)> done) {
+            ++this->asked;
+            done(this->status, this->status == KvStatus::Ok ? "" : "silent");
+        };
+        StoreProbeSettings settings;
+        settings.interval = std::chrono::milliseconds(1);
+        this->probe = std::make_unique<StoreProbe>(
+            this->loop, kv, [this](const std::string &error) { this->errors.push_back(error); }, settings);
+        this->probe->start();
+    }
+
+    asio::io_context loop;
+    KvStatus status = KvStatus::Ok;
+    int asked = 0;
+    std::vector<std::string> errors;
+    std::unique_ptr<StoreProbe> probe;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: store answers: it is asked again and nothing is reported")
+{
+    this->loop.run_one();
+    this->loop.run_one();
+    CHECK(this->asked == 2);
+    CHECK(this->errors.empty());
+}
+
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: store is silent: each failed question is reported")
+{
+    this->status = KvStatus::Unknown;
+    this->loop.run_one();
+    this->loop.run_one();
+    CHECK(this->errors == std::vector<std::string>{"silent", "silent"});
+}
