--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 
 #include "encoding.h"
+#include "requeststory.h"
 #include "session.h"
 #include "settings.h"
 
@@ -260,4 +261,29 @@
     return 0;
 }
 
+int runStory(const CommandOptions &options)
+{
+    RequestStory story(options.request);
+    for (const std::string &file : options.files) {
+        std::ifstream stream(file);
+        if (!stream)
+            throw std::runtime_error(file + ": cannot be read");
+        std::size_t skipped = 0;
+        for (std::string line; std::getline(stream, line);)
+            skipped += line.empty() || story.addLine(line) ? 0 : 1;
+        if (skipped > 0)
+            std::cerr << file << ": skipped " << skipped << " lines without a log record\n";
+    }
+    const std::vector<json> records = story.records();
+    if (records.empty()) {
+        std::cerr << "no line names the request " << options.request << "\n";
+        return 1;
+    }
+    if (options.printsJson)
+        std::cout << json(records).dump() << "\n";
+    for (const json &record : options.printsJson ? std::vector<json>() : records)
+        std::cout << storyLine(record) << "\n";
+    return 0;
+}
+
 } // namespace hemlock
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hemlock {
 
@@ -19,6 +20,7 @@
     std::string section;
     std::string upstream;
     std::string request;
+    std::vector<std::string> files;
     std::optional<std::int64_t> expect;
     bool printsJson = false;
 };
@@ -40,4 +42,7 @@
 /// Shows the decisions that an entry process took for a request.
 int runExplain(const CommandOptions &options);
 
+/// Tells a relayed request's story from log files.
+int runStory(const CommandOptions &options);
+
 } // namespace hemlock
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -43,6 +43,10 @@
     CLI::App *explain =
         add("explain", "Show the decisions that an entry process took for a request", hemlock::runExplain);
     explain->add_option("REQUEST-ID", options.request, "The X-Request-Id of the answer")->required();
+    CLI::App *story =
+        add("story", "Tell from log files of relays what happened to a request, in order", hemlock::runStory);
+    story->add_option("REQUEST-ID", options.request, "The request's identifier in the logs")->required();
+    story->add_option("FILE", options.files, "Log files of all entry VMs")->required()->check(CLI::ExistingFile);
 }
 
 } // namespace
--- a/src/libhemlock/relay/fleetplanner.cpp
+++ b/src/libhemlock/relay/fleetplanner.cpp
@@ -25,18 +25,22 @@
     demand.rate = before + (added / seconds - before) * weight;
 }
 
-void FleetPlanner::noteSupply(const std::string &service, const Supply &supply)
+void FleetPlanner::noteSupply(const std::string &service, const Supply &supply, TimePoint now)
 {
     Demand &demand = this->demands[service];
+    if (demand.supplySeen == TimePoint())
+        demand.supplySeen = now;
     for (auto &[name, zone] : demand.zones)
         zone.supply = {};
     for (const auto &[name, present] : supply)
         demand.zones[name].supply = present;
 }
 
-void FleetPlanner::noteRefused(const std::string &service, const std::string &zone)
+void FleetPlanner::noteRefused(const std::string &service, const std::string &zone, TimePoint now)
 {
-    this->demands[service].zones[zone].isScarce = true;
+    Zone &refused = this->demands[service].zones[zone];
+    refused.isScarce = true;
+    refused.scarceUntil = now + this->settings.scarceTime;
 }
 
 std::set<UpstreamOrder> FleetPlanner::plan(const RelayService &service, TimePoint now)
@@ -46,6 +50,8 @@
         return orders;
     const ScalingLimits &limits = *service.scaling;
     Demand &demand = this->demands[service.name];
+    if (demand.supplySeen == TimePoint() || now - demand.supplySeen < this->settings.firstDelay)
+        return orders;
     const int zones = static_cast<int>(limits.zonePrices.size());
     const int needed = this->upstreamsNeeded(service, demand, now);
     const int share = (needed + zones - 1) / zones;
@@ -55,7 +61,7 @@
             orders.insert({service.name, zone, std::clamp(share, least, std::max(least, limits.max)), false});
         return orders;
     }
-    this->updateScarcity(limits, demand, now);
+    this->updateScarcity(limits, demand, std::max(0, share - least), now);
     const int scarce =
         static_cast<int>(std::count_if(limits.zonePrices.begin(), limits.zonePrices.end(), [&demand](const auto &zone) {
             return demand.zones[zone.first].isScarce;
@@ -64,8 +70,8 @@
     const int room = std::max(0, limits.max - least);
     const int reclaimable = std::max(0, needed - least * zones);
     const int perOpenZone = open > 0 ? std::min(room, (reclaimable + open - 1) / open) : 0;
-    // Upstreams on demand cost several times as much, so that they are used more fully, and only as the load needs.
-    const double loaded = demand.rate.value_or(0.0) / (this->settings.tokensPerSecond * this->settings.onDemandUse);
+    // Upstreams on demand cost several times as much, so that they come only when the load needs them.
+    const double loaded = demand.rate.value_or(0.0) / (this->settings.tokensPerSecond * this->settings.fillInUse);
     const double missing = std::max(0.0, loaded - least * zones - perOpenZone * open);
     const int extra = scarce > 0 ? std::min(room, static_cast<int>(std::ceil(missing / scarce))) : 0;
     for (const auto &[name, price] : limits.zonePrices) {
@@ -111,22 +117,35 @@
     return demand.needed;
 }
 
-void FleetPlanner::updateScarcity(const ScalingLimits &limits, Demand &demand, TimePoint now) const
+void FleetPlanner::updateScarcity(const ScalingLimits &limits, Demand &demand, int share, TimePoint now) const
 {
     for (const auto &[name, price] : limits.zonePrices) {
         Zone &zone = demand.zones[name];
-        const ZoneSupply &supply = zone.supply;
-        if (zone.enough == TimePoint())
-            zone.enough = now;
-        if (supply.reclaimable * 2 >= zone.wanted) {
-            zone.enough = now;
-            zone.isScarce = false;
-        } else if (supply.leaving * 2 >= supply.reclaimable + supply.leaving && supply.leaving > 0) {
-            zone.isScarce = true;
-        } else if (now - zone.enough > limits.bootTime + this->settings.bootSlack) {
+        zone.shares.emplace_back(now, share);
+        while (now - zone.shares.front().first > limits.bootTime + this->settings.bootSlack) {
+            zone.shares.pop_front();
+            zone.isSettled = true;
+        }
+        if (this->isShort(zone, share)) {
             zone.isScarce = true;
+            zone.scarceUntil = now + this->settings.scarceTime;
+        } else if (now >= zone.scarceUntil) {
+            zone.isScarce = false;
         }
     }
 }
 
+bool FleetPlanner::isShort(const Zone &zone, int share) const
+{
+    const ZoneSupply &supply = zone.supply;
+    // While upstreams on demand fill in, fewer reclaimable ones are ordered than the zone's part.
+    if (supply.reclaimable * 2 >= share || (zone.wanted > 0 && supply.reclaimable >= zone.wanted))
+        return false;
+    if (supply.leaving > supply.reclaimable)
+        return true;
+    const auto least = std::min_element(
+        zone.shares.begin(), zone.shares.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return zone.isSettled && supply.reclaimable * 2 < least->second;
+}
+
 } // namespace hemlock
--- a/src/libhemlock/relay/fleetplanner.h
+++ b/src/libhemlock/relay/fleetplanner.h
@@ -4,6 +4,7 @@
 #include "relay/relaytransport.h"
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,6 +20,9 @@
     double reclaimableUse = 0.2;
     /// The same where upstreams cost their full price.
     double onDemandUse = 0.35;
+    /// Upstreams on demand fill in for reclaimable ones when the others would be used more than this: beyond it first
+    /// tokens are late.
+    double fillInUse = 0.6;
     /// Upstreams before any demand was measured, as a multiple of those that are there: all caches are empty then.
     double firstShare = 1.5;
     int leastPerZone = 2; ///< Reclaimable upstreams in each availability zone, however low the demand.
@@ -29,6 +33,10 @@
     std::chrono::seconds shrinkDelay{15}; ///< The fleet shrinks when the demand has been low for so long.
     /// Ordered upstreams that are not there so long after their boot time are not to be had.
     std::chrono::milliseconds bootSlack{2000};
+    /// A zone that had no reclaimable upstreams to offer is not relied on for so long: new ones have to boot first.
+    std::chrono::milliseconds scarceTime{6000};
+    /// Upstreams register one after the other when the system starts; the first orders wait for all of them.
+    std::chrono::milliseconds firstDelay{3000};
 };
 
 /// Upstreams of one service that an availability zone has.
@@ -56,10 +64,10 @@
     /// total over all entry VMs. Without the refused ones a fleet that is too small would never grow.
     void noteDemand(const std::string &service, double totalTokens, TimePoint now);
 
-    void noteSupply(const std::string &service, const Supply &supply);
+    void noteSupply(const std::string &service, const Supply &supply, TimePoint now);
 
     /// The platform had no reclaimable upstreams to offer there.
-    void noteRefused(const std::string &service, const std::string &zone);
+    void noteRefused(const std::string &service, const std::string &zone, TimePoint now);
 
     std::set<UpstreamOrder> plan(const RelayService &service, TimePoint now);
 
@@ -67,9 +75,11 @@
     struct Zone
     {
         ZoneSupply supply;
-        int wanted = 0; ///< Reclaimable upstreams.
-        TimePoint enough; ///< When half of the wanted ones were last there.
+        std::deque<std::pair<TimePoint, int>> shares; ///< Reclaimable upstreams that were its part, over the boot time.
+        bool isSettled = false; ///< The shares reach back over the boot time.
+        int wanted = 0; ///< Reclaimable upstreams, as last ordered.
         bool isScarce = false;
+        TimePoint scarceUntil;
     };
 
     struct Demand
@@ -79,11 +89,13 @@
         TimePoint updated;
         int needed = 0; ///< Upstreams of all zones, as in force.
         TimePoint lastNeeded; ///< When the number in force was last called for.
+        TimePoint supplySeen; ///< First.
         std::map<std::string, Zone> zones;
     };
 
     int upstreamsNeeded(const RelayService &service, Demand &demand, TimePoint now) const;
-    void updateScarcity(const ScalingLimits &limits, Demand &demand, TimePoint now) const;
+    void updateScarcity(const ScalingLimits &limits, Demand &demand, int share, TimePoint now) const;
+    bool isShort(const Zone &zone, int share) const;
 
     FleetPlannerSettings settings;
     std::map<std::string, Demand> demands;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -177,7 +177,7 @@
     this->duties.setDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
     this->duties.setOrderRefused([this](const UpstreamOrder &order) {
         if (order.isReclaimable)
-            this->planner.noteRefused(order.service, order.zone);
+            this->planner.noteRefused(order.service, order.zone, this->now());
     });
 }
 
@@ -448,7 +448,7 @@
         return;
     std::set<UpstreamOrder> orders;
     for (const RelayService &service : this->context.routes->config().services) {
-        this->planner.noteSupply(service.name, this->supplyOf(service.name));
+        this->planner.noteSupply(service.name, this->supplyOf(service.name), now);
         orders.merge(this->planner.plan(service, now));
     }
     this->duties.setOrders(orders);
--- /dev/null
+++ b/tests/unit/requeststorytest.cpp
@@ -0,0 +1,72 @@
+#include "requeststory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlock;
+
+namespace {
+
+/// Logs of two entry VMs, with the lines of one before those of the other.
+class RequestStoryFixture
+{
+protected:
+    RequestStoryFixture()
+    {
+        this->add("00:01.300", "vm-2", "route", {{"request", "r1"}, {"upstream", "m2"}});
+        this->add("00:01.900", "vm-2", "request", {{"request", "r1"}, {"status", 200}});
+        this->add("00:01.400", "vm-2", "upstream", {{"upstream", "m1"}, {"state", "gone"}});
+        this->add("00:01.500", "vm-2", "upstream", {{"upstream", "m7"}, {"state", "gone"}});
+        this->add("00:01.000", "vm-1", "route", {{"request", "r1"}, {"upstream", "m1"}});
+        this->add("00:01.100", "vm-1", "route", {{"request", "r2"}, {"upstream", "m1"}});
+        this->add("00:01.200", "vm-1", "request", {{"request", "r1"}, {"status", 502}});
+        this->add("00:05.000", "vm-1", "store-lost", {{"error", "timeout"}});
+        this->add("00:01.600", "vm-3", "store-lost", {{"error", "timeout"}});
+    }
+
+    void add(const std::string &time, const std::string &vm, const std::string &event, nlohmann::json fields)
+    {
+        fields["time"] = time;
+        fields["instance"] = vm;
+        fields["event"] = event;
+        this->story.addLine("  1.2 " + vm + " " + fields.dump());
+    }
+
+    std::vector<std::string> events() const
+    {
+        std::vector<std::string> events;
+        for (const auto &record : this->story.records())
+            events.push_back(record.at("instance").get<std::string>() + " " + record.at("event").get<std::string>());
+        return events;
+    }
+
+    RequestStory story{"r1"};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RequestStoryFixture, "RequestStory: logs of several VMs: the request's lines stand in order of time")
+{
+    CHECK(this->events()
+          == std::vector<std::string>{"vm-1 route", "vm-1 request", "vm-2 route", "vm-2 upstream", "vm-2 request"});
+}
+
+TEST_CASE_METHOD(RequestStoryFixture, "RequestStory: line without a record: is skipped")
+{
+    CHECK_FALSE(this->story.addLine("no record"));
+    CHECK_FALSE(this->story.addLine("{broken"));
+    CHECK(this->events().size() == 5);
+}
+
+TEST_CASE("RequestStory: no line names the request: nothing is told")
+{
+    RequestStory story("unknown");
+    story.addLine(R"({"time":"1","instance":"vm-1","event":"store-lost"})");
+    CHECK(story.records().empty());
+}
+
+TEST_CASE("RequestStory: record as text: time, VM and event come first")
+{
+    const nlohmann::json record = {
+        {"time", "t"}, {"instance", "vm-1"}, {"event", "route"}, {"request", "r"}, {"attempt", 1}, {"reason", "least"}};
+    CHECK(storyLine(record) == "t  vm-1  route  attempt=1  reason=least");
+}
