--- a/src/libhemlock/requeststory.cpp
+++ b/src/libhemlock/requeststory.cpp
@@ -9,6 +9,9 @@
 
 using nlohmann::json;
 
+/// Events that concern the whole system rather than what a VM believes.
+const std::set<std::string> dutyEvents = {"upstream-order", "usage-report"};
+
 std::string textOf(const json &record, const char *field)
 {
     const auto found = record.find(field);
@@ -35,10 +38,12 @@
     json record = json::parse(line.substr(begin), nullptr, false);
     if (!record.is_object() || !record.contains("event"))
         return false;
-    if (!record.contains("request"))
-        this->beliefs.push_back(std::move(record));
-    else if (textOf(record, "request") == this->request)
+    if (!record.contains("request")) {
+        if (!dutyEvents.contains(textOf(record, "event")))
+            this->beliefs.push_back(std::move(record));
+    } else if (textOf(record, "request") == this->request) {
         this->own.push_back(std::move(record));
+    }
     return true;
 }
 
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -389,3 +389,20 @@
     });
     CHECK_FALSE(this->call(this->request()).outcome.isComplete());
 }
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: admitted request is refused as not run: its units are given back")
+{
+    for (FakeUpstream *fake : {&this->first, &this->second}) {
+        fake->handler = [](const HttpRequest &, const HttpResponderPtr &responder) {
+            responder->reply(503, {{"X-Hemlockflow-Attempt-Id", "attempt-1"}, {"X-Hemlockflow-Not-Executed", "1"}}, "");
+        };
+    }
+    CHECK(this->call(this->request()).outcome.status == 503);
+    CHECK(this->quota.totals().at("account") == 0.0);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: request ran: its units count")
+{
+    CHECK(this->call(this->request()).outcome.status == 200);
+    CHECK(this->quota.totals().at("account") == 1.0);
+}
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -185,3 +185,24 @@
     CHECK(ready == 503);
     CHECK(this->statusOf(this->settings.callers, named) == 404);
 }
+
+// The load is a loss of power of all VMs, from which the store comes back last.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: killed while the store is out: is ready within two seconds of the store's return")
+{
+    this->start();
+    this->runUntil([this] { return this->changesDone != nullptr; });
+    this->process.reset();
+    this->changesDone = nullptr;
+    this->storeIsOut = true;
+    const int readsBefore = this->reads;
+    this->start();
+    this->runUntil([this, readsBefore] { return this->reads > readsBefore + 3; });
+    CHECK(this->readiness() == 503);
+    this->storeIsOut = false;
+    const auto returned = std::chrono::steady_clock::now();
+    while (this->readiness() != 200 && std::chrono::steady_clock::now() - returned < std::chrono::seconds(5))
+        continue;
+    CHECK(std::chrono::steady_clock::now() - returned < std::chrono::seconds(2));
+    CHECK(this->statusOf(this->settings.callers, named) == 404);
+}
