--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -59,6 +59,7 @@
 {
     const std::vector<const UpstreamView *> homes = homesOf(query, candidates);
     const UpstreamView *home = homes.empty() ? nullptr : homes.front();
+    const bool isLarge = candidates.size() > this->settings.weighedUpstreams;
     // Equal upstreams are told apart at random, so that entry VMs do not all choose the same one.
     constexpr double tieMs = 0.5;
     std::uniform_real_distribution<double> tie(0.0, tieMs);
@@ -76,17 +77,19 @@
         const double tokens = this->missingTokens(query, view.id);
         const double credit = this->homeCredit(view, homes, candidates);
         const double weighed = tokens - credit * std::min(tokens, shared);
+        const double away =
+            isLarge && credit == 0.0 ? (this->settings.awayFactor - 1.0) * std::min(tokens, shared) : 0.0;
         // A computed token is compared with all before it, cached or not.
         const double pairs = weighed * (total - weighed / 2) / 1e6;
-        const double cost = (view.pendingTokens + weighed) / this->settings.tokensPerMs + pairs * this->settings.pairsMs
-            + view.load() * this->settings.requestMs + static_cast<double>(view.excessDelay.count())
-            + view.failureShare * this->settings.failureMs
+        const double cost = (view.pendingTokens + weighed + away) / this->settings.tokensPerMs
+            + pairs * this->settings.pairsMs + view.load() * this->settings.requestMs
+            + static_cast<double>(view.excessDelay.count()) + view.failureShare * this->settings.failureMs
             + (view.zone == query.zone ? 0.0 : this->settings.crossZoneMs) + tie(random);
         if (cost >= least)
             continue;
         least = cost;
         // What a home is trusted to hold is not computed; in a small fleet the credit only settles where a part goes.
-        missing = candidates.size() > this->settings.weighedUpstreams ? weighed : tokens;
+        missing = isLarge ? weighed : tokens;
         best = &view;
     }
     RouteDecision decision;
