--- a/src/libhemlock/relay/partaffinity.h
+++ b/src/libhemlock/relay/partaffinity.h
@@ -19,8 +19,8 @@
     /// Part of a shared part's cost that its home is let off, so that entry VMs agree on a place for a new one.
     double homeCredit = 0.3;
     double largeFleetHomeCredit = 0.9; ///< The same where the home is likely to hold the part.
-    /// In a large fleet, what a shared part counts away from its homes: computing it there again takes the time of other
-    /// requests as well and pushes their parts out of the cache.
+    /// In a large fleet, what a shared part counts away from its homes: computing it there again takes the time of
+    /// other requests as well and pushes their parts out of the cache.
     double awayFactor = 2.0;
     /// Among more upstreams than this, only the homes of the shared part and some random ones are weighed: entry VMs
     /// that read the same old loads would all choose the one upstream that looks idle.
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -148,10 +148,7 @@
     news.sequence = ++this->sequence;
     news.timeOfDay = std::chrono::system_clock::now();
     news.quotaTotals = this->shared.quota.totals();
-    for (const auto &[upstream, requests] : this->shared.scheduler.upstreams().inFlight())
-        news.loads[upstream].requests = requests;
-    for (const auto &[upstream, tokens] : this->shared.scheduler.pendingTokens())
-        news.loads[upstream].pendingTokens = tokens;
+    news.loads = this->ownLoads();
     news.demand = this->shared.scheduler.demandedTokens();
     this->shared.usage.forgetBefore(this->shared.usage.windowAt(this->wallTime()) - sentWindows);
     this->keepCachedParts();
@@ -168,6 +165,16 @@
     this->link.send(encode("vm", news), receivers);
 }
 
+PeerLoads PeerExchange::ownLoads()
+{
+    PeerLoads own;
+    for (const auto &[upstream, requests] : this->shared.scheduler.upstreams().inFlight())
+        own[upstream].requests = requests;
+    for (const auto &[upstream, tokens] : this->shared.scheduler.pendingTokens())
+        own[upstream].pendingTokens = tokens;
+    return own;
+}
+
 void PeerExchange::keepCachedParts()
 {
     // Each is sent twice, since datagrams are lost.
@@ -206,10 +213,7 @@
     news.demand = this->shared.scheduler.demandedTokens();
     for (const auto &[service, tokens] : this->neighbourDemand)
         news.demand[service] += tokens;
-    for (const auto &[upstream, requests] : this->shared.scheduler.upstreams().inFlight())
-        news.loads[upstream].requests = requests;
-    for (const auto &[upstream, tokens] : this->shared.scheduler.pendingTokens())
-        news.loads[upstream].pendingTokens = tokens;
+    news.loads = this->ownLoads();
     for (const auto &[source, said] : this->loads) {
         if (this->zones.contains(source) || time - said.heard > newsLifetime)
             continue;
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -98,6 +98,7 @@
     void sendZoneNews(TimePoint now);
     void sendUsage(TimePoint now);
     void updateLoads(TimePoint now);
+    PeerLoads ownLoads();
     void keepCachedParts();
     nlohmann::json quarantineDelta(TimePoint now);
 
