--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -75,7 +75,7 @@
     for (const UpstreamView *candidate : this->weighed(homes, candidates, random)) {
         const UpstreamView &view = *candidate;
         const double tokens = this->missingTokens(query, view.id);
-        const double credit = this->homeCredit(view, homes, candidates);
+        const double credit = this->homeCredit(view, homes, isLarge);
         const double weighed = tokens - credit * std::min(tokens, shared);
         const double away =
             isLarge && credit == 0.0 ? (this->settings.awayFactor - 1.0) * std::min(tokens, shared) : 0.0;
@@ -119,13 +119,12 @@
 
 double PartAffinityPolicy::homeCredit(const UpstreamView &view,
                                       const std::vector<const UpstreamView *> &homes,
-                                      const CandidateSet &candidates) const
+                                      bool isLarge) const
 {
     const auto found = std::find(homes.begin(), homes.end(), &view);
     if (found == homes.end())
         return 0.0;
     // In a large fleet peers do not tell which parts they sent where, so that the home stands for the cache.
-    const bool isLarge = candidates.size() > this->settings.weighedUpstreams;
     const double credit = isLarge ? this->settings.largeFleetHomeCredit : this->settings.homeCredit;
     if (found == homes.begin())
         return credit;
--- a/src/libhemlock/relay/partaffinity.h
+++ b/src/libhemlock/relay/partaffinity.h
@@ -54,9 +54,7 @@
 
     std::vector<const UpstreamView *>
     weighed(const std::vector<const UpstreamView *> &homes, const CandidateSet &candidates, RandomEngine &random) const;
-    double homeCredit(const UpstreamView &view,
-                      const std::vector<const UpstreamView *> &homes,
-                      const CandidateSet &candidates) const;
+    double homeCredit(const UpstreamView &view, const std::vector<const UpstreamView *> &homes, bool isLarge) const;
     double missingTokens(const RouteQuery &query, const std::string &upstream) const;
 
     PartAffinitySettings settings;
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -63,6 +63,14 @@
     }
 }
 
+void addLoads(PeerLoads &sums, const PeerLoads &loads)
+{
+    for (const auto &[upstream, load] : loads) {
+        sums[upstream].requests += load.requests;
+        sums[upstream].pendingTokens += load.pendingTokens;
+    }
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(asio::io_context &loop,
@@ -208,19 +216,13 @@
     news.sequence = this->sequence;
     news.vms = 1 + this->shared.registry.heardIn(this->settings.zone, time - speakerSilence);
     news.quotaTotals = this->shared.quota.totals();
-    for (const auto &[account, units] : this->neighbourQuota)
-        news.quotaTotals[account] += units;
+    addDifference(news.quotaTotals, {}, this->neighbourQuota);
     news.demand = this->shared.scheduler.demandedTokens();
-    for (const auto &[service, tokens] : this->neighbourDemand)
-        news.demand[service] += tokens;
+    addDifference(news.demand, {}, this->neighbourDemand);
     news.loads = this->ownLoads();
     for (const auto &[source, said] : this->loads) {
-        if (this->zones.contains(source) || time - said.heard > newsLifetime)
-            continue;
-        for (const auto &[upstream, load] : said.loads) {
-            news.loads[upstream].requests += load.requests;
-            news.loads[upstream].pendingTokens += load.pendingTokens;
-        }
+        if (!this->zones.contains(source) && time - said.heard <= newsLifetime)
+            addLoads(news.loads, said.loads);
     }
     news.quarantine = this->quarantineDelta(time);
     const std::string datagram = encode("zone", news);
@@ -244,12 +246,8 @@
 {
     PeerLoads sums;
     for (const auto &[source, said] : this->loads) {
-        if (time - said.heard > newsLifetime)
-            continue;
-        for (const auto &[upstream, load] : said.loads) {
-            sums[upstream].requests += load.requests;
-            sums[upstream].pendingTokens += load.pendingTokens;
-        }
+        if (time - said.heard <= newsLifetime)
+            addLoads(sums, said.loads);
     }
     UpstreamPool &upstreams = this->shared.scheduler.upstreams();
     for (const auto &[id, upstream] : upstreams.all())
