Log what tells the incident's hypotheses apart: reads, sends, closes, peers' bytes, the loop's lateness

Cause: the logs did not show when a read of the store was asked, how old the list was by which a request was routed, when its first byte left, when an upstream's connection closed after its caller had left, or what the VMs send each other. Change: store-read for each read that brought something; the list's revision and age on route, sentMs on request; attempt-closed with the bytes that were unsent; a health line every two seconds with the loop's worst lateness and the bytes sent to and heard from peers, the same as metrics.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include <asio.hpp>
 #include <curl/curl.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <unordered_map>
 
@@ -18,6 +20,7 @@
     HttpCallHooks hooks;
     HttpOutcome outcome;
     int sendAttempts = 0;
+    curl_socket_t socket = CURL_SOCKET_BAD;
     bool headReported = false;
     bool cancelled = false;
 
@@ -44,7 +47,11 @@
     auto *transfer = static_cast<Transfer *>(context);
     ++transfer->sendAttempts;
     // libcurl resends by itself when a reused connection turns out to be closed, which could run a call twice.
-    return transfer->sendAttempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    if (transfer->sendAttempts > 1)
+        return CURL_PREREQFUNC_ABORT;
+    if (transfer->hooks.sending && !transfer->cancelled)
+        transfer->hooks.sending();
+    return CURL_PREREQFUNC_OK;
 }
 
 std::size_t headerReceived(char *bytes, std::size_t size, std::size_t count, void *context)
@@ -92,6 +99,14 @@
     return transfer->cancelled ? 0 : length;
 }
 
+std::optional<std::size_t> unsentBytes(curl_socket_t socket)
+{
+    int bytes = 0;
+    if (socket == CURL_SOCKET_BAD || ioctl(socket, SIOCOUTQ, &bytes) != 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(bytes);
+}
+
 /// A socket of libcurl, watched through a descriptor that does not own it.
 struct WatchedSocket
 {
@@ -142,8 +157,11 @@
 
     void add(const std::shared_ptr<Transfer> &transfer)
     {
-        if (transfer->cancelled)
+        if (transfer->cancelled) {
+            if (transfer->hooks.closed)
+                transfer->hooks.closed(std::nullopt);
             return;
+        }
         this->transfers[transfer->id] = transfer;
         curl_multi_add_handle(this->multi, transfer->easy);
     }
@@ -153,8 +171,12 @@
         const auto found = this->transfers.find(id);
         if (found == this->transfers.end())
             return;
-        curl_multi_remove_handle(this->multi, found->second->easy);
-        this->transfers.erase(found);
+        const std::shared_ptr<Transfer> transfer = found->second;
+        const auto unsent = unsentBytes(transfer->socket);
+        curl_multi_remove_handle(this->multi, transfer->easy);
+        this->transfers.erase(id);
+        if (transfer->hooks.closed)
+            transfer->hooks.closed(unsent);
     }
 
     void prepare(Transfer &transfer) const;
@@ -167,9 +189,13 @@
     std::unordered_map<CallId, std::weak_ptr<Transfer>> starting;
 
 private:
-    static int socketChanged(CURL *, curl_socket_t socket, int what, void *context, void *)
+    static int socketChanged(CURL *easy, curl_socket_t socket, int what, void *context, void *)
     {
         auto *self = static_cast<Private *>(context);
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+        if (transfer)
+            transfer->socket = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
         if (what == CURL_POLL_REMOVE) {
             self->sockets.erase(socket);
             return 0;
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,6 +66,11 @@
     std::function<void(int status, const HttpHeaders &headers)> head;
     std::function<void(std::string_view bytes)> data;
     std::function<void(const HttpOutcome &outcome)> done;
+    /// The connection is made and the first byte of the request is about to be written.
+    std::function<void()> sending;
+    /// After a cancel: the connection was closed, with so many bytes that the peer had not acknowledged; none where the
+    /// exchange had no connection or the system does not tell.
+    std::function<void(std::optional<std::size_t> unsentBytes)> closed;
 };
 
 /// HTTP/1.1 client on an Asio loop, by libcurl's multi interface.
@@ -82,7 +88,7 @@
     /// Starts an exchange; its hooks run later, never from within this function.
     CallId start(HttpCall call, HttpCallHooks hooks);
 
-    /// Ends an exchange and closes its connection; none of its hooks is called any more.
+    /// Ends an exchange and closes its connection; of its hooks only closed is called any more.
     void cancel(CallId id);
 
 private:
--- a/src/libhemlock/metrics.cpp
+++ b/src/libhemlock/metrics.cpp
@@ -118,7 +118,18 @@
     Distribution tokenGap;
 };
 
-Metrics::Metrics() = default;
+class Metrics::Process
+{
+public:
+    Distribution loopLateness;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> totals; ///< Help and value by name.
+};
+
+Metrics::Metrics()
+    : process(std::make_unique<Process>())
+{
+}
+
 Metrics::~Metrics() = default;
 
 Metrics::Series &Metrics::series(const MetricLabels &labels)
@@ -147,6 +158,16 @@
     this->series(labels).tokenGap.add(gap);
 }
 
+void Metrics::addLoopLateness(std::chrono::nanoseconds lateness)
+{
+    this->process->loopLateness.add(lateness);
+}
+
+void Metrics::setTotal(const std::string &name, const std::string &help, std::uint64_t total)
+{
+    this->process->totals[name] = {help, total};
+}
+
 void Metrics::setQueueLength(const MetricLabels &labels, std::size_t requests)
 {
     this->series(labels).queueLength = requests;
@@ -181,22 +202,26 @@
     appendCounts("hemlock_queue_length", "gauge", "Requests that wait for their turn.", [](const Series &series) {
         return std::uint64_t{series.queueLength};
     });
+    const auto appendSummary = [&text](const std::string &name,
+                                       const Distribution &times,
+                                       const std::function<std::string(const std::string &more)> &labels) {
+        if (times.count() == 0)
+            return;
+        for (const double probability : quantiles) {
+            const std::string more = "quantile=\"" + formatNumber(probability) + "\"";
+            appendSample(text, name, labels(more), formatNumber(times.quantile(probability)));
+        }
+        appendSample(text, name + "_sum", labels({}), formatNumber(times.sum()));
+        appendSample(text, name + "_count", labels({}), std::to_string(times.count()));
+    };
     const auto appendTimes = [&](const std::string &name,
                                  const std::string &help,
                                  const std::function<const Distribution &(const Series &)> &distribution) {
         appendType(text, name, "summary", help);
         for (const auto &[labels, series] : this->seriesByLabels) {
-            const Distribution &times = distribution(*series);
-            if (times.count() == 0)
-                continue;
-            for (const double probability : quantiles) {
-                appendSample(text,
-                             name,
-                             formatLabels(labels, ",quantile=\"" + formatNumber(probability) + "\""),
-                             formatNumber(times.quantile(probability)));
-            }
-            appendSample(text, name + "_sum", formatLabels(labels), formatNumber(times.sum()));
-            appendSample(text, name + "_count", formatLabels(labels), std::to_string(times.count()));
+            appendSummary(name, distribution(*series), [&labels = labels](const std::string &more) {
+                return formatLabels(labels, more.empty() ? more : "," + more);
+            });
         }
     };
     appendTimes("hemlock_first_token_seconds",
@@ -205,6 +230,15 @@
     appendTimes("hemlock_token_gap_seconds",
                 "Time between two tokens of a stream.",
                 [](const Series &series) -> const Distribution & { return series.tokenGap; });
+    const std::string lateness = "hemlock_loop_lateness_seconds";
+    appendType(text, lateness, "summary", "How much later than asked for a timer of the process's loop ran.");
+    appendSummary(lateness, this->process->loopLateness, [](const std::string &more) {
+        return more.empty() ? more : "{" + more + "}";
+    });
+    for (const auto &[name, total] : this->process->totals) {
+        appendType(text, name, "counter", total.first);
+        appendSample(text, name, {}, std::to_string(total.second));
+    }
     return text;
 }
 
--- a/src/libhemlock/metrics.h
+++ b/src/libhemlock/metrics.h
@@ -50,6 +50,12 @@
     /// Time between two tokens of a stream.
     void addTokenGap(const MetricLabels &labels, std::chrono::nanoseconds gap);
 
+    /// How much later than asked for a timer of the process's loop ran.
+    void addLoopLateness(std::chrono::nanoseconds lateness);
+
+    /// A total since the start of the process. Names as in the Prometheus format; @p help is one sentence.
+    void setTotal(const std::string &name, const std::string &help, std::uint64_t total);
+
     void setQueueLength(const MetricLabels &labels, std::size_t requests);
 
     /// All figures in the Prometheus text format, version 0.0.4.
@@ -57,10 +63,12 @@
 
 private:
     class Series;
+    class Process;
 
     Series &series(const MetricLabels &labels);
 
     std::map<MetricLabels, std::unique_ptr<Series>> seriesByLabels;
+    std::unique_ptr<Process> process;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -112,6 +112,11 @@
     return this->totalDemand;
 }
 
+const PeerTraffic &PeerExchange::traffic() const
+{
+    return this->link.traffic();
+}
+
 bool PeerExchange::isLarge(TimePoint time) const
 {
     return this->shared.registry.count(time) > peersOfSmallFleet;
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -68,6 +68,8 @@
     /// Prompt tokens that requests at other entry VMs needed computed since this process heard of them, by service.
     const std::map<std::string, double> &demand() const;
 
+    const PeerTraffic &traffic() const;
+
 private:
     /// What is known of one process of a peer or, as a witness, of a zone.
     struct Source
--- a/src/libhemlock/relay/peerlink.cpp
+++ b/src/libhemlock/relay/peerlink.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace hemlock {
@@ -42,8 +43,11 @@
                 const auto self = weak.lock();
                 if (!self || error == asio::error::operation_aborted)
                     return;
-                if (!error)
+                if (!error) {
+                    ++self->traffic.receivedDatagrams;
+                    self->traffic.receivedBytes += size;
                     self->received(std::string_view(self->buffer.data(), size));
+                }
                 self->receive();
             });
     }
@@ -52,6 +56,7 @@
     std::function<void(std::string_view)> received;
     asio::ip::udp::endpoint sender;
     std::array<char, 65536> buffer{};
+    PeerTraffic traffic;
 };
 
 PeerLink::PeerLink(asio::io_context &loop,
@@ -74,12 +79,25 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+const PeerTraffic &PeerLink::traffic() const
+{
+    return this->d->traffic;
+}
+
 void PeerLink::send(const std::string &datagram, const std::set<std::string> &addresses)
 {
     for (const std::string &address : addresses) {
         asio::error_code error;
         try {
             this->d->socket.send_to(asio::buffer(datagram), parseEndpoint(address), 0, error);
+            PeerTraffic &traffic = this->d->traffic;
+            if (error) {
+                ++traffic.unsentDatagrams;
+                continue;
+            }
+            ++traffic.sentDatagrams;
+            traffic.sentBytes += datagram.size();
+            traffic.largestDatagram = std::max(traffic.largestDatagram, datagram.size());
         } catch (const std::exception &fault) {
             logEvent(LogLevel::Warning, "peer-address", {{"address", address}, {"error", fault.what()}});
         }
--- a/src/libhemlock/relay/peerlink.h
+++ b/src/libhemlock/relay/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -12,6 +13,17 @@
 
 namespace hemlock {
 
+/// Datagrams since the start of the process.
+struct PeerTraffic
+{
+    std::uint64_t sentDatagrams = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t unsentDatagrams = 0; ///< Those that the system did not take.
+    std::uint64_t receivedDatagrams = 0;
+    std::uint64_t receivedBytes = 0;
+    std::size_t largestDatagram = 0; ///< Sent, in bytes.
+};
+
 /// Sends datagrams to the other entry VMs and receives theirs.
 class PeerLink
 {
@@ -31,6 +43,8 @@
     /// Sends to each address; what cannot be sent at once is lost.
     void send(const std::string &datagram, const std::set<std::string> &addresses);
 
+    const PeerTraffic &traffic() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -212,6 +212,7 @@
     const bool mayRepeat = this->route->kind == CallKind::Idempotent
         || (this->route->kind == CallKind::Stream && this->route->isResumable);
     call.maxIdle = mayRepeat ? this->context.idleLimit : idleLimitOfCallsThatRunOnce;
+    const ListFreshness freshness = this->context.upstreamsFreshness();
     logEvent(LogLevel::Info,
              "route",
              {{"request", this->request.attemptId},
@@ -219,6 +220,8 @@
               {"service", this->service},
               {"configuration", this->routes->config().version},
               {"upstream", chosen.id},
+              {"upstreamsRevision", freshness.revision},
+              {"upstreamsAgeMs", freshness.age.count()},
               {"waitedMs",
                std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
               {"reason", decision.reason}});
@@ -226,6 +229,18 @@
     this->context.promptSent(decision.tokensToCompute);
 
     HttpCallHooks hooks;
+    hooks.sending = [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->sendingDelay =
+                std::chrono::duration_cast<std::chrono::milliseconds>(self->context.now() - self->arrival);
+    };
+    hooks.closed = [request = this->request.attemptId, upstream = chosen.id](std::optional<std::size_t> unsentBytes) {
+        logEvent(LogLevel::Info,
+                 "attempt-closed",
+                 {{"request", request},
+                  {"upstream", upstream},
+                  {"unsentBytes", unsentBytes ? nlohmann::json(*unsentBytes) : nlohmann::json()}});
+    };
     hooks.head = [weak = this->weak_from_this()](int status, const HttpHeaders &headers) {
         if (const auto self = weak.lock())
             self->headArrived(status, headers);
@@ -478,6 +493,7 @@
          {"verdict", verdictName(this->verdict)},
          {"attempts", this->attempts},
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->context.now() - this->arrival).count()},
+         {"sentMs", this->sendingDelay.count()},
          {"firstEventMs", this->firstEventDelay.count()},
          {"longestGapMs", this->longestGap.count()},
          {"outcome", outcome}});
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -88,6 +88,7 @@
     bool hasBegun = false; ///< The caller got the head of a stream.
     EventSplitter events;
     TimePoint lastEvent;
+    std::chrono::milliseconds sendingDelay{-1}; ///< From the arrival to the first byte of the latest attempt.
     std::chrono::milliseconds firstEventDelay{0}; ///< From the arrival to the first event.
     std::chrono::milliseconds longestGap{0}; ///< Between two events.
 };
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -17,6 +17,13 @@
 
 namespace hemlock {
 
+/// How new the list of upstreams is.
+struct ListFreshness
+{
+    std::int64_t revision = 0; ///< Of the store.
+    std::chrono::milliseconds age{0}; ///< Since the store last answered a read of it.
+};
+
 /// What the relayed calls of a process share.
 struct RelayContext
 {
@@ -37,6 +44,8 @@
     std::function<std::chrono::steady_clock::time_point()> now;
     std::function<std::chrono::system_clock::time_point()> wallTime;
 
+    std::function<ListFreshness()> upstreamsFreshness;
+
     /// An attempt ended without an answer while this upstream ran the request.
     std::function<void(const Upstream &upstream, const std::string &fingerprint)> brokenOff;
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -41,6 +41,8 @@
 
 constexpr std::chrono::milliseconds planInterval{500};
 
+constexpr std::chrono::seconds healthInterval{2};
+
 constexpr std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 
 constexpr std::string_view ownPrefix = "hemlock/";
@@ -120,6 +122,7 @@
           [this] { return this->registry.count(this->now()); },
           [this] { return this->now(); },
           [this] { return this->wallTime(); },
+          [this] { return this->upstreamsFreshness(); },
           [this](const Upstream &upstream, const std::string &fingerprint) { this->brokenOff(upstream, fingerprint); },
           [this](double tokens) {
               if (tokens >= longPromptTokens)
@@ -254,6 +257,12 @@
     responder->reply(404, {}, "unknown path\n");
 }
 
+ListFreshness RelayProcess::upstreamsFreshness() const
+{
+    const auto age = std::chrono::steady_clock::now() - this->upstreamStore.lastRead().answered;
+    return {this->upstreamStore.revision(), std::chrono::duration_cast<std::chrono::milliseconds>(age)};
+}
+
 StoreFollowerHooks RelayProcess::followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded)
 {
     StoreFollowerHooks hooks;
@@ -406,9 +415,41 @@
     this->scheduler.applyUpstreams(upstreams, this->now());
 }
 
+void RelayProcess::reportHealth(TimePoint now, std::chrono::nanoseconds lateness)
+{
+    this->metrics.addLoopLateness(lateness);
+    this->worstLateness = std::max(this->worstLateness, lateness);
+    if (now - this->healthReported < healthInterval)
+        return;
+    const PeerTraffic &traffic = this->peers.traffic();
+    const PeerTraffic before = std::exchange(this->reportedTraffic, traffic);
+    const ListFreshness freshness = this->upstreamsFreshness();
+    this->metrics.setTotal("hemlock_peer_sent_bytes_total", "Bytes sent to other entry VMs.", traffic.sentBytes);
+    this->metrics.setTotal(
+        "hemlock_peer_received_bytes_total", "Bytes received from other entry VMs.", traffic.receivedBytes);
+    this->metrics.setTotal("hemlock_peer_unsent_datagrams_total",
+                           "Messages to other entry VMs that the system did not take.",
+                           traffic.unsentDatagrams);
+    logEvent(LogLevel::Info,
+             "health",
+             {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->worstLateness).count()},
+              {"calls", this->calls.size()},
+              {"peerBytesSent", traffic.sentBytes - before.sentBytes},
+              {"peerBytesReceived", traffic.receivedBytes - before.receivedBytes},
+              {"peerUnsent", traffic.unsentDatagrams - before.unsentDatagrams},
+              {"peerLargest", traffic.largestDatagram},
+              {"suspects", this->quarantine.size()},
+              {"upstreamsRevision", freshness.revision},
+              {"upstreamsAgeMs", freshness.age.count()}});
+    this->healthReported = now;
+    this->worstLateness = {};
+}
+
 void RelayProcess::tick()
 {
     const TimePoint now = this->now();
+    if (this->ticker.expiry() != asio::steady_timer::time_point())
+        this->reportHealth(now, std::chrono::steady_clock::now() - this->ticker.expiry());
     if (this->directory.expire(now))
         this->applyUpstreams();
     this->scheduler.tick(now);
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -70,6 +70,7 @@
     void handleReadiness(const HttpResponderPtr &responder) const;
     void handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const;
 
+    ListFreshness upstreamsFreshness() const;
     StoreFollowerHooks followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded);
     void storeSilent(const std::string &error);
     void storeReachabilityChanged(bool reachable, const std::string &error);
@@ -84,6 +85,7 @@
     void applyUpstreams();
 
     void tick();
+    void reportHealth(TimePoint now, std::chrono::nanoseconds lateness);
     void brokenOff(const Upstream &upstream, const std::string &fingerprint);
     double retriesOfOneVm(TimePoint now) const;
     void plan();
@@ -128,6 +130,9 @@
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> broken; ///< By upstream.
     std::map<std::string, std::string> unreadable; ///< Values that were reported once, by key.
     PeriodicTask planTask;
+    TimePoint healthReported;
+    std::chrono::nanoseconds worstLateness{0}; ///< Of the loop since then.
+    PeerTraffic reportedTraffic;
     bool isDraining = false;
     TimePoint drainBegan;
     TimePoint lastRequest;
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -1,8 +1,12 @@
 #include "relay/storefollower.h"
 
+#include "logger.h"
+
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace hemlock {
@@ -23,6 +27,7 @@
     {
         this->loading.clear();
         this->loadRevision = 0;
+        this->asked = std::chrono::steady_clock::now();
         this->loadPage({});
     }
 
@@ -47,8 +52,9 @@
             return this->loadPage(page.range.entries.back().key);
         if (this->loadRevision < this->revision)
             return this->retry("the store answered with an older state", [](Private &self) { self.load(); });
-        this->setReachable(true, {});
+        this->noteAnswer();
         this->revision = this->loadRevision;
+        this->logRead("all", this->loading.size());
         this->hooks.loaded(std::exchange(this->loading, {}));
         this->follow();
     }
@@ -56,6 +62,7 @@
     void follow()
     {
         this->isFollowing = true;
+        this->asked = std::chrono::steady_clock::now();
         this->stop = this->kv.changes(this->settings.prefix,
                                       this->revision,
                                       this->settings.wait,
@@ -90,10 +97,12 @@
                     self.load();
             });
         }
-        this->setReachable(true, {});
+        this->noteAnswer();
         this->revision = std::max(this->revision, changes.revision);
-        if (!changes.events.empty())
+        if (!changes.events.empty()) {
+            this->logRead("changes", changes.events.size());
             this->hooks.changed(changes.events);
+        }
         if (changes.events.empty() || this->settings.changePause.count() == 0)
             return this->follow();
         this->after(this->settings.changePause, [](Private &self) { self.follow(); });
@@ -117,6 +126,24 @@
             });
     }
 
+    void noteAnswer()
+    {
+        this->lastRead = {this->asked, std::chrono::steady_clock::now()};
+        this->setReachable(true, {});
+    }
+
+    void logRead(const char *kind, std::size_t entries) const
+    {
+        const auto took = this->lastRead.answered - this->lastRead.asked;
+        logEvent(LogLevel::Info,
+                 "store-read",
+                 {{"prefix", this->settings.prefix},
+                  {"kind", kind},
+                  {"entries", entries},
+                  {"revision", this->revision},
+                  {"tookMs", std::chrono::duration_cast<std::chrono::milliseconds>(took).count()}});
+    }
+
     void setReachable(bool reachable, const std::string &error)
     {
         if (reachable)
@@ -137,6 +164,8 @@
     std::map<std::string, std::string> loading;
     std::int64_t loadRevision = 0;
     std::int64_t revision = 0;
+    std::chrono::steady_clock::time_point asked; ///< Begin of the read in progress.
+    StoreReadTimes lastRead;
     bool isReachable = false;
     bool isFollowing = false; ///< A waiting read is on its way.
 };
@@ -170,4 +199,9 @@
     return this->d->revision;
 }
 
+const StoreReadTimes &StoreFollower::lastRead() const
+{
+    return this->d->lastRead;
+}
+
 } // namespace hemlock
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -35,6 +35,13 @@
     std::function<void(bool reachable, const std::string &error)> reachabilityChanged;
 };
 
+/// When the latest read that the store answered was asked and answered.
+struct StoreReadTimes
+{
+    std::chrono::steady_clock::time_point asked;
+    std::chrono::steady_clock::time_point answered;
+};
+
 /// Keeps up with the keys below one prefix: a full read, then waiting reads of what changed.
 ///
 /// The revision only grows: a full read that is older than what was passed on is read again.
@@ -54,6 +61,8 @@
 
     std::int64_t revision() const;
 
+    const StoreReadTimes &lastRead() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -16,6 +16,7 @@
     Answer,
     CloseWithoutAnswer,
     AnswerHalf,
+    Silence,
 };
 
 /// Server on a loopback port that handles requests by a script and counts them.
@@ -36,6 +37,7 @@
     std::deque<Behaviour> script;
     int requests = 0;
     int connections = 0;
+    std::vector<std::shared_ptr<tcp::socket>> silent; ///< Their requests are never answered.
 
 private:
     void accept()
@@ -70,6 +72,8 @@
             this->script.pop_front();
         if (behaviour == Behaviour::CloseWithoutAnswer)
             return socket->close();
+        if (behaviour == Behaviour::Silence)
+            return this->silent.push_back(socket);
         const bool whole = behaviour == Behaviour::Answer;
         asio::write(*socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")));
         asio::write(*socket, asio::buffer(std::string(whole ? "done" : "do")));
@@ -84,14 +88,20 @@
 class HttpClientFixture
 {
 protected:
-    HttpOutcome post(const std::string &url)
+    HttpClient::CallId start(const std::string &url, std::optional<HttpOutcome> &result)
     {
         HttpCall call;
         call.method = "POST";
         call.url = url;
         call.timeout = std::chrono::seconds(10);
+        return this->client.start(call,
+                                  {nullptr, nullptr, [&result](const HttpOutcome &outcome) { result = outcome; }});
+    }
+
+    HttpOutcome post(const std::string &url)
+    {
         std::optional<HttpOutcome> result;
-        this->client.start(call, {nullptr, nullptr, [&result](const HttpOutcome &outcome) { result = outcome; }});
+        this->start(url, result);
         while (!result)
             this->loop.run_one();
         return *result;
@@ -153,3 +163,24 @@
     CHECK_FALSE(finished);
     CHECK(this->server.requests == 1);
 }
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: call is cancelled while its answer is awaited: its close is told")
+{
+    this->server.script = {Behaviour::Silence};
+    bool isClosed = false;
+    HttpCall call;
+    call.url = this->server.url();
+    HttpCallHooks hooks;
+    hooks.done = [](const HttpOutcome &) {};
+    hooks.closed = [&isClosed](std::optional<std::size_t>) { isClosed = true; };
+    const auto id = this->client.start(call, std::move(hooks));
+    while (this->server.silent.empty())
+        this->loop.run_one();
+    this->client.cancel(id);
+    while (!isClosed)
+        this->loop.run_one();
+    char byte = 0;
+    asio::error_code error;
+    this->server.silent.front()->read_some(asio::buffer(&byte, 1), error);
+    CHECK(error);
+}
--- a/tests/unit/metricstest.cpp
+++ b/tests/unit/metricstest.cpp
@@ -85,3 +85,12 @@
         CHECK((line.starts_with("# ") || std::regex_match(line, sample)));
     }
 }
+
+TEST_CASE_METHOD(MetricsFixture, "Metrics: figures of the process: have no service or client account")
+{
+    this->metrics.addLoopLateness(20ms);
+    this->metrics.setTotal("hemlock_peer_sent_bytes_total", "Bytes sent to other entry VMs.", 1200);
+    CHECK(this->value("hemlock_peer_sent_bytes_total") == "1200");
+    CHECK(std::stod(this->value(R"(hemlock_loop_lateness_seconds{quantile="0.99"})")) == Approx(0.02));
+    CHECK(this->value("hemlock_loop_lateness_seconds_count") == "1");
+}
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -77,6 +77,7 @@
         this->context.peers = [] { return std::size_t{0}; };
         this->context.now = [] { return std::chrono::steady_clock::now(); };
         this->context.wallTime = [] { return std::chrono::system_clock::now(); };
+        this->context.upstreamsFreshness = [] { return ListFreshness{}; };
         this->context.brokenOff = [this](const Upstream &, const std::string &) { ++this->broken; };
         this->context.promptSent = [](double) {};
         this->scheduler.applyUpstreams({this->first.upstream, this->second.upstream}, std::chrono::steady_clock::now());
@@ -177,6 +178,7 @@
                          {},
                          {},
                          {},
+                         {},
                          {}};
     std::set<std::shared_ptr<RelayCall>> calls;
     std::size_t ended = 0;
