--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -11,11 +11,16 @@
 
 namespace {
 
+/// A quarter of the memory of the smallest VM.
+constexpr std::size_t largestAnswer = std::size_t{40} * 1024 * 1024;
+
 /// What the scripted server does with one request after it has read the head.
 enum class Behaviour {
     Answer,
     CloseWithoutAnswer,
     AnswerHalf,
+    HeadWithoutEnd,
+    BodyWithoutEnd,
     Silence,
 };
 
@@ -34,9 +39,19 @@
         return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
     }
 
+    void answer(const std::shared_ptr<tcp::socket> &socket, bool whole = true)
+    {
+        asio::write(*socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")));
+        asio::write(*socket, asio::buffer(std::string(whole ? "done" : "do")));
+        if (!whole)
+            return socket->close();
+        this->read(socket);
+    }
+
     std::deque<Behaviour> script;
     int requests = 0;
     int connections = 0;
+    std::size_t written = 0; ///< Of answers without end.
     std::vector<std::shared_ptr<tcp::socket>> silent; ///< Their requests are never answered.
 
 private:
@@ -74,12 +89,26 @@
             return socket->close();
         if (behaviour == Behaviour::Silence)
             return this->silent.push_back(socket);
-        const bool whole = behaviour == Behaviour::Answer;
-        asio::write(*socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")));
-        asio::write(*socket, asio::buffer(std::string(whole ? "done" : "do")));
-        if (!whole)
-            return socket->close();
-        this->read(socket);
+        if (behaviour == Behaviour::HeadWithoutEnd)
+            return this->writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
+        if (behaviour == Behaviour::BodyWithoutEnd)
+            return this->writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'x'));
+        this->answer(socket, behaviour == Behaviour::Answer);
+    }
+
+    /// Writes until the client closes, or until far more than any limit was taken.
+    void writeWithoutEnd(const std::shared_ptr<tcp::socket> &socket, const std::string &begin, const std::string &more)
+    {
+        constexpr std::size_t farTooMuch = std::size_t{256} * 1024 * 1024;
+        const auto bytes = std::make_shared<std::string>(begin);
+        asio::async_write(*socket,
+                          asio::buffer(*bytes),
+                          [this, socket, bytes, more](const asio::error_code &error, std::size_t size) {
+                              this->written += size;
+                              if (error || this->written > farTooMuch)
+                                  return socket->close();
+                              this->writeWithoutEnd(socket, more, more);
+                          });
     }
 
     tcp::acceptor acceptor;
@@ -93,11 +122,19 @@
         HttpCall call;
         call.method = "POST";
         call.url = url;
-        call.timeout = std::chrono::seconds(10);
+        call.timeout = this->timeout;
         return this->client.start(call,
                                   {nullptr, nullptr, [&result](const HttpOutcome &outcome) { result = outcome; }});
     }
 
+    /// Lets the time of a call pass without running the loop; libcurl then ends that call before it begins others.
+    void passTimeout() const
+    {
+        const auto end = std::chrono::steady_clock::now() + this->timeout + std::chrono::milliseconds(10);
+        while (std::chrono::steady_clock::now() <= end)
+            continue;
+    }
+
     HttpOutcome post(const std::string &url)
     {
         std::optional<HttpOutcome> result;
@@ -110,6 +147,7 @@
     asio::io_context loop;
     ScriptedServer server{loop};
     HttpClient client{loop};
+    std::chrono::milliseconds timeout{10000};
 };
 
 } // namespace
@@ -184,3 +222,48 @@
     this->server.silent.front()->read_some(asio::buffer(&byte, 1), error);
     CHECK(error);
 }
+
+// Guards against a socket that nobody watches, or that is watched twice, when its number is used again at once.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient: late loop, next call gets the socket number of one that ends: its answer is noticed")
+{
+    this->server.script = {Behaviour::Silence, Behaviour::Answer};
+    this->timeout = std::chrono::milliseconds(100);
+    std::optional<HttpOutcome> first;
+    this->start(this->server.url(), first);
+    while (this->server.silent.empty())
+        this->loop.run_one();
+    this->passTimeout();
+    std::optional<HttpOutcome> second;
+    this->timeout = std::chrono::seconds(10);
+    this->start(this->server.url(), second);
+    this->server.answer(this->server.silent.front());
+    // Polling runs no timer that is due later, so that only the sockets' events count.
+    constexpr int polls = 2000;
+    for (int i = 0; i < polls && !second; ++i)
+        this->loop.poll();
+    REQUIRE(first);
+    CHECK(first->failure == HttpFailure::Timeout);
+    REQUIRE(second);
+    CHECK(second->isComplete());
+}
+
+// Guards against a server in trouble that fills the memory of the process.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: head without end: the connection is closed and the answer is broken")
+{
+    this->server.script = {Behaviour::HeadWithoutEnd};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.failure == HttpFailure::Broken);
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(this->server.written < largestAnswer);
+}
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: body without end: the connection is closed and the answer is broken")
+{
+    this->server.script = {Behaviour::BodyWithoutEnd};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.failure == HttpFailure::Broken);
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(outcome.body.size() < largestAnswer);
+    CHECK(this->server.written < largestAnswer);
+}
--- a/tests/unit/peerexchangetest.cpp
+++ b/tests/unit/peerexchangetest.cpp
@@ -85,6 +85,19 @@
             "account", this->limit, units, this->vms.size() - 1, std::chrono::steady_clock::now());
     }
 
+    static std::string fingerprint(const std::string &request)
+    {
+        return requestFingerprint("account", "/path", request);
+    }
+
+    void crash(std::size_t vm, const std::string &request, const std::string &upstreamId)
+    {
+        Upstream upstream;
+        upstream.id = upstreamId;
+        upstream.zone = {"zone-" + upstreamId};
+        this->vms[vm]->quarantine.requestCrashed(fingerprint(request), upstream, std::chrono::steady_clock::now());
+    }
+
     static void submit(Vm &vm, const std::string &id, double tokens)
     {
         RelayTicket ticket;
@@ -185,3 +198,41 @@
     for (std::size_t vm = 2; vm < this->vms.size(); ++vm)
         CHECK_FALSE(this->tryTake(vm, 1.0));
 }
+
+// Guards against small links filled by what the VMs tell each other after many attempts broke off.
+TEST_CASE_METHOD(
+    PeerExchangeFixture,
+    "PeerExchange: large fleet, many attempts break off: messages leave nine tenths of a 10 Mbit/s link free")
+{
+    this->startFleet(5);
+    constexpr double bytesPerSecond = 10e6 / 8.0 / 10.0;
+    std::uint64_t sentBefore = 0;
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+        for (int i = 0; i < 10; ++i)
+            this->crash(vm, "request-" + std::to_string(vm) + "-" + std::to_string(i), "m" + std::to_string(i));
+        sentBefore = std::max(sentBefore, this->vms[vm]->exchange.traffic().sentBytes);
+    }
+    constexpr std::chrono::milliseconds time{2000};
+    this->run(time);
+    for (const auto &vm : this->vms) {
+        const auto sent = static_cast<double>(vm->exchange.traffic().sentBytes - sentBefore);
+        CHECK(sent < bytesPerSecond * std::chrono::duration<double>(time).count());
+    }
+}
+
+TEST_CASE_METHOD(
+    PeerExchangeFixture,
+    "PeerExchange: large fleet, many attempts break off: a request that crashed two upstreams is refused everywhere")
+{
+    this->startFleet(5);
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+        for (int i = 0; i < 10; ++i)
+            this->crash(vm, "request-" + std::to_string(vm) + "-" + std::to_string(i), "m" + std::to_string(i));
+    }
+    this->crash(4, "poison", "m1");
+    this->crash(9, "poison", "m2");
+    this->run(std::chrono::milliseconds(2000));
+    for (const auto &vm : this->vms)
+        CHECK(vm->quarantine.ask(fingerprint("poison"), std::chrono::steady_clock::now())
+              == Quarantine::Permission::Refused);
+}
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A quarter of the memory of the smallest VM.
+constexpr std::size_t largestAnswer = std::size_t{40} * 1024 * 1024;
+
 using UpstreamHandler = std::function<void(const HttpRequest &request, const HttpResponderPtr &responder)>;
 
 /// An upstream on a loopback port that answers by a hook and keeps what it received.
@@ -144,6 +147,21 @@
         return this->first.requests.size() + this->second.requests.size();
     }
 
+    /// Writes as fast as the connection takes it, until it is closed or far more than any limit was taken.
+    void writeWithoutEnd(const HttpResponderPtr &responder)
+    {
+        constexpr std::size_t chunk = std::size_t{256} * 1024;
+        if (!responder->isConnected())
+            return;
+        if (this->written > 2 * largestAnswer)
+            return responder->endStream();
+        if (responder->pendingBytes() < chunk) {
+            responder->write(std::string(chunk, 'x'));
+            this->written += chunk;
+        }
+        asio::post(this->loop, [this, responder] { this->writeWithoutEnd(responder); });
+    }
+
     void bothAnswer(const UpstreamHandler &handler)
     {
         this->first.handler = handler;
@@ -191,6 +209,7 @@
     std::chrono::milliseconds routeTimeout{3000};
     double accountRate = 0.0;
     bool isAccepting = true;
+    std::size_t written = 0; ///< Of an answer without end.
     int broken = 0;
 };
 
@@ -408,3 +427,21 @@
     CHECK(this->call(this->request()).outcome.status == 200);
     CHECK(this->quota.totals().at("account") == 1.0);
 }
+
+// Guards against a server in trouble that fills the memory of the process.
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: event of a stream has no end: the upstream is closed, and the caller gets 502")
+{
+    this->routeTimeout = std::chrono::seconds(60);
+    this->configure(CallKind::Stream, 1);
+    this->bothAnswer([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: ");
+        this->writeWithoutEnd(responder);
+    });
+    HttpCall request = this->request();
+    request.headers.remove("X-Hemlockflow-Deadline-Ms");
+    request.headers.add("X-Hemlockflow-Deadline-Ms", "60000");
+    CHECK(this->call(request).outcome.status == 502);
+    CHECK(this->written < largestAnswer);
+}
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -43,11 +43,12 @@
                 }
                 asio::post(this->loop, [done, page] { done(page); });
             };
-        this->kv.changes = [this](const std::string &,
+        this->kv.changes = [this](const std::string &prefix,
                                   std::int64_t,
-                                  std::chrono::milliseconds,
+                                  std::chrono::milliseconds wait,
                                   std::function<void(const KvChanges &)> done) -> std::function<void()> {
             this->changesDone = std::move(done);
+            this->waits[prefix] = wait;
             return [] {};
         };
         this->kv.ping = [this](const std::function<void(KvStatus, const std::string &)> &done) {
@@ -136,6 +137,7 @@
     RelaySettings settings;
     std::unique_ptr<RelayProcess> process;
     std::function<void(const KvChanges &)> changesDone;
+    std::map<std::string, std::chrono::milliseconds> waits; ///< Of the latest waiting reads, by prefix.
     std::string configVersion = "5";
     std::int64_t revision = 10;
     bool storeIsOut = false;
@@ -206,3 +208,13 @@
     CHECK(std::chrono::steady_clock::now() - returned < std::chrono::seconds(2));
     CHECK(this->statusOf(this->settings.callers, named) == 404);
 }
+
+// Guards against requests to upstreams whose leave is missed by a read that the store never answers.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: waiting read is never answered: it is given up well before its news are due")
+{
+    this->start();
+    this->runUntil([this] { return this->waits.size() == 3; });
+    CHECK(this->waits.at("servers/") <= std::chrono::milliseconds(1000));
+    CHECK(this->waits.at("config") <= std::chrono::milliseconds(1000));
+}
--- a/tests/unit/storefollowertest.cpp
+++ b/tests/unit/storefollowertest.cpp
@@ -193,3 +193,16 @@
     this->changesDone(changes(12, 0));
     CHECK(this->followed == std::vector<std::int64_t>{10, 12});
 }
+
+// Guards against a grace time for lapsed entries, in which an upstream that left is still used, after a lost
+// connection.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "StoreFollower: one waiting read is cut and the next is answered: the store was never away")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->changesDone(KvChanges{});
+    this->runTimers();
+    this->changesDone(changes(12, 1));
+    CHECK(this->reachability == std::vector<bool>{true});
+}
