Stop to watch a socket at the moment in which libcurl gives it up

Callers saw: a VM whose process ended ("assign: File exists"), and requests and reads of the store that took until their time limit although the answer had come ("Timeout was reached"). Cause: the watch of a socket ended only when the handler that had led to its end returned. libcurl may open the next connection, or use the kept one again, within that handler, and gets the same number: the new registration then failed, or the late end of the old one removed it. Change: the watch ends within libcurl's call.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -117,7 +117,14 @@
 
     ~WatchedSocket()
     {
-        this->descriptor.release();
+        this->release();
+    }
+
+    /// Ends the watch; whoever still holds this object does nothing to the socket any more.
+    void release()
+    {
+        if (this->descriptor.is_open())
+            this->descriptor.release();
     }
 
     asio::posix::stream_descriptor descriptor;
@@ -197,7 +204,13 @@
         if (transfer)
             transfer->socket = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
         if (what == CURL_POLL_REMOVE) {
-            self->sockets.erase(socket);
+            // The handler that led here still holds the watch, and the number of the socket may be used again before it
+            // returns.
+            const auto found = self->sockets.find(socket);
+            if (found == self->sockets.end())
+                return 0;
+            found->second->release();
+            self->sockets.erase(found);
             return 0;
         }
         auto &watched = self->sockets[socket];
