Bound what entry VMs tell each other of requests that crashed upstreams

Callers saw: on a fleet of small VMs nothing worked for seconds once many attempts had broken off. Cause: each VM repeated each change of the quarantine in thirty messages to all neighbours, and so did each VM that heard of it, since what it took over was a change for it too. 126 suspects made messages of 14.8 KB, five a second to 21 neighbours: 13 to 19 Mbit/s from VMs with links of 10 Mbit/s. Store calls, answers and closes waited behind that. Change: SuspectNews tells what a VM saw itself to its neighbours and what it heard of them to other zones, nothing twice, a few changes a message with the least told first. Quarantine finds changes by version instead of a walk over all entries.

--- a/src/libhemlock/quarantine.cpp
+++ b/src/libhemlock/quarantine.cpp
@@ -78,7 +78,7 @@
 {
     const auto entry = this->entries.find(fingerprint);
     if (entry != this->entries.end() && this->clear(entry->second, now))
-        this->touch(entry->second, now);
+        this->touch(fingerprint, entry->second, now);
 }
 
 void Quarantine::upstreamDied(const Upstream &upstream, Time now)
@@ -116,7 +116,7 @@
         return;
     entry.crashes.push_back(crash);
     this->evaluate(entry, now);
-    this->touch(entry, now);
+    this->touch(fingerprint, entry, now);
 }
 
 bool Quarantine::clear(Entry &entry, Time at) const
@@ -153,14 +153,21 @@
 {
     for (auto &[fingerprint, entry] : this->entries) {
         if (this->evaluate(entry, now))
-            this->touch(entry, now);
+            this->touch(fingerprint, entry, now);
     }
 }
 
-void Quarantine::touch(Entry &entry, Time now)
+void Quarantine::touch(const std::string &fingerprint, Entry &entry, Time now)
 {
+    this->forget(entry);
     entry.updated = now;
     entry.version = ++this->version;
+    this->changes[entry.version] = fingerprint;
+}
+
+void Quarantine::forget(const Entry &entry)
+{
+    this->changes.erase(entry.version);
 }
 
 void Quarantine::expire(Time now)
@@ -173,26 +180,52 @@
     std::erase_if(this->announced, [now](const auto &notice) { return now - notice.second > rememberedDeaths; });
     std::erase_if(this->entries, [this, now](const auto &item) {
         const bool isRefused = this->countedCrashes(item.second) >= this->settings.triedUpstreams;
-        return now - item.second.updated > (isRefused ? this->settings.refusedTime : this->settings.suspectTime);
+        const bool isOver =
+            now - item.second.updated > (isRefused ? this->settings.refusedTime : this->settings.suspectTime);
+        if (isOver)
+            this->forget(item.second);
+        return isOver;
     });
     while (this->entries.size() > this->settings.maxEntries) {
-        this->entries.erase(
+        const auto oldest =
             std::min_element(this->entries.begin(), this->entries.end(), [](const auto &a, const auto &b) {
                 return a.second.updated < b.second.updated;
-            }));
+            });
+        this->forget(oldest->second);
+        this->entries.erase(oldest);
     }
 }
 
 nlohmann::json Quarantine::delta(std::uint64_t after, Time now) const
+{
+    return this->describe(this->changedAfter(after), now);
+}
+
+std::uint64_t Quarantine::currentVersion() const
+{
+    return this->version;
+}
+
+std::vector<std::string> Quarantine::changedAfter(std::uint64_t after) const
+{
+    std::vector<std::string> fingerprints;
+    for (auto change = this->changes.upper_bound(after); change != this->changes.end(); ++change)
+        fingerprints.push_back(change->second);
+    return fingerprints;
+}
+
+nlohmann::json Quarantine::describe(const std::vector<std::string> &fingerprints, Time now) const
 {
     // Clocks of processes differ, so times travel as ages.
     const auto age = [now](Time time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
     };
     nlohmann::json message = {{"version", this->version}, {"entries", nlohmann::json::array()}};
-    for (const auto &[fingerprint, entry] : this->entries) {
-        if (entry.version <= after)
+    for (const std::string &fingerprint : fingerprints) {
+        const auto found = this->entries.find(fingerprint);
+        if (found == this->entries.end())
             continue;
+        const Entry &entry = found->second;
         nlohmann::json item = {{"fingerprint", fingerprint}, {"crashes", nlohmann::json::array()}};
         if (entry.clearedAt != Time::min())
             item["clearedAgeMs"] = age(entry.clearedAt);
@@ -216,7 +249,7 @@
             // Ages lose up to a millisecond on their way, which must not pass for a newer clearing.
             const Time at = now - std::chrono::milliseconds(cleared->get<std::int64_t>() + 1);
             if (at > entry.clearedAt + std::chrono::seconds(1) && this->clear(entry, at))
-                this->touch(entry, now);
+                this->touch(fingerprint, entry, now);
         }
         for (const nlohmann::json &crash : item.at("crashes")) {
             // What the sender excused is left out: its list of deaths may be longer than ours.
--- a/src/libhemlock/quarantine.h
+++ b/src/libhemlock/quarantine.h
@@ -70,6 +70,15 @@
     /// What changed after a version, for other entry processes: {"version","entries":[...]}.
     nlohmann::json delta(std::uint64_t after, Time now) const;
 
+    /// The same of given fingerprints; unknown ones are left out.
+    nlohmann::json describe(const std::vector<std::string> &fingerprints, Time now) const;
+
+    /// Grows with each change.
+    std::uint64_t currentVersion() const;
+
+    /// Fingerprints that changed after a version, those of the oldest change first.
+    std::vector<std::string> changedAfter(std::uint64_t after) const;
+
     /// Takes over what another entry process learned. Throws nlohmann::json::exception for a malformed message.
     void applyDelta(const nlohmann::json &message, Time now);
 
@@ -97,11 +106,13 @@
     bool clear(Entry &entry, Time at) const;
     bool evaluate(Entry &entry, Time now) const;
     void evaluateAll(Time now);
-    void touch(Entry &entry, Time now);
+    void touch(const std::string &fingerprint, Entry &entry, Time now);
+    void forget(const Entry &entry);
     void expire(Time now);
 
     QuarantineSettings settings;
     std::map<std::string, Entry> entries;
+    std::map<std::uint64_t, std::string> changes; ///< Fingerprints of the entries by version.
     std::map<std::string, std::multiset<std::string>> running; ///< Upstreams of running attempts by fingerprint.
     std::deque<Crash> deaths; ///< Of all upstreams, the latest last.
     std::map<std::string, Time> announced;
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -35,9 +35,6 @@
 /// Loads of a peer that said nothing for so long are dropped.
 constexpr std::chrono::milliseconds newsLifetime{1500};
 
-/// Each change of the quarantine is repeated in so many messages, since datagrams are lost.
-constexpr std::size_t quarantineRepeats = 30;
-
 /// Windows of the usage that are told: the running one and those before it that may still change.
 constexpr std::int64_t sentWindows = 4;
 
@@ -85,6 +82,7 @@
     , wallTime(std::move(wallTime))
     , link(loop, this->settings.address, [this](std::string_view datagram) { this->received(datagram); })
     , timer(loop)
+    , suspects(this->shared.quarantine)
 {
 }
 
@@ -174,7 +172,7 @@
         news.cachedParts = this->lastCachedParts;
         news.usage = this->shared.usage.own();
     }
-    news.quarantine = this->quarantineDelta(time);
+    news.quarantine = this->suspects.next(SuspectNews::Audience::Neighbours, time);
     this->link.send(encode("vm", news), receivers);
 }
 
@@ -203,16 +201,6 @@
     }
 }
 
-nlohmann::json PeerExchange::quarantineDelta(TimePoint time)
-{
-    nlohmann::json delta =
-        this->shared.quarantine.delta(this->quarantineVersions.empty() ? 0 : this->quarantineVersions.front(), time);
-    this->quarantineVersions.push_back(delta.at("version").get<std::uint64_t>());
-    if (this->quarantineVersions.size() > quarantineRepeats)
-        this->quarantineVersions.pop_front();
-    return delta;
-}
-
 void PeerExchange::sendZoneNews(TimePoint time)
 {
     ZoneNews news;
@@ -229,7 +217,7 @@
         if (!this->zones.contains(source) && time - said.heard <= newsLifetime)
             addLoads(news.loads, said.loads);
     }
-    news.quarantine = this->quarantineDelta(time);
+    news.quarantine = this->suspects.next(SuspectNews::Audience::OtherZones, time);
     const std::string datagram = encode("zone", news);
     ++this->nextReceiver;
     for (const auto &[zone, addresses] : this->shared.registry.addressesByZone(time)) {
@@ -307,7 +295,7 @@
     this->loads[news.node] = {news.loads, time};
     for (const CachedParts &cached : news.cachedParts)
         this->shared.scheduler.peerCachedParts(cached);
-    this->shared.quarantine.applyDelta(news.quarantine, time);
+    this->suspects.received(news.quarantine, SuspectNews::Audience::Neighbours, time);
 }
 
 void PeerExchange::zoneNewsReceived(const ZoneNews &news, std::string_view datagram, bool isForwarded, TimePoint time)
@@ -330,7 +318,7 @@
     addDifference(this->totalDemand, zone.demandSeen, demandSeen);
     zone.demandSeen = demandSeen;
     this->loads[news.zone] = {news.loads, time};
-    this->shared.quarantine.applyDelta(news.quarantine, time);
+    this->suspects.received(news.quarantine, SuspectNews::Audience::OtherZones, time);
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -8,6 +8,7 @@
 #include "relay/peerregistry.h"
 #include "relay/relayscheduler.h"
 #include "relay/runningtotals.h"
+#include "relay/suspectnews.h"
 #include "relay/usageledger.h"
 
 #include <asio/steady_timer.hpp>
@@ -102,7 +103,6 @@
     void updateLoads(TimePoint now);
     PeerLoads ownLoads();
     void keepCachedParts();
-    nlohmann::json quarantineDelta(TimePoint now);
 
     void received(std::string_view datagram);
     void newsReceived(const PeerNews &news, TimePoint now);
@@ -120,7 +120,7 @@
     std::int64_t sequence = 0;
     TimePoint newsSent;
     TimePoint usageSent;
-    std::deque<std::uint64_t> quarantineVersions; ///< Before the latest messages.
+    SuspectNews suspects;
     std::vector<CachedParts> lastCachedParts;
     std::deque<std::size_t> sentPartCounts; ///< Of lastCachedParts, by message.
     std::size_t nextReceiver = 0;
