End reads of the store while their news are still worth having

Callers saw: requests sent to an upstream 2.0 to 2.8 s after it had announced its leave (DRAIN), and so cut by its end. Cause: the list of upstreams and the configuration were each followed by one waiting read of up to 14 s. A read that was begun while the store was silent is never answered, and ended only by its own time limit; the probe that was answered again said nothing about it. Three of six VMs learned of no upstream for 14.6 s after a silence of 2 s. The waits had been lengthened for the price of the calls without a look at the bounds. Class: a wait longer than the bound on what it brings. Change: a read waits for what the bound on its news leaves after the pause, the slack and one fresh read (0.6 s of 2.0 s for upstreams, 1.0 s of 2.0 s for the configuration). When the probe is answered again, all waiting reads begin anew.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -362,6 +362,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    if (call.opensConnection)
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     if (call.closesConnection)
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -30,6 +30,7 @@
     std::string body;
     std::chrono::milliseconds connectTimeout{2000};
     std::chrono::milliseconds timeout{0}; ///< For the whole exchange; 0 means no limit.
+    bool opensConnection = false; ///< No idle connection is used.
     bool closesConnection = false; ///< The connection is not kept for later calls.
     bool onlyOwnHeaders = false; ///< Without the fields that libcurl adds by itself.
     std::chrono::seconds maxIdle{0}; ///< An older idle connection is not used; 0 leaves it to libcurl.
--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -28,6 +28,9 @@
 /// The calls to the key-value store that decision code makes, so that tests can pass an in-memory store.
 struct KvAccess
 {
+    /// A waiting read ends at most this long after its wait, with a failure if the store said nothing.
+    static constexpr std::chrono::milliseconds answerSlack{300};
+
     std::function<void(const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done)> range;
     std::function<void(const KvTxn &txn, std::function<void(const KvTxnResult &)> done)> txn;
     std::function<void(std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done)> grantLease;
@@ -38,7 +41,7 @@
         const std::string &prefix, const std::string &afterKey, std::function<void(const KvPage &)> done)>
         page;
     /// Waits up to @p wait for changes after @p revision to keys that begin with @p prefix; an empty list means none.
-    /// The result ends the wait. Unset where the store streams its changes.
+    /// The result of the call ends the wait. Unset where the store streams its changes.
     std::function<std::function<void()>(const std::string &prefix,
                                         std::int64_t revision,
                                         std::chrono::milliseconds wait,
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -54,6 +54,10 @@
 /// after it announced its leave.
 constexpr std::chrono::milliseconds upstreamChangePause{400};
 
+/// How long a read of the system's own records waits. Less than the store keeps its history, so that the next one goes
+/// on from there.
+constexpr std::chrono::milliseconds ownWait{14000};
+
 /// All VMs register when the system starts. Peers are heard of without their records; the record of the duties' holder
 /// lapses seconds after the holder's end.
 constexpr std::chrono::milliseconds ownChangePause{500};
@@ -69,6 +73,17 @@
     return settings;
 }
 
+/// How long a read may wait for news that are in use by @p bound after the store took them, if its answer is lost and
+/// another read has to bring them.
+std::chrono::milliseconds longestWait(std::chrono::milliseconds bound, std::chrono::milliseconds changePause)
+{
+    // Until the next read has begun and a slow store has answered it on a new connection, and the last request that was
+    // routed before that has reached its upstream.
+    constexpr std::chrono::milliseconds freshReadTime{700};
+    constexpr std::chrono::milliseconds least{300};
+    return std::max(least, bound - changePause - KvAccess::answerSlack - freshReadTime);
+}
+
 StoreFollowerSettings
 followerSettings(const std::string &prefix, std::chrono::milliseconds wait, std::chrono::milliseconds changePause)
 {
@@ -130,14 +145,18 @@
           }}
     , configStore(loop,
                   kv,
-                  followerSettings(this->settings.configKey, this->settings.storeWait, std::chrono::milliseconds(0)),
+                  followerSettings(this->settings.configKey,
+                                   longestWait(this->settings.configNewsBound, std::chrono::milliseconds(0)),
+                                   std::chrono::milliseconds(0)),
                   this->followerHooks([this](const std::map<std::string, std::string> &values) {
                       for (const auto &[key, value] : values)
                           this->entrySeen(key, value);
                   }))
     , upstreamStore(loop,
                     kv,
-                    followerSettings(this->settings.upstreamPrefix, this->settings.storeWait, upstreamChangePause),
+                    followerSettings(this->settings.upstreamPrefix,
+                                     longestWait(this->settings.upstreamNewsBound, upstreamChangePause),
+                                     upstreamChangePause),
                     [this] {
                         StoreFollowerHooks hooks =
                             this->followerHooks([this](const std::map<std::string, std::string> &values) {
@@ -150,10 +169,14 @@
                     }())
     , ownStore(loop,
                kv,
-               followerSettings(std::string(ownPrefix), this->settings.storeWait, ownChangePause),
+               followerSettings(std::string(ownPrefix), ownWait, ownChangePause),
                this->followerHooks(
                    [this](const std::map<std::string, std::string> &values) { this->ownKeysLoaded(values); }))
-    , storeProbe(loop, kv, [this](const std::string &error) { this->storeSilent(error); })
+    , storeProbe(
+          loop,
+          kv,
+          [this](const std::string &error) { this->storeSilent(error); },
+          [this] { this->storeAnswersAgain(); })
     , callers(loop,
               serverSettings(this->settings.callers),
               [this](HttpRequest request, const HttpResponderPtr &responder) {
@@ -278,6 +301,13 @@
     this->ownStore.interrupt(error);
 }
 
+void RelayProcess::storeAnswersAgain()
+{
+    this->configStore.renew();
+    this->upstreamStore.renew();
+    this->ownStore.renew();
+}
+
 void RelayProcess::storeReachabilityChanged(bool reachable, const std::string &error)
 {
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -38,9 +38,10 @@
     std::chrono::milliseconds usageWindow{5000};
     std::chrono::milliseconds drainTime{8000}; ///< Between SIGTERM and the end.
     std::chrono::milliseconds dutyLease{3000};
-    /// How long a read of the store waits for changes. Less than the store keeps its history, so that the next one goes
-    /// on from there.
-    std::chrono::milliseconds storeWait{14000};
+    /// Time after an upstream announced its leave by which no request is sent to it any more.
+    std::chrono::milliseconds upstreamNewsBound{2000};
+    /// Time after which a new configuration is in force.
+    std::chrono::milliseconds configNewsBound{2000};
     QuotaSettings quota;
     RetryBudgetSettings retries; ///< Of one entry VM but for the number of kept retries.
     double keptRetries = 30.0; ///< Of all entry VMs together.
@@ -73,6 +74,7 @@
     ListFreshness upstreamsFreshness() const;
     StoreFollowerHooks followerHooks(std::function<void(const std::map<std::string, std::string> &)> loaded);
     void storeSilent(const std::string &error);
+    void storeAnswersAgain();
     void storeReachabilityChanged(bool reachable, const std::string &error);
     void upstreamsLoaded(const std::map<std::string, std::string> &values);
     void ownKeysLoaded(const std::map<std::string, std::string> &values);
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -82,6 +82,14 @@
         this->changesRead(failure);
     }
 
+    void renew()
+    {
+        if (!this->isFollowing)
+            return;
+        this->stop();
+        this->follow();
+    }
+
     void changesRead(const KvChanges &changes)
     {
         this->isFollowing = false;
@@ -110,6 +118,13 @@
 
     void retry(const std::string &error, std::function<void(Private &)> action)
     {
+        logEvent(LogLevel::Info,
+                 "store-read-failed",
+                 {{"prefix", this->settings.prefix},
+                  {"error", error},
+                  {"askedMsAgo",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - this->asked)
+                       .count()}});
         this->setReachable(false, error);
         this->after(this->pause, std::move(action));
         this->pause = std::min(this->pause * 2, this->settings.longestPause);
@@ -194,6 +209,11 @@
     this->d->interrupt(error);
 }
 
+void StoreFollower::renew()
+{
+    this->d->renew();
+}
+
 std::int64_t StoreFollower::revision() const
 {
     return this->d->revision;
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -18,7 +18,7 @@
 struct StoreFollowerSettings
 {
     std::string prefix;
-    /// A waiting read that hangs without a word is given up after this time and some slack, unless it is interrupted.
+    /// A waiting read that hangs without a word is given up after this time and KvAccess::answerSlack.
     std::chrono::milliseconds wait{1000};
     /// After changes, so that those that come in quick succession are read by one call.
     std::chrono::milliseconds changePause{0};
@@ -59,6 +59,10 @@
     /// The store does not answer other calls: a waiting read would wait in vain and is begun anew.
     void interrupt(const std::string &error);
 
+    /// The store answers other calls again: a waiting read that was begun meanwhile may never be answered and is begun
+    /// anew.
+    void renew();
+
     std::int64_t revision() const;
 
     const StoreReadTimes &lastRead() const;
--- a/src/libhemlock/relay/storeprobe.h
+++ b/src/libhemlock/relay/storeprobe.h
@@ -16,15 +16,16 @@
     std::chrono::milliseconds interval{800}; ///< Between an answer and the next question.
 };
 
-/// Asks the store something cheap all the time, so that waiting reads may wait long and a silent store is noticed all
-/// the same.
+/// Asks the store something cheap all the time, so that a silent store and its return are noticed early.
 class StoreProbe
 {
 public:
-    /// @p failed is called for every question that the store did not answer.
+    /// @p failed is called for every question that the store did not answer, @p returned for the first answer after
+    /// one.
     StoreProbe(asio::io_context &loop,
                KvAccess kv,
                std::function<void(const std::string &error)> failed,
+               std::function<void()> returned,
                StoreProbeSettings settings = {});
 
     void start();
@@ -34,6 +35,8 @@
 
     KvAccess kv;
     std::function<void(const std::string &error)> failed;
+    std::function<void()> returned;
+    bool hasFailed = false;
     StoreProbeSettings settings;
     asio::steady_timer timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -85,6 +85,8 @@
         settings.peers = addresses[3];
         settings.configKey = "config";
         settings.upstreamPrefix = "servers/";
+        settings.upstreamNewsBound = this->newsBound;
+        settings.configNewsBound = this->newsBound;
         this->settings = settings;
         this->process = std::make_unique<RelayProcess>(this->loop, settings, this->http, this->kv, this->transport);
         this->process->start();
@@ -138,6 +140,7 @@
     std::unique_ptr<RelayProcess> process;
     std::function<void(const KvChanges &)> changesDone;
     std::map<std::string, std::chrono::milliseconds> waits; ///< Of the latest waiting reads, by prefix.
+    std::chrono::milliseconds newsBound{2000};
     std::string configVersion = "5";
     std::int64_t revision = 10;
     bool storeIsOut = false;
@@ -218,3 +221,14 @@
     CHECK(this->waits.at("servers/") <= std::chrono::milliseconds(1000));
     CHECK(this->waits.at("config") <= std::chrono::milliseconds(1000));
 }
+
+TEST_CASE_METHOD(RelayProcessFixture, "RelayProcess: news are due later: reads wait longer, for a lower price")
+{
+    this->newsBound = std::chrono::milliseconds(3000);
+    this->start();
+    this->runUntil([this] { return this->waits.size() == 3; });
+    CHECK(this->waits.at("servers/") > std::chrono::milliseconds(1000));
+    CHECK(this->waits.at("servers/") + KvAccess::answerSlack < this->newsBound);
+    CHECK(this->waits.at("config") > std::chrono::milliseconds(1000));
+    CHECK(this->waits.at("config") + KvAccess::answerSlack < this->newsBound);
+}
--- a/tests/unit/storefollowertest.cpp
+++ b/tests/unit/storefollowertest.cpp
@@ -164,6 +164,21 @@
     CHECK(this->followed == std::vector<std::int64_t>{10, 10});
 }
 
+// Guards against news that are missed by a read that was begun while the store was silent.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "StoreFollower: store answers again: the waiting read of the silence is begun anew at once")
+{
+    this->follower->start();
+    this->pageDone(page(10, {"a"}));
+    this->follower->interrupt("no answer");
+    this->runTimers();
+    this->follower->renew();
+    CHECK(this->stopped == 2);
+    CHECK(this->followed == std::vector<std::int64_t>{10, 10, 10});
+    this->changesDone(changes(12, 1));
+    CHECK(this->events == 1);
+}
+
 TEST_CASE_METHOD(StoreFollowerFixture, "StoreFollower: store falls silent during a pause: nothing is begun twice")
 {
     this->follower->start();
--- a/tests/unit/storeprobetest.cpp
+++ b/tests/unit/storeprobetest.cpp
@@ -22,13 +22,18 @@
         StoreProbeSettings settings;
         settings.interval = std::chrono::milliseconds(1);
         this->probe = std::make_unique<StoreProbe>(
-            this->loop, kv, [this](const std::string &error) { this->errors.push_back(error); }, settings);
+            this->loop,
+            kv,
+            [this](const std::string &error) { this->errors.push_back(error); },
+            [this] { ++this->returns; },
+            settings);
         this->probe->start();
     }
 
     asio::io_context loop;
     KvStatus status = KvStatus::Ok;
     int asked = 0;
+    int returns = 0;
     std::vector<std::string> errors;
     std::unique_ptr<StoreProbe> probe;
 };
@@ -50,3 +55,14 @@
     this->loop.run_one();
     CHECK(this->errors == std::vector<std::string>{"silent", "silent"});
 }
+
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: store answers again: its return is reported once")
+{
+    this->status = KvStatus::Unknown;
+    this->loop.run_one();
+    CHECK(this->returns == 0);
+    this->status = KvStatus::Ok;
+    this->loop.run_one();
+    this->loop.run_one();
+    CHECK(this->returns == 1);
+}
