Take the store for lost after two failed reads, not one

After a return of the store, upstreams whose entries lapsed are used for 2.2 s more. Cause: one waiting read that was cut or refused counted as an outage, so that an upstream which left without announcing it was used past the bound although the store had never been away. An outage in which entries lapse lasts longer than the pause between two reads. Change: the first failure is logged as store-read-failed and read again from the same revision; the second one in a row is the loss.

--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -97,9 +97,8 @@
             return this->load();
         if (changes.status != KvStatus::Ok) {
             // Keys may lapse unseen while the store is away, so that a full read follows.
-            const bool wasReachable = this->isReachable;
-            return this->retry(changes.error, [wasReachable](Private &self) {
-                if (wasReachable)
+            return this->retry(changes.error, [](Private &self) {
+                if (self.isReachable)
                     self.follow();
                 else
                     self.load();
@@ -125,7 +124,8 @@
                   {"askedMsAgo",
                    std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - this->asked)
                        .count()}});
-        this->setReachable(false, error);
+        if (std::exchange(this->hasFailed, true))
+            this->setReachable(false, error);
         this->after(this->pause, std::move(action));
         this->pause = std::min(this->pause * 2, this->settings.longestPause);
     }
@@ -161,8 +161,10 @@
 
     void setReachable(bool reachable, const std::string &error)
     {
-        if (reachable)
+        if (reachable) {
             this->pause = this->settings.retryPause;
+            this->hasFailed = false;
+        }
         if (this->isReachable == reachable)
             return;
         this->isReachable = reachable;
@@ -182,6 +184,7 @@
     std::chrono::steady_clock::time_point asked; ///< Begin of the read in progress.
     StoreReadTimes lastRead;
     bool isReachable = false;
+    bool hasFailed = false; ///< The latest read.
     bool isFollowing = false; ///< A waiting read is on its way.
 };
 
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -31,7 +31,8 @@
     /// All keys, after a full read.
     std::function<void(const std::map<std::string, std::string> &values)> loaded;
     std::function<void(const std::vector<KvEvent> &events)> changed;
-    /// The store answers again, before the first answer is passed on, or does not.
+    /// The store answers again, before the first answer is passed on, or did not answer two reads in a row. A single
+    /// one may have been cut, which says nothing about the store.
     std::function<void(bool reachable, const std::string &error)> reachabilityChanged;
 };
 
