Limit what is collected of an answer

Cause: the body of a call that is no stream, and the unfinished event of a stream, were collected until the time limit; with each read the whole unfinished event was searched for its end, so that 40 MB of it took over a minute of processor time. Change: HttpCall::maxBodyBytes (16 MiB, 4 MiB for relayed answers), 512 KiB for an unfinished event, 4 MiB for an answer that is dropped; beyond them the connection is closed, the attempt is broken, and the caller gets 502 or the end of its stream, or the next attempt where the call may be repeated. EventSplitter searches new bytes only. Remains: the reader of etcd watches in KvClient, which the relay does not use, has no limit of its own.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -23,6 +23,7 @@
     curl_socket_t socket = CURL_SOCKET_BAD;
     bool headReported = false;
     bool cancelled = false;
+    bool isTooLong = false;
 
     ~Transfer()
     {
@@ -92,10 +93,14 @@
     if (transfer->cancelled)
         return 0;
     transfer->reportHead();
-    if (transfer->hooks.data)
+    if (transfer->hooks.data) {
         transfer->hooks.data(std::string_view(bytes, length));
-    else
+    } else if (transfer->outcome.body.size() + length > transfer->call.maxBodyBytes) {
+        transfer->isTooLong = true;
+        return 0;
+    } else {
         transfer->outcome.body.append(bytes, length);
+    }
     return transfer->cancelled ? 0 : length;
 }
 
@@ -315,6 +320,8 @@
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error = curl_easy_strerror(code);
+        if (transfer.isTooLong)
+            transfer.outcome.error = "the body is longer than " + std::to_string(transfer.call.maxBodyBytes) + " bytes";
         if (transfer.sendAttempts == 0)
             transfer.outcome.failure = HttpFailure::Connect;
         else if (code == CURLE_OPERATION_TIMEDOUT)
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -33,6 +33,7 @@
     bool opensConnection = false; ///< No idle connection is used.
     bool closesConnection = false; ///< The connection is not kept for later calls.
     bool onlyOwnHeaders = false; ///< Without the fields that libcurl adds by itself.
+    std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024; ///< A longer body that is collected is broken off.
     std::chrono::seconds maxIdle{0}; ///< An older idle connection is not used; 0 leaves it to libcurl.
 };
 
@@ -41,7 +42,7 @@
     None,
     Connect, ///< No connection could be made.
     Timeout,
-    Broken, ///< The connection ended or carried something else than a response.
+    Broken, ///< The connection ended, or carried something else than a response or more than is collected.
 };
 
 /// How an exchange ended.
--- a/src/libhemlock/relay/eventsplitter.cpp
+++ b/src/libhemlock/relay/eventsplitter.cpp
@@ -6,14 +6,19 @@
 
 namespace {
 
-/// Position after the last empty line, which ends an event; 0 when there is none.
-std::size_t endOfLastEvent(std::string_view bytes)
+/// Far above an event of a few tokens, and little beside the memory of a small VM with a hundred streams.
+constexpr std::size_t maxEventBytes = std::size_t{512} * 1024;
+
+constexpr std::size_t longestSeparator = 3;
+
+/// Position after the last empty line, which ends an event; 0 when there is none after @p begin.
+std::size_t endOfLastEvent(std::string_view bytes, std::size_t begin)
 {
     std::size_t end = 0;
     for (const std::string_view separator : {"\n\n", "\n\r\n"}) {
-        const std::size_t found = bytes.rfind(separator);
+        const std::size_t found = bytes.substr(begin).rfind(separator);
         if (found != std::string_view::npos)
-            end = std::max(end, found + separator.size());
+            end = std::max(end, begin + found + separator.size());
     }
     return end;
 }
@@ -22,8 +27,10 @@
 
 std::string EventSplitter::append(std::string_view bytes)
 {
+    // A separator may have begun in the bytes before.
+    const std::size_t begin = this->rest.size() - std::min(this->rest.size(), longestSeparator - 1);
     this->rest.append(bytes);
-    const std::size_t end = endOfLastEvent(this->rest);
+    const std::size_t end = endOfLastEvent(this->rest, begin);
     std::string whole = this->rest.substr(0, end);
     this->rest.erase(0, end);
     this->readIds(whole);
@@ -40,6 +47,11 @@
     return !this->rest.empty();
 }
 
+bool EventSplitter::isTooLong() const
+{
+    return this->rest.size() > maxEventBytes;
+}
+
 void EventSplitter::dropRest()
 {
     this->rest.clear();
--- a/src/libhemlock/relay/eventsplitter.h
+++ b/src/libhemlock/relay/eventsplitter.h
@@ -18,6 +18,9 @@
     /// Whether bytes of an unfinished event are left.
     bool hasRest() const;
 
+    /// Whether the unfinished event is longer than any that is passed on.
+    bool isTooLong() const;
+
     /// Forgets an unfinished event, when the stream goes on from another source.
     void dropRest();
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -17,6 +17,9 @@
 /// A caller that does not read is cut off beyond this many unsent bytes.
 constexpr std::size_t maxPendingBytes = std::size_t{256} * 1024;
 
+/// An answer that is not a stream, or one that is not passed on, is broken off beyond this many bytes.
+constexpr std::size_t maxAnswerBytes = std::size_t{4} * 1024 * 1024;
+
 /// Connections within a region take a few milliseconds; a lost opening packet is sent again after a second.
 constexpr std::chrono::milliseconds connectTimeout{700};
 
@@ -193,6 +196,7 @@
     this->answer = {};
     this->isForeign = false;
     this->isStreaming = false;
+    this->droppedBytes = 0;
     this->context.quarantine.attemptStarted(this->fingerprint, chosen.id);
     if (this->attempts == 1)
         this->context.retries.noteRequest({}, this->service, this->context.now());
@@ -209,6 +213,7 @@
         attempt.priority = std::min(this->route->priority, lowestPriorityOfUpstreams);
     HttpCall call = this->context.transport.encodeAttempt(this->request, attempt);
     call.connectTimeout = std::min(connectTimeout, attempt.timeLeft);
+    call.maxBodyBytes = maxAnswerBytes;
     const bool mayRepeat = this->route->kind == CallKind::Idempotent
         || (this->route->kind == CallKind::Stream && this->route->isResumable);
     call.maxIdle = mayRepeat ? this->context.idleLimit : idleLimitOfCallsThatRunOnce;
@@ -269,31 +274,36 @@
         this->context.idleLimit = std::min(this->context.idleLimit, *this->answer.keepAlive - std::chrono::seconds(1));
     const bool isNamed = !this->answer.attemptId.empty();
     this->isForeign = isNamed ? this->answer.attemptId != this->request.attemptId : headStatus < 300;
-    if (this->isForeign) {
-        // Closing the connection keeps whatever follows on it from the next request.
-        this->context.http.cancel(this->call);
-        HttpOutcome outcome;
-        outcome.verdict = Verdict::MayHaveRun;
-        outcome.failure = HttpFailure::Broken;
-        outcome.error = "the answer belongs to another request";
-        asio::post(this->context.loop, [weak = this->weak_from_this(), outcome] {
-            if (const auto self = weak.lock())
-                self->attemptDone(outcome);
-        });
-        return;
-    }
+    if (this->isForeign)
+        return this->breakOff("the answer belongs to another request");
     this->isStreaming =
         this->route->kind == CallKind::Stream && headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
     if (this->route->kind != CallKind::Stream)
         this->context.scheduler.answerBegan(this->id, this->context.now());
 }
 
+void RelayCall::breakOff(const std::string &error)
+{
+    // Closing the connection keeps whatever follows on it from the next request.
+    this->context.http.cancel(this->call);
+    HttpOutcome outcome;
+    outcome.verdict = Verdict::MayHaveRun;
+    outcome.failure = HttpFailure::Broken;
+    outcome.error = error;
+    asio::post(this->context.loop, [weak = this->weak_from_this(), outcome] {
+        if (const auto self = weak.lock())
+            self->attemptDone(outcome);
+    });
+}
+
 void RelayCall::bytesArrived(std::string_view bytes)
 {
     if (this->isForeign || this->isFinished)
         return;
     if (!this->isStreaming) {
-        this->events.append(bytes);
+        this->droppedBytes += bytes.size();
+        if (this->droppedBytes > maxAnswerBytes)
+            this->breakOff("the answer is too long");
         return;
     }
     this->context.scheduler.answerBegan(this->id, this->context.now());
@@ -302,6 +312,8 @@
         this->context.usage.count(this->account->name, this->context.wallTime());
     }
     std::string whole = this->events.append(bytes);
+    if (this->events.isTooLong())
+        return this->breakOff("an event of the stream is too long");
     if (whole.empty())
         return;
     const TimePoint now = this->context.now();
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -39,6 +39,7 @@
     void send(const Upstream &upstream, const RouteDecision &decision);
     void headArrived(int status, const HttpHeaders &headers);
     void bytesArrived(std::string_view bytes);
+    void breakOff(const std::string &error);
     void attemptDone(const HttpOutcome &outcome);
     void streamDone(const HttpOutcome &outcome);
     void endAttempt(bool failed);
@@ -85,6 +86,7 @@
     RelayAnswer answer;
     bool isForeign = false; ///< The answer belongs to another request.
     bool isStreaming = false; ///< The attempt's answer is a stream to pass on.
+    std::size_t droppedBytes = 0; ///< Of an answer to a stream's request that is no stream.
     bool hasBegun = false; ///< The caller got the head of a stream.
     EventSplitter events;
     TimePoint lastEvent;
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -121,6 +121,14 @@
         return call;
     }
 
+    HttpCall patientRequest() const
+    {
+        HttpCall call = this->request();
+        call.headers.remove("X-Hemlockflow-Deadline-Ms");
+        call.headers.add("X-Hemlockflow-Deadline-Ms", "60000");
+        return call;
+    }
+
     CallerOutcome call(const HttpCall &request)
     {
         CallerOutcome result;
@@ -439,9 +447,31 @@
         responder->write("id: 1\ndata: ");
         this->writeWithoutEnd(responder);
     });
-    HttpCall request = this->request();
-    request.headers.remove("X-Hemlockflow-Deadline-Ms");
-    request.headers.add("X-Hemlockflow-Deadline-Ms", "60000");
-    CHECK(this->call(request).outcome.status == 502);
+    CHECK(this->call(this->patientRequest()).outcome.status == 502);
+    CHECK(this->written < largestAnswer);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: refusal of a stream has no end: the upstream is closed, and the caller gets 502")
+{
+    this->routeTimeout = std::chrono::seconds(60);
+    this->configure(CallKind::Stream, 1);
+    this->bothAnswer([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(500, answerHeaders(request));
+        this->writeWithoutEnd(responder);
+    });
+    CHECK(this->call(this->patientRequest()).outcome.status == 502);
+    CHECK(this->written < largestAnswer);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: answer has no end: the upstream is closed, and the caller gets 502")
+{
+    this->routeTimeout = std::chrono::seconds(60);
+    this->configure(CallKind::NonIdempotent, 1);
+    this->bothAnswer([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        this->writeWithoutEnd(responder);
+    });
+    CHECK(this->call(this->patientRequest()).outcome.status == 502);
     CHECK(this->written < largestAnswer);
 }
