--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -92,7 +92,7 @@
         if (behaviour == Behaviour::HeadWithoutEnd)
             return this->writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
         if (behaviour == Behaviour::BodyWithoutEnd)
-            return this->writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'x'));
+            return this->writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\n\r\n", std::string(std::size_t{64} * 1024, 'x'));
         this->answer(socket, behaviour == Behaviour::Answer);
     }
 
