--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -311,9 +311,13 @@
         this->isCounted = true;
         this->context.usage.count(this->account->name, this->context.wallTime());
     }
-    std::string whole = this->events.append(bytes);
-    if (this->events.isTooLong())
-        return this->breakOff("an event of the stream is too long");
+    this->passOn(this->events.append(bytes));
+    if (this->events.isTooLong() && !this->isFinished)
+        this->breakOff("an event of the stream is too long");
+}
+
+void RelayCall::passOn(std::string whole)
+{
     if (whole.empty())
         return;
     const TimePoint now = this->context.now();
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -43,6 +43,7 @@
     void attemptDone(const HttpOutcome &outcome);
     void streamDone(const HttpOutcome &outcome);
     void endAttempt(bool failed);
+    void passOn(std::string whole);
     void beginStream();
 
     bool isSuccess(const HttpOutcome &outcome) const;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -73,17 +73,6 @@
     return settings;
 }
 
-/// How long a read may wait for news that are in use by @p bound after the store took them, if its answer is lost and
-/// another read has to bring them.
-std::chrono::milliseconds longestWait(std::chrono::milliseconds bound, std::chrono::milliseconds changePause)
-{
-    // Until the next read has begun and a slow store has answered it on a new connection, and the last request that was
-    // routed before that has reached its upstream.
-    constexpr std::chrono::milliseconds freshReadTime{700};
-    constexpr std::chrono::milliseconds least{300};
-    return std::max(least, bound - changePause - KvAccess::answerSlack - freshReadTime);
-}
-
 StoreFollowerSettings
 followerSettings(const std::string &prefix, std::chrono::milliseconds wait, std::chrono::milliseconds changePause)
 {
--- a/src/libhemlock/relay/storefollower.cpp
+++ b/src/libhemlock/relay/storefollower.cpp
@@ -11,6 +11,21 @@
 
 namespace hemlock {
 
+namespace {
+
+/// Until the next read has begun and a slow store has answered it on a new connection, and the last request that was
+/// decided by older news has reached its upstream.
+constexpr std::chrono::milliseconds freshReadTime{700};
+
+constexpr std::chrono::milliseconds leastWait{300};
+
+} // namespace
+
+std::chrono::milliseconds longestWait(std::chrono::milliseconds bound, std::chrono::milliseconds changePause)
+{
+    return std::max(leastWait, bound - changePause - KvAccess::answerSlack - freshReadTime);
+}
+
 class StoreFollower::Private : public std::enable_shared_from_this<StoreFollower::Private>
 {
 public:
--- a/src/libhemlock/relay/storefollower.h
+++ b/src/libhemlock/relay/storefollower.h
@@ -26,6 +26,10 @@
     std::chrono::milliseconds longestPause{1000};
 };
 
+/// How long a read may wait for news that are to be in use by @p bound after the store took them, even if its answer is
+/// lost and the next read has to bring them.
+std::chrono::milliseconds longestWait(std::chrono::milliseconds bound, std::chrono::milliseconds changePause);
+
 struct StoreFollowerHooks
 {
     /// All keys, after a full read.
--- a/tests/unit/eventsplittertest.cpp
+++ b/tests/unit/eventsplittertest.cpp
@@ -39,3 +39,14 @@
     this->splitter.dropRest();
     CHECK(this->splitter.append("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
+
+TEST_CASE_METHOD(EventSplitterFixture, "EventSplitter: event grows beyond the limit: is reported as too long")
+{
+    this->splitter.append("id: 1\ndata: ");
+    CHECK_FALSE(this->splitter.isTooLong());
+    const std::string bytes(std::size_t{300} * 1024, 'x');
+    this->splitter.append(bytes);
+    CHECK_FALSE(this->splitter.isTooLong());
+    this->splitter.append(bytes);
+    CHECK(this->splitter.isTooLong());
+}
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -475,3 +475,22 @@
     CHECK(this->call(this->patientRequest()).outcome.status == 502);
     CHECK(this->written < largestAnswer);
 }
+
+// Guards against a resumed stream that lacks the events which came in the same bytes as the one without end.
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: whole event comes with one that is too long: is passed on, the stream goes on after it")
+{
+    this->configure(CallKind::Stream, 2, true);
+    this->bothAnswer([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        if (request.headers.has("Last-Event-Id")) {
+            responder->write("id: 2\ndata: b\n\n");
+            return responder->endStream();
+        }
+        responder->write("id: 1\ndata: a\n\nid: 2\ndata: ");
+        this->writeWithoutEnd(responder);
+    });
+    const auto result = this->call(this->patientRequest());
+    CHECK(result.outcome.isComplete());
+    CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
