Let one VM of each availability zone poll the store for its neighbours

Change: StorePollRouter sends the long polls of a VM to the strongest, longest-running VM of its zone, which answers them from its own polls (StorePollServer, ChangeLog). A poll that the reader does not answer goes to the store at once and without a wait; a reader that was paused or whose reads fail does not answer for the store. Fleets of up to nine VMs poll as before. The duties are claimed by readers only, after a random delay at the start. Considered and dropped: pushing changes by datagram (needs repair and ages of its own), a chain of readers (ages add up).

--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -57,6 +57,11 @@
     this->ordersUpstreams = upstreamOrders;
 }
 
+void DutyRunner::setClaimsRole(bool claims)
+{
+    this->claimsRole = claims;
+}
+
 void DutyRunner::updateHolder(const std::string &record)
 {
     this->hasHolder = !record.empty();
@@ -91,7 +96,7 @@
         return;
     // Claims of other nodes arrive as store changes, so only the holder, or any node while there is none, calls the
     // store.
-    if (this->role.isHeld() || !this->hasHolder)
+    if (this->role.isHeld() || (this->claimsRole && !this->hasHolder))
         this->role.tick(time, random);
     if (!this->role.isHeld()) {
         if (this->roleHeldSince)
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -53,6 +53,9 @@
     /// Sets which duties this node performs while it holds the role.
     void setEnabledDuties(bool reportsUsage, bool ordersUpstreams);
 
+    /// Sets whether this node claims the role while there is no holder. Initially it does.
+    void setClaimsRole(bool claims);
+
     /// Called when the holder's record in the store changed; @p record is empty when there is no holder.
     void updateHolder(const std::string &record);
 
@@ -91,6 +94,7 @@
     LeaderRole role;
     bool reportsUsage = false;
     bool ordersUpstreams = false;
+    bool claimsRole = true;
     bool hasHolder = false;
     std::string currentHolder;
     std::optional<TimePoint> roleHeldSince;
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -22,9 +22,6 @@
 /// queue short ones behind them.
 constexpr std::chrono::milliseconds minUpdateInterval{20};
 
-/// With more peers than this, a VM sends its updates only to the peers of its availability zone.
-constexpr std::size_t maxSmallFleetPeers = 8;
-
 /// VMs of an availability zone that send its sums to the other zones; the second covers the loss of the first.
 constexpr std::size_t reportersPerZone = 2;
 
@@ -119,7 +116,7 @@
 
 bool PeerExchange::isLargeFleet(TimePoint time) const
 {
-    return this->shared.registry.count(time) > maxSmallFleetPeers;
+    return this->shared.registry.isLargeFleet(time);
 }
 
 bool PeerExchange::isZoneReporter(TimePoint time) const
@@ -159,6 +156,7 @@
     update.runId = this->settings.runId;
     update.zone = this->settings.zone;
     update.sequence = ++this->sequence;
+    update.rank = this->shared.registry.rank();
     update.timeOfDay = std::chrono::system_clock::now();
     update.quotaTotals = this->shared.quota.totals();
     update.loads = this->ownLoads();
@@ -284,7 +282,7 @@
     if (!runId.empty() && runId != update.runId)
         this->endedRuns.insert(runId);
     runId = update.runId;
-    this->shared.registry.datagramReceived(update.node, time);
+    this->shared.registry.datagramReceived(update.node, update.rank, time);
     this->shared.clock.addPeerTime(update.node, update.timeOfDay, time);
     this->shared.quota.updatePeerTotals(update.node, update.runId, update.quotaTotals, 1, time);
     this->shared.usage.mergePeerCounts(update.runId, update.usage);
--- a/src/libhemlock/relay/peerregistry.cpp
+++ b/src/libhemlock/relay/peerregistry.cpp
@@ -18,14 +18,28 @@
 /// A peer without a record counts as alive for this long after its last datagram.
 constexpr std::chrono::seconds unregisteredTimeout{5};
 
+/// With more peers than this, updates are exchanged by availability zone.
+constexpr std::size_t maxSmallFleetPeers = 8;
+
+/// A peer without a datagram for this long takes over no work for its neighbours. Peers send five a second.
+constexpr std::chrono::milliseconds readerTimeout{700};
+
 } // namespace
 
-PeerRegistry::PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address, std::string zone)
+PeerRegistry::PeerRegistry(KvAccess kv,
+                           std::string prefix,
+                           std::string node,
+                           std::string address,
+                           std::string zone,
+                           std::string controlAddress,
+                           PeerRank rank)
     : kv(std::move(kv))
     , keyPrefix(std::move(prefix))
     , node(std::move(node))
     , address(std::move(address))
     , zone(std::move(zone))
+    , controlAddress(std::move(controlAddress))
+    , ownRank(rank)
 {
 }
 
@@ -51,6 +65,7 @@
             const auto record = nlohmann::json::parse(value);
             record.at("address").get_to(peer.address);
             record.at("zone").get_to(peer.zone);
+            peer.controlAddress = record.value("control", "");
             peer.isRegistered = true;
         } catch (const std::exception &error) {
             logEvent(LogLevel::Warning, "peer-record", {{"key", key}, {"error", error.what()}});
@@ -59,10 +74,42 @@
     std::erase_if(this->peers, [this, now](const auto &entry) { return !this->isAlive(entry.second, now); });
 }
 
-void PeerRegistry::datagramReceived(const std::string &peer, TimePoint now)
+void PeerRegistry::datagramReceived(const std::string &peer, const PeerRank &rank, TimePoint now)
+{
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end())
+        return;
+    found->second.rank = rank;
+    found->second.lastHeard = now;
+}
+
+bool PeerRegistry::isLargeFleet(TimePoint now) const
+{
+    return this->count(now) > maxSmallFleetPeers;
+}
+
+std::optional<StoreReader> PeerRegistry::storeReader(const std::set<std::string> &excluded, TimePoint now) const
+{
+    if (!this->isLargeFleet(now))
+        return std::nullopt;
+    std::optional<StoreReader> reader;
+    auto first = std::tuple(this->ownRank, this->node);
+    for (const auto &[name, peer] : this->peers) {
+        if (peer.zone != this->zone || peer.controlAddress.empty() || now - peer.lastHeard > readerTimeout
+            || excluded.contains(name))
+            continue;
+        const auto candidate = std::tuple(peer.rank, name);
+        if (!(candidate < first))
+            continue;
+        first = candidate;
+        reader = StoreReader{name, peer.controlAddress};
+    }
+    return reader;
+}
+
+const PeerRank &PeerRegistry::rank() const
 {
-    if (const auto found = this->peers.find(peer); found != this->peers.end())
-        found->second.lastHeard = now;
+    return this->ownRank;
 }
 
 bool PeerRegistry::isAlive(const Peer &peer, TimePoint now) const
@@ -147,7 +194,8 @@
         if (grant.status != KvStatus::Ok || grant.lease == 0)
             return this->task.expedite();
         KvTxn txn;
-        const nlohmann::json record = {{"address", this->address}, {"zone", this->zone}};
+        const nlohmann::json record = {
+            {"address", this->address}, {"zone", this->zone}, {"control", this->controlAddress}};
         txn.puts.push_back({this->keyPrefix + this->node, record.dump(), grant.lease});
         this->isCallPending = true;
         this->kv.txn(txn, [this, alive, lease = grant.lease](const KvTxnResult &result) {
--- a/src/libhemlock/relay/peerregistry.h
+++ b/src/libhemlock/relay/peerregistry.h
@@ -2,24 +2,47 @@
 
 #include "kvaccess.h"
 #include "periodictask.h"
+#include "relay/storepollrouter.h"
 
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hemlock {
 
+/// Order in which the entry VMs of an availability zone take over work for their neighbours: the strongest first, of
+/// equally strong ones the one that has run longest.
+struct PeerRank
+{
+    double cpuShare = 0.0; ///< Processor cores of the VM.
+    std::chrono::system_clock::time_point started; ///< Start of the process by its own clock.
+
+    bool operator<(const PeerRank &other) const
+    {
+        return std::tuple(-this->cpuShare, this->started) < std::tuple(-other.cpuShare, other.started);
+    }
+};
+
 /// Registers this entry VM in the key-value store under a lease and tracks the other entry VMs by their records.
 class PeerRegistry
 {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /// @p prefix of the record keys ends with a slash; @p address is the "IP:PORT" where this VM receives datagrams.
-    PeerRegistry(KvAccess kv, std::string prefix, std::string node, std::string address, std::string zone);
+    /// @p prefix of the record keys ends with a slash; @p address is the "IP:PORT" where this VM receives datagrams and
+    /// @p controlAddress the one of its HTTP server for peers.
+    PeerRegistry(KvAccess kv,
+                 std::string prefix,
+                 std::string node,
+                 std::string address,
+                 std::string zone,
+                 std::string controlAddress = {},
+                 PeerRank rank = {});
 
     /// Registers this VM or renews its lease when that is due. @p random is uniform in [0, 1) and jitters the interval.
     void tick(TimePoint now, double random);
@@ -28,7 +51,17 @@
     void recordChanged(const std::string &key, const std::string &value, TimePoint now);
 
     /// Notes a datagram of a known peer, which then counts as alive for a few seconds even without a record.
-    void datagramReceived(const std::string &peer, TimePoint now);
+    void datagramReceived(const std::string &peer, const PeerRank &rank, TimePoint now);
+
+    /// Whether there are so many other entry VMs that they exchange updates by availability zone.
+    bool isLargeFleet(TimePoint now) const;
+
+    /// Returns the peer of this VM's availability zone that takes over work for its neighbours: the first one by rank
+    /// that sent a datagram in the last moments and is not in @p excluded. Unset if this VM ranks before it, or in a
+    /// small fleet.
+    std::optional<StoreReader> storeReader(const std::set<std::string> &excluded, TimePoint now) const;
+
+    const PeerRank &rank() const;
 
     /// Addresses of the other entry VMs.
     std::set<std::string> addresses(TimePoint now) const;
@@ -61,6 +94,8 @@
     {
         std::string address;
         std::string zone;
+        std::string controlAddress;
+        PeerRank rank;
         bool isRegistered = false;
         TimePoint lastHeard;
     };
@@ -74,6 +109,8 @@
     std::string node;
     std::string address;
     std::string zone;
+    std::string controlAddress;
+    PeerRank ownRank;
     PeriodicTask task;
     std::map<std::string, Peer> peers;
     std::int64_t lease = 0;
--- a/src/libhemlock/relay/peerupdate.cpp
+++ b/src/libhemlock/relay/peerupdate.cpp
@@ -4,6 +4,16 @@
 
 namespace {
 
+std::int64_t millisecondsSinceEpoch(std::chrono::system_clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+std::chrono::system_clock::time_point timeSinceEpoch(const nlohmann::json &milliseconds)
+{
+    return std::chrono::system_clock::time_point(std::chrono::milliseconds(milliseconds.get<std::int64_t>()));
+}
+
 nlohmann::json encodeLoads(const PeerLoads &loads)
 {
     nlohmann::json json = nlohmann::json::object();
@@ -47,18 +57,19 @@
             parts.push_back({part.id, part.tokens});
         cached.push_back({entry.upstream, std::move(parts)});
     }
-    json = {
-        {"node", update.node},
-        {"run", update.runId},
-        {"zone", update.zone},
-        {"sequence", update.sequence},
-        {"timeMs", std::chrono::duration_cast<std::chrono::milliseconds>(update.timeOfDay.time_since_epoch()).count()},
-        {"quota", update.quotaTotals},
-        {"loads", encodeLoads(update.loads)},
-        {"demand", update.demand},
-        {"usage", encodeUsage(update.usage)},
-        {"cached", std::move(cached)},
-        {"quarantine", update.quarantine}};
+    json = {{"node", update.node},
+            {"run", update.runId},
+            {"zone", update.zone},
+            {"sequence", update.sequence},
+            {"cpu", update.rank.cpuShare},
+            {"startedMs", millisecondsSinceEpoch(update.rank.started)},
+            {"timeMs", millisecondsSinceEpoch(update.timeOfDay)},
+            {"quota", update.quotaTotals},
+            {"loads", encodeLoads(update.loads)},
+            {"demand", update.demand},
+            {"usage", encodeUsage(update.usage)},
+            {"cached", std::move(cached)},
+            {"quarantine", update.quarantine}};
 }
 
 void from_json(const nlohmann::json &json, PeerUpdate &update)
@@ -67,8 +78,9 @@
     json.at("run").get_to(update.runId);
     json.at("zone").get_to(update.zone);
     json.at("sequence").get_to(update.sequence);
-    update.timeOfDay =
-        std::chrono::system_clock::time_point(std::chrono::milliseconds(json.at("timeMs").get<std::int64_t>()));
+    json.at("cpu").get_to(update.rank.cpuShare);
+    update.rank.started = timeSinceEpoch(json.at("startedMs"));
+    update.timeOfDay = timeSinceEpoch(json.at("timeMs"));
     json.at("quota").get_to(update.quotaTotals);
     update.loads = decodeLoads(json.at("loads"));
     json.at("demand").get_to(update.demand);
--- a/src/libhemlock/relay/peerupdate.h
+++ b/src/libhemlock/relay/peerupdate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/peerregistry.h"
 #include "relay/relayscheduler.h"
 #include "relay/usageledger.h"
 
@@ -29,6 +30,7 @@
     std::string runId; ///< Differs between two starts of the node.
     std::string zone;
     std::int64_t sequence = 0; ///< Grows with each message of a run.
+    PeerRank rank;
     std::chrono::system_clock::time_point timeOfDay; ///< Sender's clock at the time of sending.
     std::map<std::string, double> quotaTotals; ///< Units admitted since the start, by client account.
     PeerLoads loads;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -1,12 +1,13 @@
 #include "relay/relayprocess.h"
 
+#include "bootclock.h"
 #include "encoding.h"
 #include "logger.h"
 
 #include <asio/post.hpp>
 
+#include <cmath>
 #include <csignal>
-#include <ctime>
 
 namespace hemlock {
 
@@ -44,6 +45,9 @@
 
 constexpr std::chrono::seconds healthInterval{2};
 
+/// VMs that start together claim the duties within this time, so that most of them find a holder and need no call.
+constexpr std::chrono::milliseconds maxClaimDelay{1000};
+
 constexpr std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
 
 constexpr std::string_view ownKeyPrefix = "hemlock/";
@@ -51,18 +55,6 @@
 /// Written several times a second, so it is outside of the prefixes that VMs watch.
 constexpr std::string_view countsKey = "hemlock-counts/usage";
 
-/// Many upstreams start or stop together, and each change notifies every VM. Short compared to the seconds for which an
-/// upstream keeps running after it announced its shutdown.
-constexpr std::chrono::milliseconds upstreamBatchDelay{400};
-
-/// Long-poll timeout for the system's own keys. Shorter than the store keeps its change history, so that the next poll
-/// can continue from the last revision.
-constexpr std::chrono::milliseconds ownKeysPollTimeout{14000};
-
-/// All VMs register at once when the system starts. The delay does no harm: peers are also known from their messages,
-/// and the record of the duties' holder expires only seconds after the holder stopped.
-constexpr std::chrono::milliseconds ownKeysBatchDelay{500};
-
 HttpServerSettings serverSettings(const std::string &address)
 {
     HttpServerSettings settings;
@@ -74,16 +66,6 @@
     return settings;
 }
 
-StoreWatcherSettings
-watcherSettings(const std::string &prefix, std::chrono::milliseconds pollTimeout, std::chrono::milliseconds batchDelay)
-{
-    StoreWatcherSettings settings;
-    settings.prefix = prefix;
-    settings.pollTimeout = pollTimeout;
-    settings.batchDelay = batchDelay;
-    return settings;
-}
-
 DutySettings dutySettings(const RelaySettings &settings, const std::string &runId)
 {
     DutySettings duties;
@@ -112,7 +94,9 @@
                std::string(ownKeyPrefix) + "nodes/",
                this->settings.node,
                this->settings.peerAddress,
-               this->settings.zone.name)
+               this->settings.zone.name,
+               this->settings.controlAddress,
+               {this->settings.cpuShare, std::chrono::system_clock::now()})
     , duties(kv, dutySettings(this->settings, this->runId), this->transport, this->usage)
     , context{loop,
               http,
@@ -137,40 +121,15 @@
                   if (tokens >= longPromptTokens)
                       this->peerExchange.expedite();
               }}
-    , configWatcher(loop,
-                    kv,
-                    watcherSettings(this->settings.configKey,
-                                    longPollTimeout(this->settings.configUpdateDeadline, std::chrono::milliseconds(0)),
-                                    std::chrono::milliseconds(0)),
-                    this->watcherHooks([this](const std::map<std::string, std::string> &values) {
-                        for (const auto &[key, value] : values)
-                            this->applyEntry(key, value);
-                    }))
-    , upstreamWatcher(loop,
-                      kv,
-                      watcherSettings(this->settings.upstreamPrefix,
-                                      longPollTimeout(this->settings.upstreamUpdateDeadline, upstreamBatchDelay),
-                                      upstreamBatchDelay),
-                      [this] {
-                          StoreWatcherHooks hooks =
-                              this->watcherHooks([this](const std::map<std::string, std::string> &values) {
-                                  this->loadUpstreams(values);
-                              });
-                          hooks.reachabilityChanged = [this](bool reachable, const std::string &error) {
-                              this->storeReachabilityChanged(reachable, error);
-                          };
-                          return hooks;
-                      }())
-    , ownKeysWatcher(
-          loop,
-          kv,
-          watcherSettings(std::string(ownKeyPrefix), ownKeysPollTimeout, ownKeysBatchDelay),
-          this->watcherHooks([this](const std::map<std::string, std::string> &values) { this->loadOwnKeys(values); }))
-    , storeProbe(
-          loop,
-          kv,
-          [this](const std::string &error) { this->handleStoreFailure(error); },
-          [this] { this->handleStoreRecovery(); })
+    , store(loop,
+            http,
+            kv,
+            {this->settings.configKey,
+             this->settings.upstreamPrefix,
+             std::string(ownKeyPrefix),
+             this->settings.upstreamUpdateDeadline,
+             this->settings.configUpdateDeadline},
+            this->storeHooks())
     , callerServer(loop,
                    serverSettings(this->settings.callerAddress),
                    [this](HttpRequest request, const HttpResponderPtr &responder) {
@@ -205,10 +164,9 @@
 void RelayProcess::start()
 {
     this->awaitSignal();
-    this->configWatcher.start();
-    this->upstreamWatcher.start();
-    this->ownKeysWatcher.start();
-    this->storeProbe.start();
+    this->firstClaimTime =
+        this->now() + std::chrono::milliseconds(std::llround(this->randomFraction() * maxClaimDelay.count()));
+    this->store.start();
     this->callerServer.start();
     this->readinessServer.start();
     this->controlServer.start();
@@ -237,11 +195,7 @@
 
 RelayProcess::TimePoint RelayProcess::now() const
 {
-    // Unlike the steady clock, CLOCK_BOOTTIME includes the time for which the VM was suspended.
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::duration_cast<TimePoint::duration>(std::chrono::seconds(time.tv_sec)
-                                                                     + std::chrono::nanoseconds(time.tv_nsec)));
+    return bootTimeNow();
 }
 
 double RelayProcess::randomFraction()
@@ -268,8 +222,10 @@
     responder->reply(isReady ? 200 : 503, {}, isReady ? "ready\n" : "not ready\n");
 }
 
-void RelayProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const
+void RelayProcess::handleControl(const HttpRequest &request, const HttpResponderPtr &responder)
 {
+    if (request.path == storePollPath)
+        return this->store.handlePoll(request, responder);
     if (request.path == "/metrics")
         return responder->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.prometheusText());
     responder->reply(404, {}, "unknown path\n");
@@ -277,38 +233,34 @@
 
 UpstreamListFreshness RelayProcess::upstreamListFreshness() const
 {
-    const auto age = std::chrono::steady_clock::now() - this->upstreamWatcher.lastRead().answered;
-    return {this->upstreamWatcher.revision(), std::chrono::duration_cast<std::chrono::milliseconds>(age)};
+    const auto age = this->now() - this->store.upstreams().lastRead().answered;
+    return {this->store.upstreams().revision(), std::chrono::duration_cast<std::chrono::milliseconds>(age)};
 }
 
-StoreWatcherHooks
-RelayProcess::watcherHooks(std::function<void(const std::map<std::string, std::string> &)> snapshotLoaded)
+StoreSubscriptionsHooks RelayProcess::storeHooks()
 {
-    StoreWatcherHooks hooks;
-    hooks.snapshotLoaded = std::move(snapshotLoaded);
+    StoreSubscriptionsHooks hooks;
+    hooks.configLoaded = [this](const StoreSubscriptionsHooks::Values &values) {
+        for (const auto &[key, value] : values)
+            this->applyEntry(key, value);
+    };
+    hooks.upstreamsLoaded = [this](const StoreSubscriptionsHooks::Values &values) { this->loadUpstreams(values); };
+    hooks.ownKeysLoaded = [this](const StoreSubscriptionsHooks::Values &values) { this->loadOwnKeys(values); };
     hooks.keysChanged = [this](const std::vector<KvEvent> &events) { this->applyChanges(events); };
+    hooks.reachabilityChanged = [this](bool reachable, const std::string &error) {
+        this->storeReachabilityChanged(reachable, error);
+    };
+    hooks.reader = [this](const std::set<std::string> &excluded) {
+        return this->registry.storeReader(excluded, this->now());
+    };
     return hooks;
 }
 
-void RelayProcess::handleStoreFailure(const std::string &error)
-{
-    this->configWatcher.failPoll(error);
-    this->upstreamWatcher.failPoll(error);
-    this->ownKeysWatcher.failPoll(error);
-}
-
-void RelayProcess::handleStoreRecovery()
-{
-    this->configWatcher.restartPoll();
-    this->upstreamWatcher.restartPoll();
-    this->ownKeysWatcher.restartPoll();
-}
-
 void RelayProcess::storeReachabilityChanged(bool reachable, const std::string &error)
 {
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
              reachable ? "store-regained" : "store-lost",
-             {{"error", error}, {"revision", this->upstreamWatcher.revision()}});
+             {{"error", error}, {"revision", this->store.upstreams().revision()}});
     if (reachable)
         this->directory.storeRecovered(this->now());
 }
@@ -429,13 +381,13 @@
                  {{"upstream", upstream.id},
                   {"service", upstream.service},
                   {"state", upstreamStateName(upstream.state)},
-                  {"revision", this->upstreamWatcher.revision()}});
+                  {"revision", this->store.upstreams().revision()}});
     }
     for (const auto &[id, state] : this->upstreamStates) {
         if (!states.contains(id))
             logEvent(LogLevel::Info,
                      "upstream",
-                     {{"upstream", id}, {"state", "gone"}, {"revision", this->upstreamWatcher.revision()}});
+                     {{"upstream", id}, {"state", "gone"}, {"revision", this->store.upstreams().revision()}});
     }
     this->upstreamStates = std::move(states);
     this->scheduler.applyUpstreams(upstreams, this->now());
@@ -456,6 +408,11 @@
     this->metrics.setTotal("hemlock_peer_unsent_datagrams_total",
                            "Messages to other entry VMs that the system did not take.",
                            traffic.unsentDatagrams);
+    this->metrics.setTotal(
+        "hemlock_store_polls_total", "Long polls sent to the store.", this->store.router().storePollCount());
+    this->metrics.setTotal("hemlock_store_reader_polls_total",
+                           "Long polls sent to the entry VM that reads the store for its neighbours.",
+                           this->store.router().peerPollCount());
     logEvent(LogLevel::Info,
              "health",
              {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLateness).count()},
@@ -478,13 +435,16 @@
         this->reportHealth(now, std::chrono::steady_clock::now() - this->tickTimer.expiry());
     if (this->directory.expire(now))
         this->applyUpstreams();
+    this->store.tick();
     this->scheduler.tick(now);
     this->retries.setMaxRetries(this->retryCapacityPerVm(now));
     if (!this->isDraining)
         this->registry.tick(now, this->randomFraction());
     this->planUpstreams();
-    if (!this->isDraining)
+    if (!this->isDraining) {
+        this->duties.setClaimsRole(this->claimsDuties(now));
         this->duties.tick(now, this->wallTime(), this->randomFraction());
+    }
     this->tickTimer.expires_after(tickInterval);
     this->tickTimer.async_wait([this](const asio::error_code &error) {
         if (!error)
@@ -492,6 +452,14 @@
     });
 }
 
+bool RelayProcess::claimsDuties(TimePoint now) const
+{
+    if (this->store.ownKeys().revision() == 0 || now < this->firstClaimTime)
+        return false;
+    // In a large fleet, each VM would call the store whenever the holder changes.
+    return !this->registry.isLargeFleet(now) || this->store.router().readsStore();
+}
+
 double RelayProcess::retryCapacityPerVm(TimePoint now) const
 {
     const std::size_t vms = std::max(this->settings.expectedVms, this->registry.count(now) + 1);
@@ -511,7 +479,7 @@
         const double otherTokens = others == this->peerExchange.demand().end() ? 0.0 : others->second;
         this->planner.recordDemand(service.name, ownTokens + otherTokens, now);
     }
-    if (!this->duties.isActing(now) || this->upstreamWatcher.revision() == 0)
+    if (!this->duties.isActing(now) || this->store.upstreams().revision() == 0)
         return;
     std::set<UpstreamOrder> orders;
     for (const RelayService &service : this->context.routes->config().services) {
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -9,8 +9,7 @@
 #include "relay/peerexchange.h"
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
-#include "relay/storeprobe.h"
-#include "relay/storewatcher.h"
+#include "relay/storesubscriptions.h"
 #include "relay/upstreamdirectory.h"
 
 #include <asio/io_context.hpp>
@@ -26,10 +25,11 @@
 struct RelaySettings
 {
     std::string node; ///< Name of this entry VM.
+    double cpuShare = 0.0; ///< Processor cores of this VM.
     AvailabilityZone zone;
     std::string callerAddress; ///< "IP:PORT" on which callers' requests arrive.
     std::string readinessAddress; ///< "IP:PORT" of the load balancer's readiness check; any path.
-    std::string controlAddress; ///< "IP:PORT" for metrics.
+    std::string controlAddress; ///< "IP:PORT" for metrics and for polls of other entry VMs.
     std::string peerAddress; ///< "IP:PORT" for datagrams of other entry VMs.
     std::string configKey; ///< Key of the operators' configuration in the store.
     std::string upstreamPrefix; ///< Prefix of the keys under which upstreams register.
@@ -70,12 +70,10 @@
     double randomFraction();
     void handleCallerRequest(HttpRequest request, const HttpResponderPtr &responder);
     void handleReadiness(const HttpResponderPtr &responder) const;
-    void handleControl(const HttpRequest &request, const HttpResponderPtr &responder) const;
+    void handleControl(const HttpRequest &request, const HttpResponderPtr &responder);
 
     UpstreamListFreshness upstreamListFreshness() const;
-    StoreWatcherHooks watcherHooks(std::function<void(const std::map<std::string, std::string> &)> snapshotLoaded);
-    void handleStoreFailure(const std::string &error);
-    void handleStoreRecovery();
+    StoreSubscriptionsHooks storeHooks();
     void storeReachabilityChanged(bool reachable, const std::string &error);
     void loadUpstreams(const std::map<std::string, std::string> &values);
     void loadOwnKeys(const std::map<std::string, std::string> &values);
@@ -90,6 +88,7 @@
     void tick();
     void reportHealth(TimePoint now, std::chrono::nanoseconds lateness);
     void recordConnectionFailure(const Upstream &upstream, const std::string &fingerprint);
+    bool claimsDuties(TimePoint now) const;
     double retryCapacityPerVm(TimePoint now) const;
     void planUpstreams();
     FleetPlanner::Supply upstreamSupply(const std::string &service);
@@ -116,10 +115,7 @@
     DutyRunner duties;
     FleetPlanner planner;
     RelayContext context;
-    StoreWatcher configWatcher;
-    StoreWatcher upstreamWatcher;
-    StoreWatcher ownKeysWatcher;
-    StoreProbe storeProbe;
+    StoreSubscriptions store;
     HttpServer callerServer;
     HttpServer readinessServer;
     HttpServer controlServer;
@@ -134,6 +130,7 @@
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> recentConnectionFailures;
     std::map<std::string, std::string> unreadableEntries; ///< Invalid values that were logged, by key.
     PeriodicTask planTask;
+    TimePoint firstClaimTime; ///< The duties are not claimed before.
     TimePoint lastHealthReport;
     std::chrono::nanoseconds maxLateness{0}; ///< Of the event loop since lastHealthReport.
     PeerTraffic reportedTraffic;
--- a/src/libhemlock/relay/storeprobe.cpp
+++ b/src/libhemlock/relay/storeprobe.cpp
@@ -8,10 +8,12 @@
                        KvAccess kv,
                        std::function<void(const std::string &error)> onFailure,
                        std::function<void()> onRecovery,
+                       std::function<bool()> isNeeded,
                        StoreProbeSettings settings)
     : kv(std::move(kv))
     , onFailure(std::move(onFailure))
     , onRecovery(std::move(onRecovery))
+    , isNeeded(std::move(isNeeded))
     , settings(settings)
     , timer(loop)
 {
@@ -28,6 +30,10 @@
 
 void StoreProbe::sendPing()
 {
+    if (!this->isNeeded()) {
+        this->lastPingFailed = false;
+        return this->start();
+    }
     this->kv.ping([this, alive = std::weak_ptr<bool>(this->alive)](KvStatus status, const std::string &error) {
         if (alive.expired())
             return;
--- a/src/libhemlock/relay/storeprobe.h
+++ b/src/libhemlock/relay/storeprobe.h
@@ -21,11 +21,12 @@
 {
 public:
     /// @p onFailure is called for every ping that the store did not answer, @p onRecovery for the first answer after a
-    /// failed ping.
+    /// failed ping. Pings are sent only while @p isNeeded returns true.
     StoreProbe(asio::io_context &loop,
                KvAccess kv,
                std::function<void(const std::string &error)> onFailure,
                std::function<void()> onRecovery,
+               std::function<bool()> isNeeded,
                StoreProbeSettings settings = {});
 
     void start();
@@ -36,6 +37,7 @@
     KvAccess kv;
     std::function<void(const std::string &error)> onFailure;
     std::function<void()> onRecovery;
+    std::function<bool()> isNeeded;
     bool lastPingFailed = false;
     StoreProbeSettings settings;
     asio::steady_timer timer;
--- a/src/libhemlock/relay/storewatcher.cpp
+++ b/src/libhemlock/relay/storewatcher.cpp
@@ -1,5 +1,6 @@
 #include "relay/storewatcher.h"
 
+#include "bootclock.h"
 #include "logger.h"
 
 #include <asio/io_context.hpp>
@@ -42,7 +43,7 @@
     {
         this->pendingEntries.clear();
         this->snapshotRevision = 0;
-        this->readStarted = std::chrono::steady_clock::now();
+        this->readStarted = bootTimeNow();
         this->loadPage({});
     }
 
@@ -78,7 +79,7 @@
     void poll()
     {
         this->isPolling = true;
-        this->readStarted = std::chrono::steady_clock::now();
+        this->readStarted = bootTimeNow();
         this->cancelPoll = this->kv.waitForChanges(this->settings.prefix,
                                                    this->revision,
                                                    this->settings.pollTimeout,
@@ -138,9 +139,7 @@
                  {{"prefix", this->settings.prefix},
                   {"error", error},
                   {"askedMsAgo",
-                   std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
-                                                                         - this->readStarted)
-                       .count()}});
+                   std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow() - this->readStarted).count()}});
         if (std::exchange(this->lastReadFailed, true))
             this->setReachable(false, error);
         this->runAfter(this->retryDelay, std::move(action));
@@ -160,7 +159,7 @@
 
     void recordAnswer()
     {
-        this->lastRead = {this->readStarted, std::chrono::steady_clock::now()};
+        this->lastRead = {this->readStarted, bootTimeNow()};
         this->setReachable(true, {});
     }
 
--- a/src/libhemlock/relay/storewatcher.h
+++ b/src/libhemlock/relay/storewatcher.h
@@ -41,7 +41,7 @@
     std::function<void(bool reachable, const std::string &error)> reachabilityChanged;
 };
 
-/// When the latest successful read was sent and when its answer arrived.
+/// When the latest successful read was sent and when its answer arrived, as by bootTimeNow().
 struct StoreReadTimes
 {
     std::chrono::steady_clock::time_point requested;
--- a/tests/unit/peerexchangetest.cpp
+++ b/tests/unit/peerexchangetest.cpp
@@ -19,7 +19,7 @@
         Vm(asio::io_context &loop, const PeerExchangeSettings &settings)
             : usage(std::chrono::seconds(5))
             , scheduler({settings.zone}, RandomEngine(3))
-            , registry({}, "nodes/", settings.node, settings.address, settings.zone)
+            , registry({}, "nodes/", settings.node, settings.address, settings.zone, settings.address)
             , exchange(
                   loop,
                   settings,
--- a/tests/unit/storeprobetest.cpp
+++ b/tests/unit/storeprobetest.cpp
@@ -26,12 +26,14 @@
             kv,
             [this](const std::string &error) { this->errors.push_back(error); },
             [this] { ++this->recoveries; },
+            [this] { return this->isNeeded; },
             settings);
         this->probe->start();
     }
 
     asio::io_context loop;
     KvStatus status = KvStatus::Ok;
+    bool isNeeded = true;
     int pingCount = 0;
     int recoveries = 0;
     std::vector<std::string> errors;
@@ -66,3 +68,13 @@
     this->loop.run_one();
     CHECK(this->recoveries == 1);
 }
+
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: this VM does not read the store: it is not pinged")
+{
+    this->isNeeded = false;
+    this->loop.run_one();
+    CHECK(this->pingCount == 0);
+    this->isNeeded = true;
+    this->loop.run_one();
+    CHECK(this->pingCount == 1);
+}
