Charge and refill the shared limits of a large fleet correctly

Change: peers are assumed to have gone on at their recent rate since their latest totals, also when they fall silent; a bucket is refilled from its first charge on.

--- a/src/libhemlock/relay/accountquota.h
+++ b/src/libhemlock/relay/accountquota.h
@@ -20,6 +20,12 @@
     double extraBurst = 0.0; ///< Tolerated excess over the burst, in units.
     /// A peer that sent nothing for this long is assumed to use its fair share of the rate.
     std::chrono::milliseconds peerTimeout{1000};
+    /// Age of a peer's totals when they arrive.
+    std::chrono::milliseconds reportDelay{20};
+    /// The same for the sums of a group, which its reporters learn from several updates before they send them.
+    std::chrono::milliseconds groupReportDelay{200};
+    /// Time constant of the average rate at which a peer admits units.
+    std::chrono::milliseconds rateAveragingTime{400};
     bool startsFull = true; ///< False after a restart, since the burst may have been used shortly before it.
     double restartLevel = 0.0; ///< Units that may pass at once after a restart.
 };
@@ -29,9 +35,9 @@
 /// Each entry VM keeps its own copy of the bucket's level. It subtracts admitted units at once, and units that peers
 /// admitted when they report them. A request passes while the level is positive, regardless of its size, so that large
 /// requests are not refused more often than small ones; a negative level has to be refilled before the next request
-/// passes. Peers' counts lag by the exchange interval, so the overshoot is at most what is admitted in that time. A
-/// silent peer's fair share of the rate stays reserved for it, so that VMs that cannot reach each other split the limit
-/// evenly.
+/// passes. Peers' counts are old when they are used; each peer is assumed to have gone on at its recent rate since, so
+/// that all VMs stop in time when a flood uses up a limit. A silent peer's fair share of the rate stays reserved for
+/// it, so that VMs that cannot reach each other split the limit evenly.
 class AccountQuota
 {
 public:
@@ -49,7 +55,7 @@
     void refund(const std::string &account, double units);
 
     /// Time until the account's next request is likely to pass; 0 if it may pass now.
-    std::chrono::milliseconds waitTime(const std::string &account, const QuotaLimit &limit) const;
+    std::chrono::milliseconds waitTime(const std::string &account, const QuotaLimit &limit, TimePoint now) const;
 
     /// Units that this process admitted since its start, minus refunds, by account.
     const std::map<std::string, double> &totals() const;
@@ -74,11 +80,18 @@
     {
         std::string runId;
         std::map<std::string, double> totals;
+        std::map<std::string, double> rates; ///< Units per second that it admits, averaged, by account.
         std::size_t vmCount = 1;
         TimePoint lastHeard;
     };
 
+    /// Returns the account's bucket; a new one is refilled from @p now on.
+    Bucket &bucketOf(const std::string &account, TimePoint now);
     double capacity(const QuotaLimit &limit) const;
+    /// Charges what peers that fell silent have presumably admitted before their fair share was reserved.
+    void chargeSilentPeers(TimePoint now);
+    /// Units that peers have presumably admitted since their latest totals.
+    double unreportedUnits(const std::string &account, TimePoint now) const;
     double ownShare(std::size_t peerCount, TimePoint now) const;
     void refill(Bucket &bucket, const QuotaLimit &limit, std::size_t peerCount, TimePoint now) const;
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -143,7 +143,7 @@
         this->quotaUnits = units;
         return true;
     }
-    const auto wait = this->context.quota.waitTime(this->account->name, quota);
+    const auto wait = this->context.quota.waitTime(this->account->name, quota, now);
     this->refuse({Verdict::NotRun,
                   429,
                   "account-limit",
--- a/tests/unit/accountquotatest.cpp
+++ b/tests/unit/accountquotatest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
 #include <vector>
 
@@ -14,7 +15,6 @@
 {
 protected:
     static constexpr std::chrono::milliseconds step{10};
-    static constexpr int stepsPerExchange = 10;
 
     explicit AccountQuotaFixture(std::size_t vms = 6)
     {
@@ -44,6 +44,7 @@
     double offerLoad(double unitsPerSecondAndVm, double unitsPerRequest, std::chrono::milliseconds time)
     {
         double passed = 0.0;
+        this->passedUntilStep.assign(1, 0.0);
         for (auto end = this->now + time; this->now < end; this->now += step) {
             for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
                 this->pendingUnits[vm] += unitsPerSecondAndVm * std::chrono::duration<double>(step).count();
@@ -53,12 +54,25 @@
                         passed += unitsPerRequest;
                 }
             }
-            if (++this->steps % stepsPerExchange == 0 && !this->isPartitioned)
+            this->passedUntilStep.push_back(passed);
+            if (++this->steps % this->stepsPerExchange == 0 && !this->isPartitioned)
                 this->exchange();
         }
         return passed;
     }
 
+    /// Most units that were admitted in any span of this length during the last offerLoad().
+    double mostAdmittedIn(std::chrono::milliseconds span) const
+    {
+        const auto steps = static_cast<std::size_t>(span / step);
+        double most = 0.0;
+        for (std::size_t i = 0; i < this->passedUntilStep.size(); ++i) {
+            const std::size_t end = std::min(i + steps, this->passedUntilStep.size() - 1);
+            most = std::max(most, this->passedUntilStep[end] - this->passedUntilStep[i]);
+        }
+        return most;
+    }
+
     void exchange()
     {
         for (std::size_t to = 0; to < this->vms.size(); ++to) {
@@ -73,9 +87,11 @@
     std::vector<AccountQuota> vms;
     std::vector<std::string> runs;
     std::map<std::size_t, double> pendingUnits;
+    std::vector<double> passedUntilStep; ///< Units admitted by the last offerLoad(), before each step and at its end.
     QuotaLimit limit{10000.0, 10000.0};
     std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
     int steps = 0;
+    int stepsPerExchange = 10;
     int lastRun = 0;
     bool isPartitioned = false;
 };
@@ -100,7 +116,7 @@
         this->now += step;
         if (this->vms[0].tryTake("account", this->limit, 90.0, 5, this->now))
             passed += 90.0;
-        if (i % stepsPerExchange == 0)
+        if (i % this->stepsPerExchange == 0)
             this->exchange();
     }
     CHECK(passed == Approx(72000.0));
@@ -148,7 +164,7 @@
     AccountQuota quota;
     REQUIRE(quota.tryTake("account", this->limit, 25000.0, 0, this->now));
     REQUIRE_FALSE(quota.tryTake("account", this->limit, 100.0, 0, this->now));
-    const auto wait = quota.waitTime("account", this->limit);
+    const auto wait = quota.waitTime("account", this->limit, this->now);
     CHECK(wait > std::chrono::milliseconds(1400));
     CHECK(wait < std::chrono::milliseconds(1600));
     CHECK(quota.tryTake("account", this->limit, 100.0, 0, this->now + wait));
@@ -188,3 +204,70 @@
     for (AccountQuota &vm : this->vms)
         CHECK(vm.tryTake("account", this->limit, 1.0, 5, this->now));
 }
+
+namespace {
+
+/// A large fleet, which exchanges its totals less often.
+class LargeFleetQuotaFixture : public AccountQuotaFixture
+{
+protected:
+    LargeFleetQuotaFixture()
+        : AccountQuotaFixture(40)
+    {
+        this->stepsPerExchange = 20;
+    }
+
+    /// Tolerated excess over a limit, as a fraction.
+    static constexpr double tolerance = 0.1;
+};
+
+} // namespace
+
+// Load: one account sends eight times its limit through all VMs of a large fleet, and the limit is lowered meanwhile.
+TEST_CASE_METHOD(LargeFleetQuotaFixture,
+                 "AccountQuota: flood of one account in a large fleet: no span admits more than the tolerance")
+{
+    this->offerLoad(100.0, 100.0, std::chrono::seconds(1));
+    const double floodPerVm = 8.0 * this->limit.rate / 40.0;
+    const double passed = this->offerLoad(floodPerVm, 100.0, std::chrono::seconds(20));
+    const double allowed = this->limit.burst + this->limit.rate * 8.0;
+    CHECK(this->mostAdmittedIn(std::chrono::seconds(8)) < allowed * (1.0 + tolerance));
+    CHECK(passed > this->limit.rate * 20.0 * 0.95);
+}
+
+TEST_CASE_METHOD(LargeFleetQuotaFixture,
+                 "AccountQuota: limit of a flooding account is lowered: no later span admits more than the tolerance")
+{
+    this->offerLoad(100.0, 100.0, std::chrono::seconds(1));
+    const double floodPerVm = 8.0 * this->limit.rate / 40.0;
+    this->offerLoad(floodPerVm, 100.0, std::chrono::seconds(3));
+    this->limit.rate /= 2.0;
+    this->limit.burst /= 2.0;
+    this->offerLoad(floodPerVm, 100.0, std::chrono::seconds(8));
+    const double passed = this->offerLoad(floodPerVm, 100.0, std::chrono::seconds(20));
+    const double allowed = this->limit.burst + this->limit.rate * 8.0;
+    CHECK(this->mostAdmittedIn(std::chrono::seconds(8)) < allowed * (1.0 + tolerance));
+    CHECK(passed > this->limit.rate * 20.0 * 0.9);
+}
+
+TEST_CASE_METHOD(LargeFleetQuotaFixture, "AccountQuota: use below the limit in a large fleet: nothing is refused")
+{
+    this->offerLoad(100.0, 100.0, std::chrono::seconds(1));
+    const double perVm = 0.8 * this->limit.rate / 40.0;
+    const double passed = this->offerLoad(perVm, 20.0, std::chrono::seconds(10));
+    CHECK(passed > 0.99 * 0.8 * this->limit.rate * 10.0);
+}
+
+// Guards against refusals in large fleets, where a VM gets its first request of an account long after others did.
+TEST_CASE_METHOD(AccountQuotaFixture,
+                 "AccountQuota: first request of an account that peers use below its limit: passes")
+{
+    double used = 0.0;
+    AccountQuota &quota = this->vms[0];
+    for (int i = 0; i < 100; ++i) {
+        quota.updatePeerTotals("vm-9", "run", {{"account", used}}, 1, this->now);
+        used += 0.8 * this->limit.rate * 0.1;
+        this->now += std::chrono::milliseconds(100);
+    }
+    CHECK(quota.tryTake("account", this->limit, 100.0, 1, this->now));
+}
