Plan the fleet on every VM, so that a new duty holder orders at once

Cause: only the holder of the duties fed the planner with the upstreams present, so that a successor waited another 3 s (the delay for the start of the system) before its first order.

Change: each VM records demand and supply and plans; only the holder's plan becomes orders.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -471,7 +471,7 @@
     const TimePoint now = this->now();
     if (!this->context.routes || !this->planTask.isDue(now, planInterval, this->randomFraction()))
         return;
-    // Every VM records the demand, so that a VM that becomes the duty holder can plan from it at once.
+    // Every VM plans, so that a VM that becomes the duty holder can order at once.
     for (const RelayService &service : this->context.routes->config().services) {
         const auto own = this->scheduler.demandedTokens().find(service.name);
         const double ownTokens = own == this->scheduler.demandedTokens().end() ? 0.0 : own->second;
@@ -479,14 +479,15 @@
         const double otherTokens = others == this->peerExchange.demand().end() ? 0.0 : others->second;
         this->planner.recordDemand(service.name, ownTokens + otherTokens, now);
     }
-    if (!this->duties.isActing(now) || this->store.upstreams().revision() == 0)
+    if (this->store.upstreams().revision() == 0)
         return;
     std::set<UpstreamOrder> orders;
     for (const RelayService &service : this->context.routes->config().services) {
         this->planner.recordSupply(service.name, this->upstreamSupply(service.name), now);
         orders.merge(this->planner.plan(service, now));
     }
-    this->duties.setWantedOrders(orders);
+    if (this->duties.isActing(now))
+        this->duties.setWantedOrders(orders);
 }
 
 FleetPlanner::Supply RelayProcess::upstreamSupply(const std::string &service)
