Poll the store for the first time when the peers of the zone are known

Change: the first polls wait 0.9 s (0.4 s for the system's own keys) after the first full read, and no neighbour is relied on in the first 0.8 s. A process that has just started may take that long.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -45,6 +45,9 @@
 
 constexpr std::chrono::seconds healthInterval{2};
 
+/// Time after the start within which the peers of the availability zone become known; earlier ones are not relied on.
+constexpr std::chrono::milliseconds peerDiscoveryTime{800};
+
 /// VMs that start together claim the duties within this time, so that most of them find a holder and need no call.
 constexpr std::chrono::milliseconds maxClaimDelay{1000};
 
@@ -250,8 +253,11 @@
     hooks.reachabilityChanged = [this](bool reachable, const std::string &error) {
         this->storeReachabilityChanged(reachable, error);
     };
-    hooks.reader = [this](const std::set<std::string> &excluded) {
-        return this->registry.storeReader(excluded, this->now());
+    hooks.reader = [this](const std::set<std::string> &excluded) -> std::optional<StoreReader> {
+        const TimePoint now = this->now();
+        if (now < this->startTime + peerDiscoveryTime)
+            return std::nullopt;
+        return this->registry.storeReader(excluded, now);
     };
     return hooks;
 }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -130,6 +130,7 @@
     std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> recentConnectionFailures;
     std::map<std::string, std::string> unreadableEntries; ///< Invalid values that were logged, by key.
     PeriodicTask planTask;
+    TimePoint startTime;
     TimePoint firstClaimTime; ///< The duties are not claimed before.
     TimePoint lastHealthReport;
     std::chrono::nanoseconds maxLateness{0}; ///< Of the event loop since lastHealthReport.
--- a/src/libhemlock/relay/storesubscriptions.cpp
+++ b/src/libhemlock/relay/storesubscriptions.cpp
@@ -23,19 +23,29 @@
 /// and the record of the duties' holder expires only seconds after the holder stopped.
 constexpr std::chrono::milliseconds ownKeysBatchDelay{500};
 
+/// Delay of the first polls after a start, by when this VM knows the peers of its zone and their reader. No longer than
+/// a process that has just started may take to follow changes.
+constexpr std::chrono::milliseconds firstPollDelay{900};
+
+/// The same for the system's own keys, from which the peers are known.
+constexpr std::chrono::milliseconds ownKeysFirstPollDelay{400};
+
 /// A connection within an availability zone takes a millisecond.
 constexpr std::chrono::milliseconds peerConnectTimeout{400};
 
 /// Idle connections to peers are not reused for longer: they may be dead without having been closed.
 constexpr std::chrono::seconds peerIdleLimit{4};
 
-StoreWatcherSettings
-watcherSettings(const std::string &prefix, std::chrono::milliseconds pollTimeout, std::chrono::milliseconds batchDelay)
+StoreWatcherSettings watcherSettings(const std::string &prefix,
+                                     std::chrono::milliseconds pollTimeout,
+                                     std::chrono::milliseconds batchDelay,
+                                     std::chrono::milliseconds firstDelay)
 {
     StoreWatcherSettings settings;
     settings.prefix = prefix;
     settings.pollTimeout = pollTimeout;
     settings.batchDelay = batchDelay;
+    settings.firstPollDelay = firstDelay;
     return settings;
 }
 
@@ -53,23 +63,26 @@
                     this->pollRouter.access(),
                     watcherSettings(this->settings.configKey,
                                     longPollTimeout(this->settings.configUpdateDeadline, std::chrono::milliseconds(0)),
-                                    std::chrono::milliseconds(0)),
+                                    std::chrono::milliseconds(0),
+                                    firstPollDelay),
                     this->watcherHooks(this->settings.configKey, this->hooks.configLoaded, this->configWatcher))
     , upstreamWatcher(loop,
                       this->pollRouter.access(),
                       watcherSettings(this->settings.upstreamPrefix,
                                       longPollTimeout(this->settings.upstreamUpdateDeadline, upstreamBatchDelay),
-                                      upstreamBatchDelay),
+                                      upstreamBatchDelay,
+                                      firstPollDelay),
                       [this] {
                           StoreWatcherHooks watcherHooks = this->watcherHooks(
                               this->settings.upstreamPrefix, this->hooks.upstreamsLoaded, this->upstreamWatcher);
                           watcherHooks.reachabilityChanged = this->hooks.reachabilityChanged;
                           return watcherHooks;
                       }())
-    , ownKeysWatcher(loop,
-                     this->pollRouter.access(),
-                     watcherSettings(this->settings.ownKeyPrefix, ownKeysPollTimeout, ownKeysBatchDelay),
-                     this->watcherHooks(this->settings.ownKeyPrefix, this->hooks.ownKeysLoaded, this->ownKeysWatcher))
+    , ownKeysWatcher(
+          loop,
+          this->pollRouter.access(),
+          watcherSettings(this->settings.ownKeyPrefix, ownKeysPollTimeout, ownKeysBatchDelay, ownKeysFirstPollDelay),
+          this->watcherHooks(this->settings.ownKeyPrefix, this->hooks.ownKeysLoaded, this->ownKeysWatcher))
     , probe(
           loop,
           kv,
--- a/src/libhemlock/relay/storewatcher.cpp
+++ b/src/libhemlock/relay/storewatcher.cpp
@@ -70,10 +70,13 @@
         if (this->snapshotRevision < this->revision)
             return this->retry("the store answered with an older state", [](Private &self) { self.load(); });
         this->recordAnswer();
+        const bool isFirst = this->revision == 0;
         this->revision = this->snapshotRevision;
         this->logRead("all", this->pendingEntries.size());
         this->hooks.snapshotLoaded(std::exchange(this->pendingEntries, {}));
-        this->poll();
+        if (!isFirst || this->settings.firstPollDelay.count() == 0)
+            return this->poll();
+        this->runAfter(this->settings.firstPollDelay, [](Private &self) { self.poll(); });
     }
 
     void poll()
--- a/src/libhemlock/relay/storewatcher.h
+++ b/src/libhemlock/relay/storewatcher.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds pollTimeout{1000};
     /// Delay before the next poll after changes arrived, so that changes in quick succession are read in one call.
     std::chrono::milliseconds batchDelay{0};
+    std::chrono::milliseconds firstPollDelay{0}; ///< Delay between the first full read and the first poll.
     std::chrono::milliseconds initialRetryDelay{150}; ///< Doubled after each failed read.
     std::chrono::milliseconds maxRetryDelay{1000};
 };
--- a/tests/unit/storewatchertest.cpp
+++ b/tests/unit/storewatchertest.cpp
@@ -12,7 +12,8 @@
 class StoreWatcherFixture
 {
 protected:
-    StoreWatcherFixture()
+    explicit StoreWatcherFixture(std::chrono::milliseconds firstPollDelay = {})
+        : firstPollDelay(firstPollDelay)
     {
         KvAccess kv;
         kv.readPage = [this](const std::string &, const std::string &after, std::function<void(const KvPage &)> done) {
@@ -39,6 +40,7 @@
         settings.initialRetryDelay = std::chrono::milliseconds(1);
         settings.maxRetryDelay = std::chrono::milliseconds(1);
         settings.batchDelay = std::chrono::milliseconds(1);
+        settings.firstPollDelay = this->firstPollDelay;
         this->watcher = std::make_unique<StoreWatcher>(this->loop, kv, settings, hooks);
     }
 
@@ -72,6 +74,7 @@
         this->loop.run_one();
     }
 
+    std::chrono::milliseconds firstPollDelay;
     asio::io_context loop;
     std::function<void(const KvPage &)> pageDone;
     std::function<void(const KvChanges &)> changesDone;
@@ -240,3 +243,31 @@
     this->changesDone(changes(12, 1));
     CHECK(this->reachability == std::vector<bool>{true});
 }
+
+namespace {
+
+class DelayedStoreWatcherFixture : public StoreWatcherFixture
+{
+protected:
+    DelayedStoreWatcherFixture()
+        : StoreWatcherFixture(std::chrono::milliseconds(1))
+    {
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(DelayedStoreWatcherFixture, "StoreWatcher: first read of a start: only the first poll is delayed")
+{
+    this->watcher->start();
+    this->pageDone(page(10, {"a"}));
+    CHECK(this->snapshots.size() == 1);
+    CHECK(this->polledRevisions.empty());
+    this->runTimer();
+    CHECK(this->polledRevisions == std::vector<std::int64_t>{10});
+    KvChanges compacted;
+    compacted.isCompacted = true;
+    this->changesDone(compacted);
+    this->pageDone(page(30, {"b"}));
+    CHECK(this->polledRevisions == std::vector<std::int64_t>{10, 30});
+}
