Wait at a shutdown until the answer of the last call has been written

Cause: a process that received SIGTERM exited as soon as no call was open and no request had arrived for half a second. A call that ended in that moment had its answer handed to the server, but not necessarily written: a caller that reads slowly got a part of it.

Change: ShutdownProgress decides when the process may exit, without a network; the end of a call counts as activity like the arrival of a request.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -18,12 +18,6 @@
 /// Prompts with at least this many tokens are reported to peers at once.
 constexpr double longPromptTokens = 5000.0;
 
-/// The load balancer checks readiness once a second and removes a VM after two failed checks.
-constexpr std::chrono::milliseconds minDrainTime{3500};
-
-/// Time by which the process exits before the platform kills it.
-constexpr std::chrono::milliseconds drainMargin{400};
-
 /// Time after the start of a drain in which new streams are accepted; later ones would be cut off at its end. By then
 /// the load balancer sends requests to other VMs, unless there is no other in the zone.
 constexpr std::chrono::milliseconds streamAcceptTime{2500};
@@ -31,9 +25,6 @@
 /// Calls other than streams take less time than this, so they are refused only when less is left of the drain.
 constexpr std::chrono::milliseconds maxShortCallTime{2000};
 
-/// A draining VM that receives no request for this time has been removed by the load balancer.
-constexpr std::chrono::milliseconds drainQuietTime{500};
-
 /// Two broken connections to an upstream within this time mean that it has crashed.
 constexpr std::chrono::milliseconds crashWindow{1500};
 
@@ -208,10 +199,11 @@
 
 void RelayProcess::handleCallerRequest(HttpRequest request, const HttpResponderPtr &responder)
 {
-    this->lastRequestTime = this->now();
+    this->shutdown.callStartedOrEnded(this->now());
     auto weakCall = std::make_shared<std::weak_ptr<RelayCall>>();
     auto call = std::make_shared<RelayCall>(this->context, responder, [this, weakCall] {
         // The call is still on the stack when this runs, so it is destroyed later.
+        this->shutdown.callStartedOrEnded(this->now());
         asio::post(this->loop, [this, ended = weakCall->lock()] { this->calls.erase(ended); });
     });
     *weakCall = call;
@@ -221,7 +213,7 @@
 
 void RelayProcess::handleReadiness(const HttpResponderPtr &responder) const
 {
-    const bool isReady = this->context.routes && !this->isDraining;
+    const bool isReady = this->context.routes && !this->shutdown.hasBegun();
     responder->reply(isReady ? 200 : 503, {}, isReady ? "ready\n" : "not ready\n");
 }
 
@@ -444,10 +436,10 @@
     this->store.tick();
     this->scheduler.tick(now);
     this->retries.setMaxRetries(this->retryCapacityPerVm(now));
-    if (!this->isDraining)
+    if (!this->shutdown.hasBegun())
         this->registry.tick(now, this->randomFraction());
     this->planUpstreams();
-    if (!this->isDraining) {
+    if (!this->shutdown.hasBegun()) {
         this->duties.setClaimsRole(this->claimsDuties(now));
         this->duties.tick(now, this->wallTime(), this->randomFraction());
     }
@@ -531,12 +523,12 @@
 
 bool RelayProcess::accepts(CallKind kind) const
 {
-    if (!this->isDraining)
+    if (!this->shutdown.hasBegun())
         return true;
-    const auto passed = this->now() - this->drainStart;
+    const TimePoint now = this->now();
     if (kind == CallKind::Stream)
-        return passed < streamAcceptTime;
-    return passed < this->settings.drainTime - drainMargin - maxShortCallTime;
+        return this->shutdown.elapsed(now) < streamAcceptTime;
+    return this->shutdown.timeLeft(now) > maxShortCallTime;
 }
 
 void RelayProcess::awaitSignal()
@@ -549,10 +541,9 @@
 
 void RelayProcess::drain()
 {
-    if (this->isDraining)
+    if (this->shutdown.hasBegun())
         return;
-    this->isDraining = true;
-    this->drainStart = this->now();
+    this->shutdown.begin(this->now(), this->settings.drainTime);
     logEvent(LogLevel::Info, "drain", {{"calls", this->calls.size()}});
     this->callerServer.setDraining(true);
     this->registry.unregister();
@@ -561,10 +552,7 @@
 
 void RelayProcess::checkDrained()
 {
-    const TimePoint now = this->now();
-    const bool isQuiet = this->calls.empty() && now - this->lastRequestTime > drainQuietTime;
-    const bool isOver = now - this->drainStart >= this->settings.drainTime - drainMargin;
-    if (isOver || (isQuiet && now - this->drainStart >= minDrainTime)) {
+    if (this->shutdown.mayExit(this->calls.size(), this->now())) {
         logEvent(LogLevel::Info, "stop", {{"calls", this->calls.size()}});
         this->loop.stop();
         return;
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -9,6 +9,7 @@
 #include "relay/peerexchange.h"
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
+#include "relay/shutdownprogress.h"
 #include "relay/storesubscriptions.h"
 #include "relay/upstreamdirectory.h"
 
@@ -135,9 +136,7 @@
     TimePoint lastHealthReport;
     std::chrono::nanoseconds maxLateness{0}; ///< Of the event loop since lastHealthReport.
     PeerTraffic reportedTraffic;
-    bool isDraining = false;
-    TimePoint drainStart;
-    TimePoint lastRequestTime;
+    ShutdownProgress shutdown;
 };
 
 } // namespace hemlock
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -499,3 +499,71 @@
     CHECK(result.outcome.isComplete());
     CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
+
+namespace {
+
+/// Writes a piece of a stream at each interval.
+class SlowWriter : public std::enable_shared_from_this<SlowWriter>
+{
+public:
+    SlowWriter(asio::io_context &loop, HttpResponderPtr responder, std::chrono::milliseconds interval)
+        : timer(loop)
+        , responder(std::move(responder))
+        , interval(interval)
+    {
+    }
+
+    /// @p nextPiece returns an empty string at the end of the stream.
+    void run(const std::function<std::string()> &nextPiece)
+    {
+        this->timer.expires_after(this->interval);
+        this->timer.async_wait([self = this->shared_from_this(), nextPiece](const asio::error_code &) {
+            if (!self->responder->isConnected())
+                return;
+            std::string piece = nextPiece();
+            if (piece.empty())
+                return self->responder->endStream();
+            self->responder->write(std::move(piece));
+            self->run(nextPiece);
+        });
+    }
+
+private:
+    asio::steady_timer timer;
+    HttpResponderPtr responder;
+    std::chrono::milliseconds interval;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: stream is slow but goes on: is forwarded to its end")
+{
+    this->configure(CallKind::Stream, 1, false);
+    int events = 0;
+    this->setHandlers([this, &events](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        std::make_shared<SlowWriter>(this->loop, responder, std::chrono::milliseconds(150))->run([&events] {
+            return ++events > 5 ? std::string() : "id: " + std::to_string(events) + "\ndata: a\n\n";
+        });
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.isComplete());
+    CHECK(result.bytes.ends_with("id: 5\ndata: a\n\n"));
+}
+
+// Bytes that complete no event do not extend the time of a stream.
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: stalled stream sends a byte now and then: ends at its time limit")
+{
+    this->routeTimeout = std::chrono::milliseconds(400);
+    this->configure(CallKind::Stream, 1, false);
+    this->setHandlers([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: ");
+        std::make_shared<SlowWriter>(this->loop, responder, std::chrono::milliseconds(20))->run([] {
+            return std::string("x");
+        });
+    });
+    const auto result = this->call(this->requestWithLongDeadline());
+    CHECK((!result.outcome.isComplete() || result.outcome.status >= 500));
+    CHECK(result.bytes.find("id: 1") == std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/staleanswertest.cpp
@@ -0,0 +1,225 @@
+#include "httpclient.h"
+#include "httpserver.h"
+#include "relay/relaycall.h"
+#include "relayheaders.h"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <optional>
+
+using namespace hemlock;
+
+namespace {
+
+/// An upstream that keeps its connections open and sends raw bytes for each request that it receives.
+class RawUpstream
+{
+public:
+    explicit RawUpstream(asio::io_context &loop)
+        : acceptor(loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        this->accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    /// Returns the answer to a request with an attempt identifier and the body "whole-ID".
+    static std::string answer(const std::string &attemptId)
+    {
+        const std::string body = "whole-" + attemptId;
+        return "HTTP/1.1 200 OK\r\nX-Hemlockflow-Attempt-Id: " + attemptId
+            + "\r\nX-Hemlockflow-Response-Signature: signed\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    /// Bytes to send for the request that is received at an index, on any connection.
+    std::function<std::string(std::size_t index, const std::string &attemptId)> bytesFor;
+    std::size_t requestCount = 0;
+    std::size_t connectionCount = 0;
+
+private:
+    struct Connection
+    {
+        asio::ip::tcp::socket socket;
+        std::string received;
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            ++this->connectionCount;
+            this->readRequest(std::make_shared<Connection>(Connection{std::move(socket), {}}));
+            this->accept();
+        });
+    }
+
+    void readRequest(const std::shared_ptr<Connection> &connection)
+    {
+        // Requests of this test have no body.
+        asio::async_read_until(connection->socket,
+                               asio::dynamic_buffer(connection->received),
+                               "\r\n\r\n",
+                               [this, connection](const asio::error_code &error, std::size_t size) {
+                                   if (error)
+                                       return;
+                                   const std::string head = connection->received.substr(0, size);
+                                   connection->received.erase(0, size);
+                                   const std::string field = "X-Hemlockflow-Attempt-Id: ";
+                                   const std::size_t start = head.find(field) + field.size();
+                                   const std::string attemptId = head.substr(start, head.find("\r\n", start) - start);
+                                   auto bytes =
+                                       std::make_shared<std::string>(this->bytesFor(this->requestCount++, attemptId));
+                                   asio::async_write(connection->socket,
+                                                     asio::buffer(*bytes),
+                                                     [this, connection, bytes](const asio::error_code &, std::size_t) {
+                                                         this->readRequest(connection);
+                                                     });
+                               });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+};
+
+/// An entry process before one upstream that sends raw bytes.
+class StaleAnswerFixture
+{
+protected:
+    StaleAnswerFixture()
+    {
+        this->transport.decodeRequest = platform::decodeRelayRequest;
+        this->transport.encodeAttempt = platform::encodeRelayAttempt;
+        this->transport.decodeAnswer = platform::decodeRelayAnswer;
+        this->context.acceptsCall = [](CallKind) { return true; };
+        this->context.peerCount = [] { return std::size_t{0}; };
+        this->context.now = [] { return std::chrono::steady_clock::now(); };
+        this->context.wallTime = [] { return std::chrono::system_clock::now(); };
+        this->context.upstreamListFreshness = [] { return UpstreamListFreshness{}; };
+        this->context.connectionFailed = [](const Upstream &, const std::string &) {};
+        this->context.promptSent = [](double) {};
+        Upstream upstream;
+        upstream.id = "upstream-1";
+        upstream.service = "service";
+        upstream.address = this->raw.address();
+        upstream.zone = {"zone-a"};
+        upstream.state = UpstreamState::Serving;
+        upstream.slots = 4;
+        this->scheduler.applyUpstreams({upstream}, std::chrono::steady_clock::now());
+        RelayRoute route;
+        route.name = "route";
+        route.host = "h.example";
+        route.pathPrefix = "/p/";
+        route.kind = CallKind::NonIdempotent;
+        route.maxAttempts = 1;
+        route.timeout = std::chrono::milliseconds(3000);
+        route.latencyTarget = std::chrono::milliseconds(1000);
+        route.targets = {{"service", 1.0}};
+        RelayConfig config;
+        config.version = 1;
+        config.routes = {route};
+        this->context.routes = std::make_shared<const RouteTable>(std::move(config));
+        this->address = this->entry.start();
+    }
+
+    HttpOutcome call(const std::string &attemptId)
+    {
+        HttpCall call;
+        call.url = endpointUrl(this->address) + "/p/x";
+        call.omitsDefaultHeaders = true;
+        call.headers = {
+            {"Host", "h.example"}, {"X-Hemlockflow-Attempt-Id", attemptId}, {"X-Hemlockflow-Deadline-Ms", "2000"}};
+        std::optional<HttpOutcome> result;
+        HttpCallHooks hooks;
+        hooks.done = [&result](const HttpOutcome &outcome) { result = outcome; };
+        this->callers.start(call, std::move(hooks));
+        while (!result)
+            this->loop.run_one();
+        return *result;
+    }
+
+    asio::io_context loop{1};
+    RawUpstream raw{this->loop};
+    HttpClient http{this->loop};
+    HttpClient callers{this->loop};
+    RelayTransport transport;
+    RelayScheduler scheduler{{"zone-a"}, RandomEngine(1)};
+    AccountQuota quota;
+    RetryBudget retries;
+    Quarantine quarantine;
+    UsageLedger usage{std::chrono::milliseconds(5000)};
+    Metrics metrics;
+    RelayContext context{this->loop,
+                         this->http,
+                         this->transport,
+                         this->scheduler,
+                         this->quota,
+                         this->retries,
+                         this->quarantine,
+                         this->usage,
+                         this->metrics,
+                         {},
+                         nullptr,
+                         std::chrono::seconds(10),
+                         {},
+                         {},
+                         {},
+                         {},
+                         {},
+                         {}};
+    std::set<std::shared_ptr<RelayCall>> calls;
+    HttpServer entry{this->loop, {}, [this](HttpRequest request, const HttpResponderPtr &responder) {
+                         auto call = std::make_shared<RelayCall>(this->context, responder, [] {});
+                         this->calls.insert(call);
+                         call->start(std::move(request));
+                     }};
+    std::string address;
+};
+
+} // namespace
+
+// An upstream that sends its answer twice: the copy lies on the connection when the next call is sent on it.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: second copy of an answer precedes the next one: is not forwarded")
+{
+    this->raw.bytesFor = [](std::size_t index, const std::string &attemptId) {
+        return index == 0 ? RawUpstream::answer(attemptId) + RawUpstream::answer(attemptId)
+                          : RawUpstream::answer(attemptId);
+    };
+    CHECK(this->call("attempt-1").body == "whole-attempt-1");
+    const HttpOutcome second = this->call("attempt-2");
+    CHECK(second.body.find("attempt-1") == std::string::npos);
+    CHECK((second.status == 502 || second.body == "whole-attempt-2"));
+}
+
+// The copy arrives late, between the next request on the connection and its answer.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: second copy of an answer arrives late: is not forwarded")
+{
+    this->raw.bytesFor = [](std::size_t index, const std::string &attemptId) {
+        return index == 1 ? RawUpstream::answer("attempt-1") + RawUpstream::answer(attemptId)
+                          : RawUpstream::answer(attemptId);
+    };
+    CHECK(this->call("attempt-1").body == "whole-attempt-1");
+    const HttpOutcome second = this->call("attempt-2");
+    CHECK(second.status == 502);
+    CHECK(second.body.find("whole") == std::string::npos);
+    const HttpOutcome third = this->call("attempt-3");
+    CHECK(third.body == "whole-attempt-3");
+    CHECK(this->raw.connectionCount == 2);
+}
+
+// The answer breaks off, and the connection closes in an orderly way.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: answer is shorter than announced: does not look complete")
+{
+    this->raw.bytesFor = [](std::size_t, const std::string &attemptId) {
+        std::string bytes = RawUpstream::answer(attemptId);
+        return bytes.substr(0, bytes.size() - 3);
+    };
+    const HttpOutcome outcome = this->call("attempt-1");
+    CHECK((!outcome.isComplete() || outcome.status >= 500));
+}
--- a/tests/unit/storepollroutertest.cpp
+++ b/tests/unit/storepollroutertest.cpp
@@ -261,3 +261,14 @@
     CHECK(this->results.empty());
     CHECK(this->calls.size() == 1);
 }
+
+// Guards against a VM that restarts and takes over upstreams or keys from a peer that has an old list.
+TEST_CASE_METHOD(StorePollRouterFixture, "StorePollRouter: a peer reads for this VM: a full read goes to the store")
+{
+    this->readers = {"vm-2"};
+    this->pass(std::chrono::milliseconds(100));
+    std::int64_t revision = 0;
+    this->access.readPage("servers/", {}, [&revision](const KvPage &page) { revision = page.range.revision; });
+    CHECK(revision == this->revision);
+    CHECK(this->calls.empty());
+}
