--- a/tests/models/storereader.pml
+++ b/tests/models/storereader.pml
@@ -23,12 +23,18 @@
 byte changeAge[CHANGES + 1]; /* rounds since the store accepted a revision */
 
 byte readerRevision, readerAge; /* state and rounds since the reader's last read */
-bool isReaderCut, isReaderSilent, isReaderPaused;
-byte savedRevision; /* what the reader knew before a restart */
+bool isReaderCut, isReaderSilent, isReaderPaused, isRestarted;
 
 byte vmRevision;
 byte rounds;
 
+/* A reader answers only while its own latest read counts. */
+#ifdef NO_VALIDITY
+#define IS_ANSWERED (!isReaderSilent && !isReaderPaused)
+#else
+#define IS_ANSWERED (!isReaderSilent && !isReaderPaused && readerAge == 0)
+#endif
+
 inline readStore(revision, age)
 {
     revision = storeRevision;
@@ -38,11 +44,7 @@
 inline pollAsVm()
 {
     if
-    :: !isReaderSilent && !isReaderPaused
-#ifndef NO_VALIDITY
-        && readerAge == 0
-#endif
-        ->
+    :: IS_ANSWERED ->
         /* A VM that read the store itself may know more than the reader. */
         if
 #ifdef OLD_LIST
@@ -74,12 +76,7 @@
             :: isReaderCut = !isReaderCut
             :: isReaderSilent = !isReaderSilent
             :: isReaderPaused = !isReaderPaused
-            :: savedRevision = readerRevision;
-#ifdef OLD_LIST
-                readerRevision = 0; readerAge = 0
-#else
-                readStore(readerRevision, readerAge)
-#endif
+            :: isRestarted = true
             :: skip
             fi;
             if
@@ -90,6 +87,16 @@
             :: !isReaderCut && !isReaderPaused -> readStore(readerRevision, readerAge)
             :: else -> readerAge++
             fi;
+            if
+#ifdef OLD_LIST
+            :: isRestarted -> readerRevision = 0; readerAge = 0
+#else
+            /* A restarted reader that has not read the store has no answer. */
+            :: isRestarted && (isReaderCut || isReaderPaused) -> readerRevision = 0; readerAge = 1
+#endif
+            :: else -> skip
+            fi;
+            isRestarted = false;
             before = vmRevision;
             pollAsVm();
             assert(vmRevision >= before);
