Let queued timer callbacks of the relay detect its destruction

Cause: a timer that has expired is queued with success, and its callback runs even when the object that armed it is destroyed first. RelayProcess, PeerExchange and StoreProbe used their members then. The first polls at 0.4 and 0.9 s make several timers expire together there.

Change: the callbacks hold a weak reference, as other classes of the relay do.

--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -96,7 +96,10 @@
     if (this->isLargeFleet(time) || time - this->lastUpdateSent < minUpdateInterval)
         return;
     this->timer.cancel();
-    asio::post(this->loop, [this] { this->exchange(); });
+    asio::post(this->loop, [this, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired())
+            this->exchange();
+    });
 }
 
 void PeerExchange::setDutyHolder(const std::string &node)
@@ -143,8 +146,8 @@
     }
     this->updateLoads(time);
     this->timer.expires_after(this->exchangeInterval(time));
-    this->timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
+    this->timer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
+        if (!error && !alive.expired())
             this->exchange();
     });
 }
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -142,6 +143,7 @@
     std::map<std::string, double> neighbourQuota; ///< Units that neighbours admitted, by client account.
     std::map<std::string, double> neighbourDemand; ///< Prompt tokens at neighbours, by service.
     std::map<std::string, double> totalDemand; ///< As by demand().
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Lets queued callbacks detect the destruction.
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -204,7 +204,10 @@
     auto call = std::make_shared<RelayCall>(this->context, responder, [this, weakCall] {
         // The call is still on the stack when this runs, so it is destroyed later.
         this->shutdown.callStartedOrEnded(this->now());
-        asio::post(this->loop, [this, ended = weakCall->lock()] { this->calls.erase(ended); });
+        asio::post(this->loop, [this, ended = weakCall->lock(), alive = std::weak_ptr<bool>(this->alive)] {
+            if (!alive.expired())
+                this->calls.erase(ended);
+        });
     });
     *weakCall = call;
     this->calls.insert(call);
@@ -444,8 +447,8 @@
         this->duties.tick(now, this->wallTime(), this->randomFraction());
     }
     this->tickTimer.expires_after(tickInterval);
-    this->tickTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
+    this->tickTimer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
+        if (!error && !alive.expired())
             this->tick();
     });
 }
@@ -533,8 +536,8 @@
 
 void RelayProcess::awaitSignal()
 {
-    this->signals.async_wait([this](const asio::error_code &error, int) {
-        if (!error)
+    this->signals.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error, int) {
+        if (!error && !alive.expired())
             this->drain();
     });
 }
@@ -558,8 +561,8 @@
         return;
     }
     this->drainTimer.expires_after(tickInterval);
-    this->drainTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
+    this->drainTimer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
+        if (!error && !alive.expired())
             this->checkDrained();
     });
 }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -137,6 +137,7 @@
     std::chrono::nanoseconds maxLateness{0}; ///< Of the event loop since lastHealthReport.
     PeerTraffic reportedTraffic;
     ShutdownProgress shutdown;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Lets queued callbacks detect the destruction.
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/storeprobe.cpp
+++ b/src/libhemlock/relay/storeprobe.cpp
@@ -22,8 +22,8 @@
 void StoreProbe::start()
 {
     this->timer.expires_after(this->settings.interval);
-    this->timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
+    this->timer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
+        if (!error && !alive.expired())
             this->sendPing();
     });
 }
