Log the request's fingerprint and the kind of failure with failed attempts

The log could not tell how many failures an upstream had when a crash was not concluded, nor which requests are copies of each other. Each failed connection now has a line with the fingerprint and the number of recent failures, and failed attempts name the kind of failure. No change of behaviour.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -62,6 +62,21 @@
     return list;
 }
 
+std::string_view failureName(HttpFailure failure)
+{
+    switch (failure) {
+    case HttpFailure::None:
+        return "none";
+    case HttpFailure::Connect:
+        return "connect";
+    case HttpFailure::Timeout:
+        return "timeout";
+    case HttpFailure::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 std::string nextCallId()
 {
     static std::uint64_t last = 0;
@@ -497,9 +512,11 @@
              {{"request", this->request.attemptId},
               {"attempt", this->attempts},
               {"upstream", this->upstream.id},
+              {"failure", failureName(outcome.failure)},
               {"error", outcome.error},
               {"answerStatus", outcome.status},
               {"eventWrites", this->eventWrites},
+              {"fingerprint", this->fingerprint},
               {"parts", partList(this->request.parts)}});
 }
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -590,6 +590,9 @@
     auto &recent = this->recentConnectionFailures[upstream.id];
     std::erase_if(recent, [now](const auto &entry) { return now - entry.first > crashWindow; });
     recent.emplace_back(now, fingerprint);
+    logEvent(LogLevel::Info,
+             "connection-failure",
+             {{"upstream", upstream.id}, {"fingerprint", fingerprint}, {"recent", recent.size()}});
     // A single broken response may be caused by the network or by the response itself; a second one, or a refused
     // connection, shows that the upstream is down.
     if (recent.size() < 2)
