Judge whole requests by the same evidence of crashes as prompt parts

Callers saw upstreams end one after the other while one request came again and again. Cause: the guard of whole requests believed in a crash only after two failed connections to one upstream within 1.5 s at one VM. An upstream that runs a few short calls at a time gives one; the others are seen by other VMs, or not at all. Parts of prompts count each break at the start of an answer at once.

There is one quarantine for both kinds of subject now, one function that judges the end of an attempt (crashEvidence), and one class that applies it to the subjects of a request (RequestSuspects). A single break before or at the start of an answer blames the request. The second quarantine, its records, its part of each message and its updates are gone.

--- a/src/libhemlock/quarantine.cpp
+++ b/src/libhemlock/quarantine.cpp
@@ -213,6 +213,11 @@
     if (this->settings.provenDuration.count() > 0
         && (this->provenSubjects.size() < this->settings.maxEntries || this->provenSubjects.contains(subject)))
         this->provenSubjects[subject] = time;
+    this->clearSuspicion(subject, time, now);
+}
+
+void Quarantine::clearSuspicion(const std::string &subject, Time time, Time now)
+{
     const auto entry = this->entries.find(subject);
     if (entry == this->entries.end())
         return;
--- a/src/libhemlock/quarantine.h
+++ b/src/libhemlock/quarantine.h
@@ -105,6 +105,9 @@
     /// its upstream had done what crashes others.
     void recordSuccess(const std::string &subject, Time time, Time now);
 
+    /// The same, but the success does not count as a proof; for subjects that are hardly ever seen again.
+    void clearSuspicion(const std::string &subject, Time time, Time now);
+
     /// Records the death of an upstream, whether or not this process had attempts there.
     void upstreamDied(const Upstream &upstream, Time now);
 
--- /dev/null
+++ b/src/libhemlock/relay/crashevidence.cpp
@@ -0,0 +1,32 @@
+#include "relay/crashevidence.h"
+
+namespace hemlock {
+
+CrashEvidence crashEvidence(const AttemptEnd &end)
+{
+    if (end.isSuccess)
+        return CrashEvidence::Answered;
+    if (end.failure != HttpFailure::Broken || end.isAborted || end.isUpstreamLeaving)
+        return CrashEvidence::None;
+    if (end.status == 0)
+        return CrashEvidence::BrokeBeforeAnswer;
+    const bool hasBegun = end.status >= 200 && end.status < 300;
+    return hasBegun && end.eventWrites < provenEventWrites ? CrashEvidence::BrokeAtAnswerStart : CrashEvidence::None;
+}
+
+const char *crashEvidenceName(CrashEvidence evidence)
+{
+    switch (evidence) {
+    case CrashEvidence::None:
+        return "none";
+    case CrashEvidence::BrokeBeforeAnswer:
+        return "broke-before-answer";
+    case CrashEvidence::BrokeAtAnswerStart:
+        return "broke-at-answer-start";
+    case CrashEvidence::Answered:
+        return "answered";
+    }
+    return "unknown";
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/relay/crashevidence.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "httpclient.h"
+
+namespace hemlock {
+
+/// How an attempt ended, as far as it tells whether its request crashed the upstream.
+struct AttemptEnd
+{
+    HttpFailure failure = HttpFailure::None;
+    int status = 0; ///< HTTP status of the answer; 0 if none began.
+    int eventWrites = 0; ///< Writes of complete events that the answer led to.
+    bool isSuccess = false; ///< A complete answer with success arrived.
+    bool isAborted = false; ///< This process broke off the answer.
+    bool isUpstreamLeaving = false; ///< The upstream had announced its shutdown.
+};
+
+enum class CrashEvidence {
+    None, ///< Tells nothing: another request, the network or this process may have ended the attempt.
+    BrokeBeforeAnswer, ///< The request may have crashed the upstream; so may any other that had no answer there yet.
+    BrokeAtAnswerStart, ///< The upstream crashed as it began to answer, so the request or a part of it is the likely
+                        ///< cause.
+    Answered, ///< The request does not crash upstreams.
+};
+
+/// An answer that breaks off before its second write of events may have been broken off by the request itself; later
+/// ones are broken off by another request, or by a failure of the upstream.
+constexpr int provenEventWrites = 2;
+
+CrashEvidence crashEvidence(const AttemptEnd &end);
+
+/// Name for logs.
+const char *crashEvidenceName(CrashEvidence evidence);
+
+} // namespace hemlock
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -82,7 +82,6 @@
     , link(loop, this->settings.address, [this](std::string_view datagram) { this->handleDatagram(datagram); })
     , timer(loop)
     , suspectUpdates(this->shared.quarantine)
-    , partUpdates(this->shared.partQuarantine)
 {
 }
 
@@ -178,7 +177,6 @@
         update.usage = this->shared.usage.ownCounts();
     }
     update.quarantine = this->suspectUpdates.nextMessage(SuspectUpdates::Audience::Neighbours, time);
-    update.partQuarantine = this->partUpdates.nextMessage(SuspectUpdates::Audience::Neighbours, time);
     update.upstreamLimits = this->shared.scheduler.limits().encode(false, time);
     this->link.send(encode("vm", update), receivers);
 }
@@ -225,7 +223,6 @@
             addLoads(update.loads, reported.loads);
     }
     update.quarantine = this->suspectUpdates.nextMessage(SuspectUpdates::Audience::OtherZones, time);
-    update.partQuarantine = this->partUpdates.nextMessage(SuspectUpdates::Audience::OtherZones, time);
     update.upstreamLimits = this->shared.scheduler.limits().encode(true, time);
     const std::string datagram = encode("zone", update);
     ++this->nextReceiver;
@@ -276,16 +273,6 @@
     }
 }
 
-void PeerExchange::applySuspects(const nlohmann::json &requests,
-                                 const nlohmann::json &parts,
-                                 SuspectUpdates::Audience sender,
-                                 TimePoint time)
-{
-    this->suspectUpdates.applyMessage(requests, sender, time);
-    if (!parts.is_null())
-        this->partUpdates.applyMessage(parts, sender, time);
-}
-
 void PeerExchange::applyPeerUpdate(const PeerUpdate &update, TimePoint time)
 {
     if (update.node == this->settings.node || this->endedRuns.contains(update.runId))
@@ -314,7 +301,7 @@
     this->loads[update.node] = {update.loads, time};
     for (const CachedParts &cached : update.cachedParts)
         this->shared.scheduler.addPeerCachedParts(cached);
-    this->applySuspects(update.quarantine, update.partQuarantine, SuspectUpdates::Audience::Neighbours, time);
+    this->suspectUpdates.applyMessage(update.quarantine, SuspectUpdates::Audience::Neighbours, time);
     this->shared.scheduler.limits().apply(update.upstreamLimits, UpstreamLimits::Source::Zone, time);
 }
 
@@ -342,7 +329,7 @@
     addDifference(this->totalDemand, zone.lastDemand, mergedDemand);
     zone.lastDemand = mergedDemand;
     this->loads[update.zone] = {update.loads, time};
-    this->applySuspects(update.quarantine, update.partQuarantine, SuspectUpdates::Audience::OtherZones, time);
+    this->suspectUpdates.applyMessage(update.quarantine, SuspectUpdates::Audience::OtherZones, time);
     this->shared.scheduler.limits().apply(update.upstreamLimits, UpstreamLimits::Source::OtherZone, time);
 }
 
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -38,7 +38,6 @@
     AccountQuota &quota;
     UsageLedger &usage;
     Quarantine &quarantine;
-    Quarantine &partQuarantine;
     RelayScheduler &scheduler;
     MedianClock &clock;
     PeerRegistry &registry;
@@ -113,10 +112,6 @@
     void collectCachedParts();
 
     void handleDatagram(std::string_view datagram);
-    void applySuspects(const nlohmann::json &requests,
-                       const nlohmann::json &parts,
-                       SuspectUpdates::Audience sender,
-                       TimePoint now);
     void applyPeerUpdate(const PeerUpdate &update, TimePoint now);
     void applyZoneUpdate(const ZoneUpdate &update, std::string_view datagram, bool isForwarded, TimePoint now);
 
@@ -133,7 +128,6 @@
     TimePoint lastUpdateSent;
     TimePoint lastUsageSent;
     SuspectUpdates suspectUpdates;
-    SuspectUpdates partUpdates;
     std::vector<CachedParts> recentCachedParts;
     std::deque<std::size_t> partCounts; ///< Number of recentCachedParts that each message added, the oldest first.
     std::size_t nextReceiver = 0; ///< Rotates the receivers in the other zones.
--- a/src/libhemlock/relay/peerupdate.cpp
+++ b/src/libhemlock/relay/peerupdate.cpp
@@ -70,7 +70,6 @@
             {"usage", encodeUsage(update.usage)},
             {"cached", std::move(cached)},
             {"quarantine", update.quarantine},
-            {"partQuarantine", update.partQuarantine},
             {"limits", update.upstreamLimits}};
 }
 
@@ -94,7 +93,6 @@
         update.cachedParts.push_back(std::move(cached));
     }
     update.quarantine = json.at("quarantine");
-    update.partQuarantine = json.value("partQuarantine", nlohmann::json());
     update.upstreamLimits = json.value("limits", nlohmann::json::object());
 }
 
@@ -108,7 +106,6 @@
             {"loads", encodeLoads(update.loads)},
             {"demand", update.demand},
             {"quarantine", update.quarantine},
-            {"partQuarantine", update.partQuarantine},
             {"limits", update.upstreamLimits}};
 }
 
@@ -122,7 +119,6 @@
     update.loads = decodeLoads(json.at("loads"));
     json.at("demand").get_to(update.demand);
     update.quarantine = json.at("quarantine");
-    update.partQuarantine = json.value("partQuarantine", nlohmann::json());
     update.upstreamLimits = json.value("limits", nlohmann::json::object());
 }
 
--- a/src/libhemlock/relay/peerupdate.h
+++ b/src/libhemlock/relay/peerupdate.h
@@ -38,7 +38,6 @@
     std::map<std::int64_t, UsageCounts> usage; ///< By index of the wall clock window.
     std::vector<CachedParts> cachedParts; ///< Sent to upstreams since the last message but one.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
-    nlohmann::json partQuarantine; ///< The same for prompt parts; null from earlier versions.
     nlohmann::json upstreamLimits; ///< As by UpstreamLimits::encode(); empty from earlier versions.
 };
 
@@ -54,7 +53,6 @@
     PeerLoads loads;
     std::map<std::string, double> demand; ///< Prompt tokens since the sender's start, by service.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
-    nlohmann::json partQuarantine; ///< The same for prompt parts; null from earlier versions.
     nlohmann::json upstreamLimits; ///< As by UpstreamLimits::encode(); empty from earlier versions.
 };
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -49,10 +49,6 @@
     return endToEnd;
 }
 
-/// An answer that breaks off before its second write of events may have been broken off by the request itself; later
-/// ones are broken off by another request, or by a failure of the upstream.
-constexpr int provenEventWrites = 2;
-
 /// Identifiers of prompt parts in hexadecimal, separated by commas.
 std::string partList(const std::vector<PromptPart> &parts)
 {
@@ -91,7 +87,7 @@
     , ended(std::move(ended))
     , timer(context.loop)
     , id(nextCallId())
-    , promptSuspects(context.partQuarantine)
+    , suspects(context.quarantine)
 {
 }
 
@@ -104,8 +100,8 @@
     this->request = std::move(std::get<RelayRequest>(decoded));
     if (!this->resolveRoute() || !this->authorize())
         return;
-    const auto trial = this->promptSuspects.dueTrial(this->arrivalTime);
-    if (const auto error = trial ? this->requestQuarantineError() : this->quarantineError())
+    const auto trial = this->suspects.dueTrial(this->arrivalTime);
+    if (const auto error = this->quarantineError(); error && !trial)
         return this->refuse(*error);
     if (!this->context.acceptsCall(this->route->kind))
         return this->refuse({Verdict::NotRun, 503, "stopping", "the process is about to end", std::chrono::seconds(0)});
@@ -138,11 +134,14 @@
             return;
         if (!validUntil) {
             constexpr std::chrono::seconds trialRetry{1};
-            return self->refuse(
-                {Verdict::NotRun, 503, "quarantined", "a part of the prompt waits for its trial", trialRetry});
+            return self->refuse({Verdict::NotRun,
+                                 503,
+                                 "quarantined",
+                                 "another request is the trial of what crashed upstreams",
+                                 trialRetry});
         }
-        logEvent(LogLevel::Info, "quarantine-trial", {{"request", self->request.attemptId}, {"part", subject}});
-        self->promptSuspects.grantTrial(subject, *validUntil);
+        logEvent(LogLevel::Info, "quarantine-trial", {{"request", self->request.attemptId}, {"subject", subject}});
+        self->suspects.grantTrial(subject, *validUntil);
         self->enqueue();
     });
 }
@@ -160,7 +159,7 @@
         return false;
     }
     this->service = targetService(*this->route, this->request.attemptId);
-    this->promptSuspects.setParts(this->service, this->request.parts);
+    this->suspects.setParts(this->service, this->request.parts);
     return true;
 }
 
@@ -175,26 +174,17 @@
     }
     const std::string name = this->account ? this->account->name : std::string();
     this->fingerprint = requestFingerprint(name, this->request.target, this->request.body);
+    this->suspects.setFingerprint(this->fingerprint);
     return true;
 }
 
-std::optional<RequestError> RelayCall::requestQuarantineError() const
-{
-    if (this->context.quarantine.permissionFor(this->fingerprint, this->context.now())
-        != Quarantine::Permission::Refused)
-        return std::nullopt;
-    constexpr std::chrono::seconds quarantineRetry{60};
-    return RequestError{Verdict::NotRun, 503, "quarantined", "the request crashed several upstreams", quarantineRetry};
-}
-
 std::optional<RequestError> RelayCall::quarantineError() const
 {
-    if (const auto error = this->requestQuarantineError())
-        return error;
-    if (const auto wait = this->promptSuspects.refusal(this->context.now()))
-        return RequestError{
-            Verdict::NotRun, 503, "quarantined", "a part of the prompt crashed several upstreams", *wait};
-    return std::nullopt;
+    const auto refusal = this->suspects.refusal(this->context.now());
+    if (!refusal)
+        return std::nullopt;
+    const std::string subject = refusal->isPart ? "a part of the prompt" : "the request";
+    return RequestError{Verdict::NotRun, 503, "quarantined", subject + " crashed several upstreams", refusal->wait};
 }
 
 bool RelayCall::takeQuota()
@@ -233,7 +223,7 @@
     if (this->attempts > 0)
         ticket.latestStart = this->answerDeadline;
     ticket.excluded = this->triedUpstreams;
-    ticket.isTrial = this->promptSuspects.grantedTrial(this->context.now()).has_value();
+    ticket.isTrial = this->suspects.grantedTrial(this->context.now()).has_value();
     RelayTicketHooks hooks;
     hooks.start = [weak = this->weak_from_this()](const Upstream &chosen, const RouteDecision &decision) {
         if (const auto self = weak.lock())
@@ -260,12 +250,12 @@
 void RelayCall::sendAttempt(const Upstream &chosen, const RouteDecision &decision)
 {
     this->isQueued = false;
-    // A part of the prompt may have been refused while the request was queued.
+    // The request or a part of its prompt may have been refused while it was queued.
     if (const auto error = this->quarantineError()) {
         this->context.scheduler.requestEnded(this->id, false, this->context.now());
         return this->refuseUnsent(*error);
     }
-    this->promptSuspects.endTrial();
+    this->suspects.endTrial();
     this->isAttemptActive = true;
     this->upstream = chosen;
     this->triedUpstreams.insert(chosen.id);
@@ -273,11 +263,11 @@
     this->status = 0;
     this->headers = {};
     this->answer = {};
+    this->isAborted = false;
     this->isMismatched = false;
     this->isStreaming = false;
     this->discardedBytes = 0;
     this->eventWrites = 0;
-    this->context.quarantine.attemptStarted(this->fingerprint, chosen.id);
     if (this->attempts == 1)
         this->context.retryBudget.recordRequest({}, this->service, this->context.now());
 
@@ -381,6 +371,7 @@
 {
     // Closes the connection, so that later bytes on it are not taken for the answer to the next request.
     this->context.http.cancel(this->attemptCall);
+    this->isAborted = true;
     HttpOutcome outcome;
     outcome.verdict = Verdict::MayHaveRun;
     outcome.failure = HttpFailure::Broken;
@@ -424,7 +415,7 @@
     }
     this->lastEventTime = now;
     if (++this->eventWrites == provenEventWrites)
-        this->promptSuspects.recordSuccess(this->answerStart, now);
+        this->suspects.recordProgress(this->answerStart, now);
     this->beginStream();
     this->responder->write(std::move(completeEvents));
     if (this->responder->pendingBytes() > maxPendingBytes)
@@ -452,7 +443,6 @@
 {
     this->isAttemptActive = false;
     this->attemptCall = 0;
-    this->context.quarantine.attemptEnded(this->fingerprint, this->upstream.id);
     this->context.scheduler.requestEnded(this->id, failed, this->context.now());
 }
 
@@ -463,16 +453,12 @@
     const bool reportsNotRun = outcome.isComplete() && (this->answer.isNotExecuted || outcome.status == 421);
     const bool isFailure = !outcome.isComplete() || (outcome.status >= 500 && !reportsNotRun);
     this->endAttempt(isFailure);
-    if (!outcome.isComplete()) {
-        this->logFailedAttempt(outcome);
-        this->recordPartCrash(outcome);
-    }
+    this->recordEvidence(outcome);
     const auto now = this->context.now();
     if (outcome.failure == HttpFailure::Connect)
         this->context.scheduler.upstreamFailed(this->upstream.id, now);
     if (outcome.failure == HttpFailure::Connect || outcome.failure == HttpFailure::Broken)
-        this->context.connectionFailed(this->upstream,
-                                       outcome.failure == HttpFailure::Broken ? this->fingerprint : std::string());
+        this->context.connectionFailed(this->upstream);
     if (outcome.failure == HttpFailure::Connect || reportsNotRun)
         return this->retryOrFail(reportsNotRun ? "the upstream did not run the request"
                                                : "no connection: " + outcome.error);
@@ -485,11 +471,6 @@
     }
     if (this->verdict == Verdict::NotRun)
         this->verdict = Verdict::Ran;
-    if (this->isSuccess(outcome)) {
-        this->context.quarantine.recordSuccess(this->fingerprint, now, now);
-        if (this->eventWrites < provenEventWrites)
-            this->promptSuspects.recordSuccess(this->answerStart, now);
-    }
     if (!this->isUsageCounted && this->account) {
         this->isUsageCounted = true;
         this->context.usage.count(this->account->name, this->context.wallTime());
@@ -505,7 +486,22 @@
     this->finish(outcome.status, "answered");
 }
 
-void RelayCall::logFailedAttempt(const HttpOutcome &outcome) const
+void RelayCall::recordEvidence(const HttpOutcome &outcome)
+{
+    AttemptEnd end;
+    end.failure = outcome.failure;
+    end.status = outcome.status;
+    end.eventWrites = this->eventWrites;
+    end.isSuccess = this->isSuccess(outcome);
+    end.isAborted = this->isAborted;
+    end.isUpstreamLeaving = this->context.scheduler.upstreams().isLeaving(this->upstream.id);
+    const CrashEvidence evidence = crashEvidence(end);
+    if (!outcome.isComplete())
+        this->logFailedAttempt(outcome, evidence);
+    this->suspects.record(evidence, this->upstream, this->answerStart, this->context.now());
+}
+
+void RelayCall::logFailedAttempt(const HttpOutcome &outcome, CrashEvidence evidence) const
 {
     logEvent(LogLevel::Info,
              "attempt-failed",
@@ -516,18 +512,11 @@
               {"error", outcome.error},
               {"answerStatus", outcome.status},
               {"eventWrites", this->eventWrites},
+              {"evidence", crashEvidenceName(evidence)},
               {"fingerprint", this->fingerprint},
               {"parts", partList(this->request.parts)}});
 }
 
-void RelayCall::recordPartCrash(const HttpOutcome &outcome)
-{
-    const bool brokeAtStart = outcome.failure == HttpFailure::Broken && outcome.status >= 200 && outcome.status < 300
-        && this->eventWrites < provenEventWrites;
-    if (brokeAtStart && !this->context.scheduler.upstreams().isLeaving(this->upstream.id))
-        this->promptSuspects.recordCrash(this->upstream, this->context.now());
-}
-
 void RelayCall::finishStream(const HttpOutcome &outcome)
 {
     if (this->events.hasPartialEvent())
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -2,8 +2,8 @@
 
 #include "httpserver.h"
 #include "relay/eventsplitter.h"
-#include "relay/promptsuspects.h"
 #include "relay/relaycontext.h"
+#include "relay/requestsuspects.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -36,9 +36,7 @@
 
     bool resolveRoute();
     bool authorize();
-    /// Error if the request may not be sent, or if it is refused whatever its prompt holds.
     std::optional<RequestError> quarantineError() const;
-    std::optional<RequestError> requestQuarantineError() const;
     void requestTrial(const std::string &subject);
     bool takeQuota();
     void enqueue();
@@ -48,10 +46,10 @@
     void recordRateLimit();
     void abortAttempt(const std::string &error);
     void attemptDone(const HttpOutcome &outcome);
-    void logFailedAttempt(const HttpOutcome &outcome) const;
+    void logFailedAttempt(const HttpOutcome &outcome, CrashEvidence evidence) const;
     void finishStream(const HttpOutcome &outcome);
     void endAttempt(bool failed);
-    void recordPartCrash(const HttpOutcome &outcome);
+    void recordEvidence(const HttpOutcome &outcome);
     void forwardEvents(std::string completeEvents);
     void beginStream();
 
@@ -79,7 +77,7 @@
     const RelayAccount *account = nullptr;
     std::string service;
     std::string fingerprint;
-    PromptSuspects promptSuspects;
+    RequestSuspects suspects;
     TimePoint arrivalTime;
     TimePoint answerDeadline; ///< Time by which the answer has to be complete.
 
@@ -97,6 +95,7 @@
     int status = 0; ///< HTTP status of the current attempt's answer.
     HttpHeaders headers;
     RelayAnswer answer;
+    bool isAborted = false; ///< This process broke off the current attempt's answer.
     bool isMismatched = false; ///< The answer carries the identifier of another request.
     bool isStreaming = false; ///< The current attempt's answer is an event stream to forward.
     /// Body bytes that are not forwarded, since the answer to a stream request is not a stream.
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -36,8 +36,7 @@
     RelayScheduler &scheduler;
     AccountQuota &quota;
     RetryBudget &retryBudget;
-    Quarantine &quarantine; ///< Subjects are fingerprints of requests.
-    Quarantine &partQuarantine; ///< Subjects are prompt parts, see PromptSuspects.
+    Quarantine &quarantine; ///< For its subjects see RequestSuspects.
     UsageLedger &usage;
     Metrics &metrics;
     /// Whether a new call of this kind is accepted; false when too little of the drain time is left before shutdown.
@@ -50,11 +49,10 @@
 
     std::function<UpstreamListFreshness()> upstreamListFreshness;
 
-    /// Called when the connection for an attempt failed. The fingerprint is empty if no connection was established, so
-    /// that the request cannot have crashed the upstream.
-    std::function<void(const Upstream &upstream, const std::string &fingerprint)> connectionFailed;
+    /// Called when the connection for an attempt failed.
+    std::function<void(const Upstream &upstream)> connectionFailed;
 
-    /// Requests the trial of a refused prompt part, as by SuspectRecords::requestTrial().
+    /// Requests the trial of a refused subject, as by SuspectRecords::requestTrial().
     std::function<void(
         const std::string &subject,
         const std::function<void(std::optional<std::chrono::steady_clock::time_point> validUntil)> &done)>
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -38,13 +38,13 @@
 constexpr std::chrono::milliseconds minUpstreamRestartTime{2000};
 
 /// Long enough for crashes that were under way to be noticed, and for several requests of the fleet to arrive.
-constexpr std::chrono::seconds partTrialDelay{8};
+constexpr std::chrono::seconds trialDelay{8};
 
-/// Short, since sound requests are refused until it is known which of two parts crashes upstreams.
+/// Short, since sound requests are refused until it is known which of two subjects crashes upstreams.
 constexpr std::chrono::milliseconds distinguishingTrialDelay{2000};
 
-/// The check of a refused part compares its crashes with those of all others.
-constexpr std::size_t maxSuspectParts = 2000;
+/// The check of a refused subject compares its crashes with those of all others.
+constexpr std::size_t maxSuspects = 2000;
 
 /// Parts that are answered less often than this are hardly shared by requests that are in progress.
 constexpr std::chrono::seconds partProvenDuration{30};
@@ -75,18 +75,18 @@
     return settings;
 }
 
-/// Of prompt parts. A part that was answered shortly before is believed to crash upstreams after one more crash: shared
-/// parts stand beside the one that crashes them, and their next answer may come after the second crash.
-QuarantineSettings partQuarantineSettings(const std::string &node)
+/// A prompt part that was answered shortly before is believed to crash upstreams after one more crash: shared parts
+/// stand beside the one that crashes them, and their next answer may come after the second crash.
+QuarantineSettings quarantineSettings(const std::string &node)
 {
     QuarantineSettings settings;
     settings.provenCrashLimit = settings.crashLimit + 1;
     settings.provenDuration = partProvenDuration;
     settings.minRestartTime = minUpstreamRestartTime;
-    settings.trialDelay = partTrialDelay;
+    settings.trialDelay = trialDelay;
     settings.distinguishingTrialDelay = distinguishingTrialDelay;
     settings.trialSeed = node;
-    settings.maxEntries = maxSuspectParts;
+    settings.maxEntries = maxSuspects;
     return settings;
 }
 
@@ -113,10 +113,11 @@
     , scheduler(this->settings.zone, RandomEngine(this->random()))
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
-    , partQuarantine(partQuarantineSettings(this->settings.node))
-    , requestRecords(
-          kv, std::string(ownKeyPrefix) + "suspects/requests/", this->quarantine, this->suspectRecordsHooks())
-    , partRecords(kv, std::string(ownKeyPrefix) + "suspects/parts/", this->partQuarantine, this->suspectRecordsHooks())
+    , quarantine(quarantineSettings(this->settings.node))
+    , suspectRecords(kv,
+                     std::string(ownKeyPrefix) + "suspects/",
+                     this->quarantine,
+                     {[this] { return this->now(); }, [this] { return this->wallTime(); }})
     , usage(this->settings.usageWindow)
     , registry(kv,
                std::string(ownKeyPrefix) + "nodes/",
@@ -133,7 +134,6 @@
               this->quota,
               this->retries,
               this->quarantine,
-              this->partQuarantine,
               this->usage,
               this->metrics,
               [this](CallKind kind) { return this->accepts(kind); },
@@ -143,11 +143,9 @@
               [this] { return this->now(); },
               [this] { return this->wallTime(); },
               [this] { return this->upstreamListFreshness(); },
-              [this](const Upstream &upstream, const std::string &fingerprint) {
-                  this->recordConnectionFailure(upstream, fingerprint);
-              },
+              [this](const Upstream &upstream) { this->recordConnectionFailure(upstream); },
               [this](const std::string &subject, const SuspectRecords::TrialDone &done) {
-                  this->partRecords.requestTrial(subject, done);
+                  this->suspectRecords.requestTrial(subject, done);
               },
               [this](double tokens) {
                   if (tokens >= longPromptTokens)
@@ -179,13 +177,7 @@
     , peerExchange(
           loop,
           {this->settings.node, this->runId, this->settings.zone.name, this->settings.peerAddress},
-          {this->quota,
-           this->usage,
-           this->quarantine,
-           this->partQuarantine,
-           this->scheduler,
-           this->clock,
-           this->registry},
+          {this->quota, this->usage, this->quarantine, this->scheduler, this->clock, this->registry},
           [this] { return this->now(); },
           [this] { return this->wallTime(); })
     , signals(loop, SIGTERM, SIGINT)
@@ -193,12 +185,9 @@
     , drainTimer(loop)
 {
     this->scheduler.limits().setFleet(this->settings.node, [this] { return this->registry.nodes(this->now()); });
-    for (Quarantine *subjects : {&this->quarantine, &this->partQuarantine}) {
-        subjects->setSuspicionHook([](const std::string &subject, bool isStrong, std::size_t crashes) {
-            logEvent(
-                LogLevel::Warning, "quarantine", {{"subject", subject}, {"strong", isStrong}, {"crashes", crashes}});
-        });
-    }
+    this->quarantine.setSuspicionHook([](const std::string &subject, bool isStrong, std::size_t crashes) {
+        logEvent(LogLevel::Warning, "quarantine", {{"subject", subject}, {"strong", isStrong}, {"crashes", crashes}});
+    });
     this->duties.setEnabledDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
     this->duties.setOrderRefusedHandler([this](const UpstreamOrder &order) {
         if (order.isReclaimable)
@@ -286,11 +275,6 @@
     return {this->store.upstreams().revision(), std::chrono::duration_cast<std::chrono::milliseconds>(age)};
 }
 
-SuspectRecords::Hooks RelayProcess::suspectRecordsHooks()
-{
-    return {[this] { return this->now(); }, [this] { return this->wallTime(); }};
-}
-
 StoreSubscriptionsHooks RelayProcess::storeHooks()
 {
     StoreSubscriptionsHooks hooks;
@@ -368,8 +352,8 @@
         this->updateDutyHolder(value);
     else if (key.starts_with(this->registry.prefix()))
         this->registry.recordChanged(key, value, this->now());
-    else
-        this->updateSuspectRecord(key, value);
+    else if (key.starts_with(this->suspectRecords.prefix()))
+        this->suspectRecords.recordChanged(key, value);
 }
 
 void RelayProcess::removeEntry(const std::string &key)
@@ -380,16 +364,8 @@
         this->updateDutyHolder({});
     else if (key.starts_with(this->registry.prefix()))
         this->registry.recordChanged(key, {}, this->now());
-    else
-        this->updateSuspectRecord(key, {});
-}
-
-void RelayProcess::updateSuspectRecord(const std::string &key, const std::string &value)
-{
-    for (SuspectRecords *records : {&this->requestRecords, &this->partRecords}) {
-        if (key.starts_with(records->prefix()))
-            records->recordChanged(key, value);
-    }
+    else if (key.starts_with(this->suspectRecords.prefix()))
+        this->suspectRecords.recordChanged(key, {});
 }
 
 void RelayProcess::updateDutyHolder(const std::string &record)
@@ -491,7 +467,6 @@
               {"peerUnsent", traffic.unsentDatagrams - before.unsentDatagrams},
               {"peerLargest", traffic.largestDatagram},
               {"suspects", this->quarantine.size()},
-              {"suspectParts", this->partQuarantine.size()},
               {"upstreamsRevision", freshness.revision},
               {"upstreamsAgeMs", freshness.age.count()}});
     this->lastHealthReport = now;
@@ -507,8 +482,7 @@
         this->applyUpstreams();
     this->store.tick();
     this->scheduler.tick(now);
-    this->requestRecords.tick();
-    this->partRecords.tick();
+    this->suspectRecords.tick();
     this->retries.setMaxRetries(this->retryCapacityPerVm(now));
     if (!this->shutdown.hasBegun())
         this->registry.tick(now, this->randomFraction());
@@ -584,26 +558,18 @@
     return supply;
 }
 
-void RelayProcess::recordConnectionFailure(const Upstream &upstream, const std::string &fingerprint)
+void RelayProcess::recordConnectionFailure(const Upstream &upstream)
 {
     const TimePoint now = this->now();
     auto &recent = this->recentConnectionFailures[upstream.id];
-    std::erase_if(recent, [now](const auto &entry) { return now - entry.first > crashWindow; });
-    recent.emplace_back(now, fingerprint);
-    logEvent(LogLevel::Info,
-             "connection-failure",
-             {{"upstream", upstream.id}, {"fingerprint", fingerprint}, {"recent", recent.size()}});
+    std::erase_if(recent, [now](TimePoint time) { return now - time > crashWindow; });
+    recent.push_back(now);
+    logEvent(LogLevel::Info, "connection-failure", {{"upstream", upstream.id}, {"recent", recent.size()}});
     // A single broken response may be caused by the network or by the response itself; a second one, or a refused
     // connection, shows that the upstream is down.
     if (recent.size() < 2)
         return;
-    for (const auto &[time, suspect] : recent) {
-        if (!suspect.empty())
-            this->quarantine.recordCrash(suspect, upstream, now);
-    }
-    logEvent(LogLevel::Info,
-             "upstream-crashed",
-             {{"upstream", upstream.id}, {"failures", recent.size()}, {"suspects", this->quarantine.size()}});
+    logEvent(LogLevel::Info, "upstream-crashed", {{"upstream", upstream.id}, {"failures", recent.size()}});
     recent.clear();
     this->scheduler.upstreamFailed(upstream.id, now);
 }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -89,7 +89,7 @@
 
     void tick();
     void reportHealth(TimePoint now, std::chrono::nanoseconds lateness);
-    void recordConnectionFailure(const Upstream &upstream, const std::string &fingerprint);
+    void recordConnectionFailure(const Upstream &upstream);
     bool claimsDuties(TimePoint now) const;
     /// Number of other entry VMs; the expected one until their records were read.
     std::size_t peerCount(TimePoint now) const;
@@ -101,8 +101,6 @@
     void awaitSignal();
     void drain();
     void checkDrained();
-    SuspectRecords::Hooks suspectRecordsHooks();
-    void updateSuspectRecord(const std::string &key, const std::string &value);
 
     asio::io_context &loop;
     RelaySettings settings;
@@ -113,9 +111,7 @@
     AccountQuota quota;
     RetryBudget retries;
     Quarantine quarantine;
-    Quarantine partQuarantine;
-    SuspectRecords requestRecords;
-    SuspectRecords partRecords;
+    SuspectRecords suspectRecords;
     UsageLedger usage;
     Metrics metrics;
     MedianClock clock;
@@ -135,8 +131,7 @@
 
     std::map<std::string, UpstreamState> upstreamStates; ///< States that were last logged, by upstream id.
     std::set<std::shared_ptr<RelayCall>> calls;
-    /// Time and request fingerprint of recent connection failures, by upstream id.
-    std::map<std::string, std::vector<std::pair<TimePoint, std::string>>> recentConnectionFailures;
+    std::map<std::string, std::vector<TimePoint>> recentConnectionFailures; ///< By upstream id.
     std::map<std::string, std::string> unreadableEntries; ///< Invalid values that were logged, by key.
     PeriodicTask planTask;
     TimePoint startTime;
--- /dev/null
+++ b/src/libhemlock/relay/requestsuspects.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "quarantine.h"
+#include "relay/crashevidence.h"
+#include "router.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlock {
+
+/// Subjects of the quarantine in one request: the request as a whole, by its fingerprint, and the parts of its prompt
+/// that other prompts may share.
+class RequestSuspects
+{
+public:
+    using Time = Quarantine::Time;
+
+    struct Refusal
+    {
+        std::string subject;
+        bool isPart = false; ///< Whether the subject is a part of the prompt.
+        std::chrono::seconds wait{1}; ///< Time after which the next trial is due; at least one second.
+    };
+
+    explicit RequestSuspects(Quarantine &quarantine);
+
+    /// Sets the fingerprint of the request, as by requestFingerprint().
+    void setFingerprint(const std::string &fingerprint);
+
+    /// Sets the parts of a prompt for a service. The last one belongs to its request alone and is never a suspect.
+    void setParts(const std::string &service, const std::vector<PromptPart> &parts);
+
+    /// The first subject that is refused, unless this request is its granted trial.
+    std::optional<Refusal> refusal(Time now) const;
+
+    /// The subject whose trial is due and may be made with this request.
+    std::optional<std::string> dueTrial(Time now) const;
+
+    /// The request may be sent as the trial of a subject until a time.
+    void grantTrial(const std::string &subject, Time validUntil);
+
+    /// The subject that the request is the trial of, unless that ended or was not granted.
+    std::optional<std::string> grantedTrial(Time now) const;
+
+    /// Ends the trial, which covers one attempt.
+    void endTrial();
+
+    /// Records what an attempt at an upstream showed. @p answerStart is when the answer began, if it did.
+    void record(CrashEvidence evidence, const Upstream &upstream, Time answerStart, Time now);
+
+    /// Records that the upstream goes on to answer, from the time @p answerStart on, so that no part of the prompt
+    /// crashed it.
+    void recordProgress(Time answerStart, Time now);
+
+private:
+    std::vector<std::string> subjects() const;
+    bool isRefused(const std::string &subject, Time now) const;
+
+    Quarantine &quarantine;
+    std::string fingerprint; ///< Empty until it is known.
+    std::vector<std::string> parts;
+    std::string trialSubject; ///< Empty if no trial was granted.
+    Time trialValidUntil{};
+};
+
+} // namespace hemlock
--- a/tests/unit/peerexchangetest.cpp
+++ b/tests/unit/peerexchangetest.cpp
@@ -26,7 +26,6 @@
                   {this->quota,
                    this->usage,
                    this->quarantine,
-                   this->partQuarantine,
                    this->scheduler,
                    this->clock,
                    this->registry},
@@ -45,7 +44,6 @@
         AccountQuota quota;
         UsageLedger usage;
         Quarantine quarantine;
-        Quarantine partQuarantine;
         RelayScheduler scheduler;
         MedianClock clock;
         PeerRegistry registry;
@@ -251,13 +249,13 @@
     const auto now = std::chrono::steady_clock::now();
     for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
         for (int i = 0; i < 10; ++i)
-            this->vms[vm]->partQuarantine.recordCrash(
+            this->vms[vm]->quarantine.recordCrash(
                 "model/" + std::to_string(100 * vm + static_cast<std::size_t>(i)), {.id = "m0"}, now);
     }
-    this->vms[4]->partQuarantine.recordCrash("model/bad", {.id = "m1", .zone = {"zone-m1"}}, now);
-    this->vms[9]->partQuarantine.recordCrash("model/bad", {.id = "m2", .zone = {"zone-m2"}}, now);
+    this->vms[4]->quarantine.recordCrash("model/bad", {.id = "m1", .zone = {"zone-m1"}}, now);
+    this->vms[9]->quarantine.recordCrash("model/bad", {.id = "m2", .zone = {"zone-m2"}}, now);
     this->runFor(std::chrono::milliseconds(2000));
     for (const auto &vm : this->vms)
-        CHECK(vm->partQuarantine.permissionFor("model/bad", std::chrono::steady_clock::now())
+        CHECK(vm->quarantine.permissionFor("model/bad", std::chrono::steady_clock::now())
               == Quarantine::Permission::Refused);
 }
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -81,11 +81,11 @@
         this->context.now = [] { return std::chrono::steady_clock::now(); };
         this->context.wallTime = [] { return std::chrono::system_clock::now(); };
         this->context.upstreamListFreshness = [] { return UpstreamListFreshness{}; };
-        this->context.connectionFailed = [this](const Upstream &, const std::string &) { ++this->failedConnections; };
+        this->context.connectionFailed = [this](const Upstream &) { ++this->failedConnections; };
         this->context.requestTrial = [this](const std::string &subject,
                                             const std::function<void(std::optional<Quarantine::Time>)> &done) {
             const auto now = std::chrono::steady_clock::now();
-            this->partQuarantine.startTrial(subject, now);
+            this->quarantine.startTrial(subject, now);
             done(this->grantsTrials ? std::optional(now + this->trialLifetime) : std::nullopt);
         };
         this->context.promptSent = [](double) {};
@@ -222,7 +222,6 @@
     AccountQuota quota;
     RetryBudget retries;
     Quarantine quarantine;
-    Quarantine partQuarantine;
     UsageLedger usage{std::chrono::milliseconds(5000)};
     Metrics metrics;
     RelayContext context{this->loop,
@@ -232,7 +231,6 @@
                          this->quota,
                          this->retries,
                          this->quarantine,
-                         this->partQuarantine,
                          this->usage,
                          this->metrics,
                          {},
@@ -667,8 +665,8 @@
                                                                   }});
     this->runUntil([this] { return this->scheduler.waitingCount("service") == 1; });
     const auto now = std::chrono::steady_clock::now();
-    this->partQuarantine.recordCrash("service/bad", this->first.upstream, now);
-    this->partQuarantine.recordCrash("service/bad", this->second.upstream, now);
+    this->quarantine.recordCrash("service/bad", this->first.upstream, now);
+    this->quarantine.recordCrash("service/bad", this->second.upstream, now);
     this->runUntil([&isDone] { return isDone; });
     CHECK(waiting.outcome.status == 503);
     CHECK(this->sentCount() == 2);
@@ -696,10 +694,10 @@
     this->configure(CallKind::Stream, 1);
     QuarantineSettings settings;
     settings.trialDelay = std::chrono::milliseconds(1);
-    this->partQuarantine = Quarantine(settings);
+    this->quarantine = Quarantine(settings);
     const auto crashTime = std::chrono::steady_clock::now() - std::chrono::seconds(10);
     for (const FakeUpstream *fake : {&this->first, &this->second})
-        this->partQuarantine.recordCrash("service/bad", fake->upstream, crashTime);
+        this->quarantine.recordCrash("service/bad", fake->upstream, crashTime);
     this->grantsTrials = GENERATE(true, false);
     this->trialLifetime = std::chrono::milliseconds(0);
     const auto refused = this->call(this->requestWithParts("bad:10"));
@@ -716,14 +714,14 @@
     this->crashOnBadPart();
     QuarantineSettings settings;
     settings.trialDelay = std::chrono::milliseconds(1);
-    this->partQuarantine = Quarantine(settings);
+    this->quarantine = Quarantine(settings);
     const auto crashTime = std::chrono::steady_clock::now() - std::chrono::seconds(1);
     for (const FakeUpstream *fake : {&this->first, &this->second})
-        this->partQuarantine.recordCrash("service/5a", fake->upstream, crashTime);
-    this->partQuarantine.recordCrash("service/bad", this->first.upstream, crashTime);
+        this->quarantine.recordCrash("service/5a", fake->upstream, crashTime);
+    this->quarantine.recordCrash("service/bad", this->first.upstream, crashTime);
     CHECK(this->call(this->requestWithParts("5a:100,bad:10")).outcome.status == 503);
     CHECK(this->sentCount() == 0);
     CHECK(this->call(this->requestWithParts("5a:100,5b:10")).outcome.status == 200);
-    CHECK(this->partQuarantine.permissionFor("service/5a", std::chrono::steady_clock::now())
+    CHECK(this->quarantine.permissionFor("service/5a", std::chrono::steady_clock::now())
           == Quarantine::Permission::Allowed);
 }
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -134,7 +134,7 @@
         this->context.now = [] { return std::chrono::steady_clock::now(); };
         this->context.wallTime = [] { return std::chrono::system_clock::now(); };
         this->context.upstreamListFreshness = [] { return UpstreamListFreshness{}; };
-        this->context.connectionFailed = [](const Upstream &, const std::string &) {};
+        this->context.connectionFailed = [](const Upstream &) {};
         this->context.promptSent = [](double) {};
         Upstream upstream;
         upstream.id = "upstream-1";
@@ -199,7 +199,6 @@
     AccountQuota quota;
     RetryBudget retries;
     Quarantine quarantine;
-    Quarantine partQuarantine;
     UsageLedger usage{std::chrono::milliseconds(5000)};
     Metrics metrics;
     RelayContext context{this->loop,
@@ -209,7 +208,6 @@
                          this->quota,
                          this->retries,
                          this->quarantine,
-                         this->partQuarantine,
                          this->usage,
                          this->metrics,
                          {},
--- a/tests/unit/suspectfixture.h
+++ b/tests/unit/suspectfixture.h
@@ -11,8 +11,8 @@
 
 namespace hemlock {
 
-/// One entry process with a store in memory and two upstreams. They crash as they begin to answer the prompt part "bad",
-/// and at the body "deadly" before they answer.
+/// One entry process with a store in memory and two upstreams. They crash as they begin to answer the prompt part
+/// "bad", and at the body "deadly" before they answer.
 class SuspectFixture
 {
 protected:
