Identify requests without a client account as well

Callers of a deployment without client accounts could crash upstreams without end. Cause: authorize() returned before it computed the request's fingerprint when the configuration holds no accounts, so that no crash had a subject. The fingerprint is computed in each case now. 'deployment has no accounts*' failed before: 4 attempts for 2, 502 for 503.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -165,10 +165,9 @@
 
 bool RelayCall::authorize()
 {
-    if (this->routes->config().accounts.empty())
-        return true;
+    const bool needsAccount = !this->routes->config().accounts.empty() && !this->route->isPublic;
     this->account = this->routes->accountOfKey(this->request.apiKey);
-    if (!this->account && !this->route->isPublic) {
+    if (!this->account && needsAccount) {
         this->refuse({Verdict::NotRun, 401, "unknown-key", "the API key belongs to no client account", {}});
         return false;
     }
--- a/tests/unit/crashingrequesttest.cpp
+++ b/tests/unit/crashingrequesttest.cpp
@@ -15,3 +15,15 @@
     CHECK(this->sentCount == 2);
     CHECK(this->statusOfLookup("sound") == 200);
 }
+
+// Guards against a deployment without client accounts in which no request is ever held to have crashed an upstream.
+TEST_CASE_METHOD(SuspectFixture,
+                 "RelayProcess: deployment has no accounts, one request broke off twice: its copies reach no upstream")
+{
+    this->start();
+    CHECK(this->statusOfLookup("deadly") == 502);
+    REQUIRE(this->sentCount == 2);
+    CHECK(this->statusOfLookup("deadly") == 503);
+    CHECK(this->sentCount == 2);
+    CHECK(this->statusOfLookup("sound") == 200);
+}
