Do not take an answer that ends with its connection for a proof against crashes

Callers got an empty success in place of a stream whose upstream had crashed, and the request's earlier crashes were forgotten. Cause: an answer without a length or chunks is complete for the HTTP client when its connection closes, which a crash does as well; attemptDone() recorded a success. Now such an answer shows a sound request only by two writes of events. A stream without any event fails or is retried, and counts as a crash at the start of the answer; other answers of no length tell nothing. 'stream ends with its connection before its first event*' and 'answer of a suspect request ends with its connection*' failed before.

--- a/src/libhemlock/relay/crashevidence.cpp
+++ b/src/libhemlock/relay/crashevidence.cpp
@@ -4,8 +4,10 @@
 
 CrashEvidence crashEvidence(const AttemptEnd &end)
 {
-    if (end.isSuccess)
+    if (end.isSuccess && (!end.endsWithConnection || end.eventWrites >= provenEventWrites))
         return CrashEvidence::Answered;
+    if (end.isSuccess && end.isStream && end.eventWrites == 0 && !end.isUpstreamLeaving)
+        return CrashEvidence::BrokeAtAnswerStart;
     if (end.failure != HttpFailure::Broken || end.isAborted || end.isUpstreamLeaving)
         return CrashEvidence::None;
     if (end.status == 0)
--- a/src/libhemlock/relay/crashevidence.h
+++ b/src/libhemlock/relay/crashevidence.h
@@ -11,6 +11,8 @@
     int status = 0; ///< HTTP status of the answer; 0 if none began.
     int eventWrites = 0; ///< Writes of complete events that the answer led to.
     bool isSuccess = false; ///< A complete answer with success arrived.
+    bool isStream = false; ///< The answer is an event stream.
+    bool endsWithConnection = false; ///< The answer has no length, so that it also looks complete after a crash.
     bool isAborted = false; ///< This process broke off the answer.
     bool isUpstreamLeaving = false; ///< The upstream had announced its shutdown.
 };
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -492,10 +492,12 @@
     end.status = outcome.status;
     end.eventWrites = this->eventWrites;
     end.isSuccess = this->isSuccess(outcome);
+    end.isStream = this->isStreaming;
+    end.endsWithConnection = this->endsWithConnection();
     end.isAborted = this->isAborted;
     end.isUpstreamLeaving = this->context.scheduler.upstreams().isLeaving(this->upstream.id);
     const CrashEvidence evidence = crashEvidence(end);
-    if (!outcome.isComplete())
+    if (!outcome.isComplete() || evidence == CrashEvidence::BrokeAtAnswerStart)
         this->logFailedAttempt(outcome, evidence);
     this->suspects.record(evidence, this->upstream, this->answerStart, this->context.now());
 }
@@ -516,8 +518,15 @@
               {"parts", partList(this->request.parts)}});
 }
 
+bool RelayCall::endsWithConnection() const
+{
+    return !this->headers.has("Content-Length") && !this->headers.has("Transfer-Encoding");
+}
+
 void RelayCall::finishStream(const HttpOutcome &outcome)
 {
+    if (this->eventWrites == 0 && this->endsWithConnection())
+        return this->retryOrFail("the stream ended before its first event");
     if (this->events.hasPartialEvent())
         return this->retryOrFail("the stream ended within an event");
     this->beginStream();
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -54,6 +54,8 @@
     void beginStream();
 
     bool isSuccess(const HttpOutcome &outcome) const;
+    /// Whether the current answer has no length or chunks.
+    bool endsWithConnection() const;
     bool isRetryable() const;
     bool scheduleRetry(const std::string &reason);
     void retryOrFail(const std::string &reason);
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -310,3 +310,31 @@
     this->answerUnframed("id: 1\ndata: a\n\n", RawUpstream::Ending::Reset);
     CHECK_FALSE(this->call("attempt-1").isComplete());
 }
+
+// Guards against an empty success in place of a stream whose upstream crashed before the first event.
+TEST_CASE_METHOD(StaleAnswerFixture,
+                 "RelayCall: stream ends with its connection before its first event: fails, and counts as a crash")
+{
+    this->configure(CallKind::Stream);
+    this->answerUnframed("", RawUpstream::Ending::Close);
+    const auto now = std::chrono::steady_clock::now();
+    const std::string fingerprint = requestFingerprint({}, "/p/x", {});
+    this->quarantine.recordCrash(fingerprint, {.id = "upstream-2", .zone = {"zone-b"}}, now);
+    const HttpOutcome outcome = this->call("attempt-1");
+    CHECK((!outcome.isComplete() || outcome.status == 502));
+    CHECK(this->quarantine.isRefused(fingerprint));
+}
+
+// Guards against a crash that is forgotten because the next one breaks an answer off where it may as well end.
+TEST_CASE_METHOD(StaleAnswerFixture,
+                 "RelayCall: answer of a suspect request ends with its connection: the request stays suspect")
+{
+    this->configure(GENERATE(CallKind::Stream, CallKind::Idempotent));
+    this->answerUnframed("id: 1\ndata: a\n\n", RawUpstream::Ending::Close);
+    const auto now = std::chrono::steady_clock::now();
+    const std::string fingerprint = requestFingerprint({}, "/p/x", {});
+    this->quarantine.recordCrash(fingerprint, {.id = "upstream-2", .zone = {"zone-b"}}, now);
+    CHECK(this->call("attempt-1").status == 200);
+    CHECK(this->quarantine.permissionFor(fingerprint, std::chrono::steady_clock::now())
+          == Quarantine::Permission::Isolated);
+}
