--- a/tests/failure/relaysoak.cpp
+++ b/tests/failure/relaysoak.cpp
@@ -35,11 +35,12 @@
 constexpr std::chrono::seconds recoveryTime{6};
 constexpr std::chrono::seconds finalTime{3};
 
-/// Requests that may reach upstreams after a prompt part has crashed so many of them.
-constexpr std::size_t taintedCrashLimit = 5;
-constexpr int taintedSlack = 3;
+/// Requests that may reach upstreams when the cause of their crashes must be known.
+constexpr int crashingSlack = 3;
 /// Share of the streams whose prompt has the tainted part, in percent.
 constexpr int taintedPercent = 4;
+/// Share of the calls that are copies of the request that crashes upstreams, in percent.
+constexpr int deadlyPercent = 2;
 
 constexpr std::chrono::seconds limitWindow{4};
 constexpr std::chrono::milliseconds limitNotice{500};
@@ -55,7 +56,8 @@
 constexpr auto rotatingAccount = "south";
 
 constexpr auto sharedPart = "5a5a:800";
-constexpr auto taintedPart = "bad0bad0:400";
+constexpr auto taintedPartId = "bad0bad0:400";
+constexpr auto deadlyName = "deadly";
 constexpr int soundParts = 4;
 
 std::string pathOf(const std::string &kind)
@@ -164,14 +166,17 @@
     hooks.arrived = [this](SoakUpstream &upstream, const HttpRequest &request) {
         this->requestArrived(upstream, request);
     };
-    hooks.crashed = [this](SoakUpstream &upstream) {
-        this->taintedCrashes.push_back(std::chrono::steady_clock::now());
-        this->count("crash by the tainted part");
+    hooks.crashed = [this](SoakUpstream &upstream, const HttpRequest &request) {
+        CrashCause &cause = request.body == deadlyName ? this->deadlyRequest : this->taintedPart;
+        cause.crashes.push_back(std::chrono::steady_clock::now());
+        this->count("crash by a " + cause.name);
         this->crashUpstream(upstream);
     };
     hooks.behavior = [this](const HttpRequest &request) {
         using Behavior = SoakUpstream::Behavior;
-        if (request.headers.value("X-Hemlockflow-Prompt-Prefix").find(taintedPart) != std::string::npos)
+        if (request.body == deadlyName)
+            return this->settings.seed % 4 == 1 ? Behavior::CrashesAtOnce : Behavior::Crashes;
+        if (request.headers.value("X-Hemlockflow-Prompt-Prefix").find(taintedPartId) != std::string::npos)
             return Behavior::Crashes;
         constexpr Behavior unsound[] = {
             Behavior::BreaksOff, Behavior::Stalls, Behavior::LosesAnswer, Behavior::Refuses, Behavior::Fails};
@@ -236,6 +241,7 @@
         });
     this->runUntil(start + std::chrono::seconds(3), false);
     this->hasTaintedPart = !this->isPlannedOnly && this->settings.seed % 2 == 0;
+    this->hasDeadlyRequest = !this->isPlannedOnly && this->settings.seed % 2 == 1;
     this->runUntil(start + std::chrono::seconds(3) + this->settings.faultTime, true);
     this->runUntil(std::chrono::steady_clock::now() + recoveryTime, false);
     const int answeredBefore = this->report.counts["answered"];
@@ -353,13 +359,19 @@
     call->isDisturbed = vm.isPaused;
     call->wasInTouch = this->isInTouch(vm, call->sent);
     call->key = this->chooseKey();
+    std::string name = call->id;
+    call->sentBody = "body of " + call->id;
+    if (this->hasDeadlyRequest && this->chance(deadlyPercent)) {
+        this->makeDeadly(*call);
+        name = deadlyName;
+    }
     call->account = this->keys.at(call->key).account;
     this->calls[call->id] = call;
 
     constexpr const char *names[] = {"booking", "lookup", "stream/once", "stream/resumable"};
     HttpCall exchange;
     exchange.method = "POST";
-    exchange.url = endpointUrl(vm.callerAddress) + pathOf(names[static_cast<int>(call->kind)]) + call->id;
+    exchange.url = endpointUrl(vm.callerAddress) + pathOf(names[static_cast<int>(call->kind)]) + name;
     exchange.headers = {{"Host", "soak.example"},
                         {"X-Hemlockflow-Attempt-Id", call->id},
                         {"X-Hemlockflow-Deadline-Ms", std::to_string(callDeadline.count())},
@@ -368,13 +380,13 @@
     if (call->kind == Kind::Stream || call->kind == Kind::ResumableStream) {
         call->isTainted = this->hasTaintedPart && this->chance(taintedPercent);
         const std::string part =
-            call->isTainted ? taintedPart : "c0de" + std::to_string(this->below(soundParts)) + ":400";
+            call->isTainted ? taintedPartId : "c0de" + std::to_string(this->below(soundParts)) + ":400";
         exchange.headers.add("X-Hemlockflow-Model", "m");
         exchange.headers.add("X-Hemlockflow-Token-Usage", "1250,18");
         exchange.headers.add("X-Hemlockflow-Prompt-Prefix",
                              std::string(sharedPart) + "," + part + ",1" + std::to_string(this->calls.size()) + ":50");
     }
-    exchange.body = "body of " + call->id;
+    exchange.body = call->sentBody;
     exchange.timeout = callDeadline + timeoutSlack;
     HttpCallHooks hooks;
     hooks.head = [call](int status, const HttpHeaders & /*headers*/) { call->status = status; };
@@ -385,6 +397,15 @@
         this->at(call->sent + std::chrono::milliseconds(this->below(600)), [this, call] { this->cancelCall(call); });
 }
 
+void RelaySoak::makeDeadly(Call &call) const
+{
+    constexpr int kinds = 4;
+    call.isDeadly = true;
+    call.kind = static_cast<Kind>(this->settings.seed / 2 % kinds);
+    call.key = permanentKeys.begin()->first;
+    call.sentBody = deadlyName;
+}
+
 std::string RelaySoak::chooseKey()
 {
     auto key = permanentKeys.begin();
@@ -659,7 +680,9 @@
     if (call == this->calls.end())
         return;
     if (call->second->isTainted)
-        this->checkTaintedArrival(*call->second);
+        this->checkCrashingArrival(this->taintedPart, *call->second);
+    if (call->second->isDeadly)
+        this->checkCrashingArrival(this->deadlyRequest, *call->second);
     if (this->limits.contains(upstream.id))
         this->checkLimit(upstream, call->second->vm);
 }
@@ -682,17 +705,17 @@
                           + std::to_string(limit.arrivals.size()) + " requests in 4 s");
 }
 
-void RelaySoak::checkTaintedArrival(const Call &call)
+void RelaySoak::checkCrashingArrival(CrashCause &cause, const Call &call)
 {
     const Time now = std::chrono::steady_clock::now();
-    this->count("requests with the tainted part passed on");
-    if (this->taintedCrashes.size() < taintedCrashLimit)
+    this->count("passed on with a crashing " + cause.name);
+    if (cause.crashes.size() < cause.crashLimit)
         return;
-    const Time known = this->taintedCrashes[taintedCrashLimit - 1] + contactTime;
+    const Time known = cause.crashes[cause.crashLimit - 1] + contactTime;
     if (now < known || !this->isInTouch(this->vms[call.vm], now))
         return;
-    if (++this->lateTaintedArrivals > taintedSlack)
-        this->violate("BUDGET", "a prompt part that crashes upstreams was passed on", &call);
+    if (++cause.lateArrivals > crashingSlack)
+        this->violate("BUDGET", "a " + cause.name + " that crashes upstreams was passed on", &call);
 }
 
 void RelaySoak::requestBegan(SoakUpstream &upstream, const HttpRequest &request, SoakUpstream::Behavior behavior)
@@ -714,7 +737,7 @@
     if (call.isRefused)
         this->violate("REFUSED", "the request ran after it was refused as not run", &call);
     if (request.headers.value("X-Hemlockflow-Tenant") != call.account || request.headers.has("Api-Key")
-        || request.body != "body of " + id)
+        || request.body != call.sentBody)
         this->violate("UNASKED", "the account, the key or the body is not as it should be", &call);
     const ApiKey &key = this->keys.at(call.key);
     this->count("runs");
@@ -820,15 +843,16 @@
         if (!call->ended)
             this->violate("CONFIG", "the call never ended", call.get());
     }
-    if (!this->taintedCrashes.empty())
+    if (!this->taintedPart.crashes.empty())
         this->checkSoundStreams();
 }
 
 void RelaySoak::checkSoundStreams()
 {
     constexpr int minSample = 20;
-    const std::size_t last = std::min(this->taintedCrashes.size(), taintedCrashLimit) - 1;
-    const Time known = this->taintedCrashes[last] + 2 * contactTime;
+    const std::vector<Time> &crashes = this->taintedPart.crashes;
+    const std::size_t last = std::min(crashes.size(), this->taintedPart.crashLimit) - 1;
+    const Time known = crashes[last] + 2 * contactTime;
     int sentBefore = 0;
     int ranBefore = 0;
     int sentAfter = 0;
@@ -837,7 +861,7 @@
         const bool isStream = call->kind == Kind::Stream || call->kind == Kind::ResumableStream;
         if (!isStream || !call->wasInTouch || call->isTainted || call->isDisturbed || call->cancelled)
             continue;
-        const bool isBefore = call->sent < this->taintedCrashes.front();
+        const bool isBefore = call->sent < crashes.front();
         if (!isBefore && call->sent < known)
             continue;
         ++(isBefore ? sentBefore : sentAfter);
--- a/tests/failure/relaysoak.h
+++ b/tests/failure/relaysoak.h
@@ -93,7 +93,9 @@
         int openRuns = 0; ///< Runs whose upstream still works.
         bool isDisturbed = false; ///< A fault other than planned work may have harmed it.
         bool isRefused = false; ///< It was told that it has not run.
+        std::string sentBody;
         bool isTainted = false; ///< Its prompt has the part that crashes upstreams.
+        bool isDeadly = false; ///< A copy of the request that crashes upstreams.
         bool wasInTouch = false; ///< Whether its VM was in touch when it was sent.
         SoakUpstream *upstream = nullptr; ///< Of the latest run.
     };
@@ -105,6 +107,15 @@
         std::optional<Time> withdrawn;
     };
 
+    /// What crashes upstreams: a request that comes again and again, or a part of prompts.
+    struct CrashCause
+    {
+        std::string name;
+        std::size_t crashLimit = 0; ///< Crashes after which it must be known.
+        std::vector<Time> crashes;
+        int lateArrivals = 0; ///< Requests that reached upstreams when it must be known.
+    };
+
     /// Limit that an upstream names in its answers.
     struct NamedLimit
     {
@@ -128,6 +139,7 @@
     void checkReadiness(std::size_t index);
     void sendCalls();
     void sendCall(std::size_t vm);
+    void makeDeadly(Call &call) const;
     std::string chooseKey();
     void cancelCall(const std::shared_ptr<Call> &call);
 
@@ -149,7 +161,7 @@
     // Checks.
     void requestArrived(SoakUpstream &upstream, const HttpRequest &request);
     void checkLimit(const SoakUpstream &upstream, std::size_t vm);
-    void checkTaintedArrival(const Call &call);
+    void checkCrashingArrival(CrashCause &cause, const Call &call);
     void requestBegan(SoakUpstream &upstream, const HttpRequest &request, SoakUpstream::Behavior behavior);
     void callEnded(const std::shared_ptr<Call> &call, const HttpOutcome &outcome);
     void checkAnswer(const Call &call, bool isComplete);
@@ -177,8 +189,8 @@
     std::vector<std::unique_ptr<SoakUpstream>> upstreams;
     std::vector<std::unique_ptr<SoakUpstream>> retired; ///< Left; some still serve.
     std::map<std::string, NamedLimit> limits; ///< In force, by upstream.
-    std::vector<Time> taintedCrashes; ///< Of upstreams, by the tainted part.
-    int lateTaintedArrivals = 0; ///< Requests with that part that reached upstreams when it must be known.
+    CrashCause taintedPart{"prompt part", 5, {}, 0};
+    CrashCause deadlyRequest{"request", 3, {}, 0};
     std::map<std::string, Time> leftUpstreams; ///< When the store acknowledged that an upstream leaves.
     std::map<std::string, ApiKey> keys;
     std::vector<std::string> rotatingKeys; ///< The newest last.
@@ -191,6 +203,7 @@
     bool isSending = true;
     bool isPlannedOnly = false; ///< Stops, reloads, configurations and leaving upstreams only.
     bool hasTaintedPart = false; ///< From the first faults on, a part of some prompts crashes upstreams.
+    bool hasDeadlyRequest = false; ///< From the first faults on, copies of one request crash upstreams.
     int faultPercent = 0; ///< Chance of a fault in each step.
     std::map<std::int64_t, nlohmann::json> reportedWindows;
     std::int64_t highestToken = 0;
--- a/tests/failure/soakupstream.cpp
+++ b/tests/failure/soakupstream.cpp
@@ -101,7 +101,12 @@
         this->end(*run);
         return responder->abort();
     }
-    if (request.path.starts_with("/stream/") && behavior != Behavior::Fails) {
+    const bool isStream = request.path.starts_with("/stream/");
+    if (behavior == Behavior::CrashesAtOnce || (behavior == Behavior::Crashes && !isStream)) {
+        this->end(*run);
+        return this->hooks.crashed(*this, request);
+    }
+    if (isStream && behavior != Behavior::Fails) {
         if (request.headers.has("Last-Event-Id"))
             run->nextEvent = std::stoi(request.headers.value("Last-Event-Id")) + 1;
         responder->beginStream(200, headers);
@@ -109,11 +114,11 @@
             return this->continueStream(run);
         // The head leaves before the connections break.
         run->timer.expires_after(eventInterval);
-        return run->timer.async_wait([this, run](const asio::error_code &error) {
+        return run->timer.async_wait([this, run, request](const asio::error_code &error) {
             if (error)
                 return;
             this->end(*run);
-            this->hooks.crashed(*this);
+            this->hooks.crashed(*this, request);
         });
     }
     run->timer.expires_after(answerDelay);
--- a/tests/failure/soakupstream.h
+++ b/tests/failure/soakupstream.h
@@ -33,7 +33,8 @@
         LosesAnswer, ///< The request runs, then the connection breaks.
         Refuses, ///< The request does not run, and the answer says so.
         Fails, ///< The request runs and fails.
-        Crashes, ///< The upstream crashes after the head of its answer.
+        Crashes, ///< The upstream crashes after the head of its answer to a stream, otherwise before it.
+        CrashesAtOnce, ///< The upstream crashes before it answers.
     };
 
     struct Hooks
@@ -45,7 +46,8 @@
         std::function<void(const SoakUpstream &upstream, const HttpRequest &request, Behavior behavior)> began;
         /// Called when the upstream no longer works on a request, for whatever reason.
         std::function<void(const std::string &attemptId)> ended;
-        std::function<void(SoakUpstream &upstream)> crashed;
+        /// Called when the upstream crashes by a request.
+        std::function<void(SoakUpstream &upstream, const HttpRequest &request)> crashed;
     };
 
     SoakUpstream(asio::io_context &loop, std::string service, std::string zone, Hooks hooks);
