Decode the era of the store's answers and log when it rises

The log could not tell an answer of a restored store from an old one. platform/ decodes the header Store-Era into each result, StoreEra observes it, and a line 'store-era' marks a restore. No change of behaviour.

--- a/src/libhemlock/kvaccess.h
+++ b/src/libhemlock/kvaccess.h
@@ -23,6 +23,7 @@
     std::int64_t revision = 0; ///< Revision up to which the events are complete; pass it to the next poll.
     std::vector<KvEvent> events;
     std::string error;
+    std::int64_t era = 0; ///< Era of the store, see StoreEra; 0 when unknown.
 };
 
 /// Calls to the key-value store as functions, so that tests can replace the store by one in memory.
--- a/src/libhemlock/kvclient.h
+++ b/src/libhemlock/kvclient.h
@@ -60,6 +60,7 @@
     std::int64_t revision = 0; ///< Revision of the store.
     std::vector<KvEntry> entries;
     std::string error;
+    std::int64_t era = 0; ///< Era of the store, see StoreEra; 0 when unknown.
 };
 
 struct KvTxnResult
@@ -69,6 +70,7 @@
     std::int64_t revision = 0; ///< Revision after the transaction: the mod revision of each key that it put.
     std::vector<KvEntry> entries; ///< The keys in readsOnFailure, when the compares failed.
     std::string error;
+    std::int64_t era = 0; ///< Era of the store; 0 when unknown.
 };
 
 struct KvLeaseResult
@@ -77,6 +79,7 @@
     std::int64_t lease = 0;
     std::chrono::seconds ttl{0}; ///< 0 after keepLeaseAlive() when the lease has expired or was revoked.
     std::string error;
+    std::int64_t era = 0; ///< Era of the store; 0 when unknown.
 };
 
 /// Change of one key.
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -103,30 +103,34 @@
 
 } // namespace
 
-RelayProcess::RelayProcess(
-    asio::io_context &loop, RelaySettings relaySettings, HttpClient &http, KvAccess kv, RelayTransport relayTransport)
+RelayProcess::RelayProcess(asio::io_context &loop,
+                           RelaySettings relaySettings,
+                           HttpClient &http,
+                           KvAccess storeAccess,
+                           RelayTransport relayTransport)
     : loop(loop)
     , settings(std::move(relaySettings))
     , transport(std::move(relayTransport))
+    , kv(this->storeEra.observed(std::move(storeAccess)))
     , runId(makeUniqueId())
     , random(std::random_device()())
     , scheduler(this->settings.zone, RandomEngine(this->random()))
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
     , quarantine(quarantineSettings(this->settings.node))
-    , suspectRecords(kv,
+    , suspectRecords(this->kv,
                      std::string(ownKeyPrefix) + "suspects/",
                      this->quarantine,
                      {[this] { return this->now(); }, [this] { return this->wallTime(); }})
     , usage(this->settings.usageWindow)
-    , registry(kv,
+    , registry(this->kv,
                std::string(ownKeyPrefix) + "nodes/",
                this->settings.node,
                this->settings.peerAddress,
                this->settings.zone.name,
                this->settings.controlAddress,
                {this->settings.cpuShare, std::chrono::system_clock::now()})
-    , duties(kv, dutySettings(this->settings, this->runId), this->transport, this->usage)
+    , duties(this->kv, dutySettings(this->settings, this->runId), this->transport, this->usage)
     , context{loop,
               http,
               this->transport,
@@ -153,7 +157,7 @@
               }}
     , store(loop,
             http,
-            kv,
+            this->kv,
             {this->settings.configKey,
              this->settings.upstreamPrefix,
              std::string(ownKeyPrefix),
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -10,6 +10,7 @@
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
 #include "relay/shutdownprogress.h"
+#include "relay/storeera.h"
 #include "relay/storesubscriptions.h"
 #include "relay/suspectrecords.h"
 #include "relay/upstreamdirectory.h"
@@ -105,6 +106,8 @@
     asio::io_context &loop;
     RelaySettings settings;
     RelayTransport transport;
+    StoreEra storeEra;
+    KvAccess kv;
     std::string runId; ///< Unique for each start of the process.
     RandomEngine random;
     RelayScheduler scheduler;
