Add a failing test: a store that comes back from an older copy is not believed

The configuration that was written after the return is not applied within a second; the full reads are discarded as older.

--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -21,7 +21,8 @@
         this->transport.decodeRequest = platform::decodeRelayRequest;
         this->transport.encodeAttempt = platform::encodeRelayAttempt;
         this->transport.decodeAnswer = platform::decodeRelayAnswer;
-        this->transport.decodeConfig = [](const std::string &value) {
+        this->transport.decodeConfig = [this](const std::string &value) {
+            this->decodedConfigs.push_back(value);
             RelayConfig config;
             config.version = std::stoll(value);
             return config;
@@ -37,6 +38,7 @@
                 if (!this->storeIsDown) {
                     page.range.status = KvStatus::Ok;
                     page.range.revision = ++this->revision;
+                    page.range.era = this->era;
                     KvEntry entry;
                     entry.key = "config";
                     entry.value = this->configVersion;
@@ -145,6 +147,8 @@
     std::chrono::milliseconds updateDeadline{2000};
     std::string configVersion = "5";
     std::int64_t revision = 10;
+    std::int64_t era = 0; ///< Of the store.
+    std::vector<std::string> decodedConfigs;
     bool storeIsDown = false;
     int reads = 0;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> readTimes; ///< By prefix.
@@ -194,6 +198,29 @@
     CHECK(this->requestStatus(this->settings.callerAddress, routeHeaders) == 404);
 }
 
+// Guards against changes that are not applied until the store has made as many as it lost.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: store comes back from an older copy: a configuration written since is applied at once")
+{
+    this->era = 1;
+    this->revision = 1000;
+    this->start();
+    this->runUntil([this] { return this->pollTimeouts.size() == 3; });
+    REQUIRE(this->decodedConfigs == std::vector<std::string>{"5"});
+    this->era = 2;
+    this->revision = 10;
+    this->configVersion = "7";
+    KvChanges unknownRevision;
+    unknownRevision.isCompacted = true;
+    unknownRevision.era = 2;
+    std::exchange(this->changesDone, nullptr)(unknownRevision);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+    this->runUntil([this, deadline] {
+        return this->decodedConfigs.back() == "7" || std::chrono::steady_clock::now() >= deadline;
+    });
+    CHECK(this->decodedConfigs.back() == "7");
+}
+
 // Guards against a slow recovery after a power loss of all VMs in which the store comes back last.
 TEST_CASE_METHOD(RelayProcessFixture,
                  "RelayProcess: restarts while the store is down: is ready within two seconds of the store's recovery")
