Read the store anew when it comes back from an older copy

Callers got 404 for routes that had been added, and requests went to upstreams that had left. Cause: revisions of two eras were compared. StoreEra now fails answers of an earlier era and waits that began in one, and on a restore all prefixes are read at once, whatever their revision.

--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -78,6 +78,7 @@
     UpstreamListFreshness upstreamListFreshness() const;
     StoreSubscriptionsHooks storeHooks();
     void storeReachabilityChanged(bool reachable, const std::string &error);
+    void storeRestored();
     void loadUpstreams(const std::map<std::string, std::string> &values);
     void loadOwnKeys(const std::map<std::string, std::string> &values);
     void applyChanges(const std::vector<KvEvent> &events);
--- a/src/libhemlock/relay/storeera.cpp
+++ b/src/libhemlock/relay/storeera.cpp
@@ -21,6 +21,17 @@
     return page.range.era;
 }
 
+void setFailed(KvPage &page, const std::string &error)
+{
+    page.range.error = error;
+}
+
+template <class Result>
+void setFailed(Result &result, const std::string &error)
+{
+    result.error = error;
+}
+
 } // namespace
 
 void StoreEra::setRestoredHook(RestoredHook hook)
@@ -53,8 +64,12 @@
     return [this, done = std::move(done), alive = std::weak_ptr<bool>(this->alive)](const Result &result) {
         if (alive.expired())
             return;
-        this->observe(eraOf(result));
-        done(result);
+        if (this->observe(eraOf(result)))
+            return done(result);
+        // The status of a new result is unknown.
+        Result outdated;
+        setFailed(outdated, "the answer is of an earlier era of the store");
+        done(outdated);
     };
 }
 
@@ -85,7 +100,17 @@
                                                              std::int64_t revision,
                                                              std::chrono::milliseconds wait,
                                                              std::function<void(const KvChanges &)> done) {
-        return call(prefix, revision, wait, this->observing(std::move(done)));
+        return call(
+            prefix,
+            revision,
+            wait,
+            this->observing<KvChanges>([done = std::move(done), begun = this->currentEra](const KvChanges &changes) {
+                if (begun == 0 || changes.era == 0 || changes.era == begun)
+                    return done(changes);
+                KvChanges failure;
+                failure.error = "the store was restored";
+                done(failure);
+            }));
     };
     return access;
 }
--- a/src/libhemlock/relay/storeera.h
+++ b/src/libhemlock/relay/storeera.h
@@ -26,7 +26,8 @@
     /// Records the era of an answer. Returns false if it is an earlier one, so that the answer is outdated.
     bool observe(std::int64_t era);
 
-    /// Calls of @p kv, whose answers are observed. Must outlive the result.
+    /// Calls of @p kv whose answers are observed. Outdated answers fail, and so does a wait for changes that began in
+    /// an earlier era, since its revision does not belong to the era of its answer. Must outlive the result.
     KvAccess observed(KvAccess kv);
 
 private:
--- a/src/libhemlock/relay/storesubscriptions.cpp
+++ b/src/libhemlock/relay/storesubscriptions.cpp
@@ -116,6 +116,13 @@
     this->pollRouter.tick();
 }
 
+void StoreSubscriptions::reload()
+{
+    this->configWatcher.reload();
+    this->upstreamWatcher.reload();
+    this->ownKeysWatcher.reload();
+}
+
 void StoreSubscriptions::handlePoll(const HttpRequest &request, const HttpResponderPtr &responder)
 {
     try {
--- a/src/libhemlock/relay/storesubscriptions.h
+++ b/src/libhemlock/relay/storesubscriptions.h
@@ -62,6 +62,9 @@
     void start();
     void tick();
 
+    /// Reads everything anew after the store was restored from an older copy.
+    void reload();
+
     /// Answers a poll of a peer; see storePollPath.
     void handlePoll(const HttpRequest &request, const HttpResponderPtr &responder);
 
--- a/src/libhemlock/relay/storewatcher.cpp
+++ b/src/libhemlock/relay/storewatcher.cpp
@@ -49,10 +49,13 @@
 
     void loadPage(const std::string &after)
     {
-        this->kv.readPage(this->settings.prefix, after, [weak = this->weak_from_this()](const KvPage &page) {
-            if (const auto self = weak.lock())
-                self->pageLoaded(page);
-        });
+        this->kv.readPage(this->settings.prefix,
+                          after,
+                          [weak = this->weak_from_this(), begunReloads = this->reloads](const KvPage &page) {
+                              const auto self = weak.lock();
+                              if (self && self->reloads == begunReloads)
+                                  self->pageLoaded(page);
+                          });
     }
 
     void pageLoaded(const KvPage &page)
@@ -67,11 +70,12 @@
             this->pendingEntries[entry.key] = entry.value;
         if (page.hasMore && !page.range.entries.empty())
             return this->loadPage(page.range.entries.back().key);
-        if (this->snapshotRevision < this->revision)
+        if (this->snapshotRevision < this->revision && !this->mayGoBack)
             return this->retry("the store answered with an older state", [](Private &self) { self.load(); });
         this->recordAnswer();
         const bool isFirst = this->revision == 0;
         this->revision = this->snapshotRevision;
+        this->mayGoBack = false;
         this->logRead("all", this->pendingEntries.size());
         this->hooks.snapshotLoaded(std::exchange(this->pendingEntries, {}));
         if (!isFirst || this->settings.firstPollDelay.count() == 0)
@@ -102,6 +106,17 @@
         this->pollFinished(failure);
     }
 
+    void reload()
+    {
+        if (std::exchange(this->isPolling, false))
+            this->cancelPoll();
+        this->timer.cancel();
+        ++this->reloads;
+        this->mayGoBack = true;
+        this->retryDelay = this->settings.initialRetryDelay;
+        this->load();
+    }
+
     void restartPoll()
     {
         if (!this->isPolling)
@@ -152,12 +167,13 @@
     void runAfter(std::chrono::milliseconds delay, std::function<void(Private &)> action)
     {
         this->timer.expires_after(delay);
-        this->timer.async_wait(
-            [weak = this->weak_from_this(), action = std::move(action)](const asio::error_code &failure) {
-                const auto self = weak.lock();
-                if (!failure && self)
-                    action(*self);
-            });
+        this->timer.async_wait([weak = this->weak_from_this(),
+                                action = std::move(action),
+                                begunReloads = this->reloads](const asio::error_code &failure) {
+            const auto self = weak.lock();
+            if (!failure && self && self->reloads == begunReloads)
+                action(*self);
+        });
     }
 
     void recordAnswer()
@@ -204,6 +220,8 @@
     StoreReadTimes lastRead;
     bool isReachable = false;
     bool lastReadFailed = false;
+    bool mayGoBack = false; ///< The next full read counts whatever its revision.
+    int reloads = 0; ///< Number of calls of reload().
     bool isPolling = false; ///< A long poll is in progress.
 };
 
@@ -233,6 +251,11 @@
     this->d->restartPoll();
 }
 
+void StoreWatcher::reload()
+{
+    this->d->reload();
+}
+
 std::int64_t StoreWatcher::revision() const
 {
     return this->d->revision;
--- a/src/libhemlock/relay/storewatcher.h
+++ b/src/libhemlock/relay/storewatcher.h
@@ -51,7 +51,8 @@
 
 /// Watches all keys with one prefix: a full read first, then long polls for changes.
 ///
-/// The revision never decreases: a full read that returns an older state than was already passed on is repeated.
+/// The revision never decreases until reload() is called: a full read that returns an older state than was already
+/// passed on is repeated.
 class StoreWatcher
 {
 public:
@@ -71,6 +72,10 @@
     /// since a poll that was started during the outage may never be answered.
     void restartPoll();
 
+    /// Cancels what is in progress and reads all keys at once, whatever their revision. Called when the store was
+    /// restored from an older copy, so that its revisions start anew.
+    void reload();
+
     /// Latest store revision that was passed on; 0 before the first full read.
     std::int64_t revision() const;
 
--- a/tests/unit/storewatchertest.cpp
+++ b/tests/unit/storewatchertest.cpp
@@ -128,6 +128,26 @@
     CHECK(this->snapshots.back().contains("new"));
 }
 
+TEST_CASE_METHOD(StoreWatcherFixture,
+                 "StoreWatcher: reload was requested: an older state counts, and what was in progress does not")
+{
+    this->watcher->start();
+    this->pageDone(page(100, {"a"}));
+    this->changesDone(KvChanges{});
+    this->changesDone(KvChanges{});
+    const auto oldPage = this->pageDone;
+    this->watcher->reload();
+    CHECK(this->pagesAfter.size() == 2);
+    oldPage(page(100, {"a"}));
+    CHECK(this->snapshots.size() == 1);
+    this->pageDone(page(20, {"a", "b"}));
+    CHECK(this->watcher->revision() == 20);
+    CHECK(this->snapshots.back().size() == 2);
+    CHECK(this->polledRevisions.back() == 20);
+    this->loop.run_for(std::chrono::milliseconds(5));
+    CHECK(this->pagesAfter.size() == 2);
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "StoreWatcher: one poll fails: the next one starts from the same revision")
 {
     this->watcher->start();
