Keep fencing tokens and usage reports unique when the store loses what the holder wrote

Cause: the holder's record, its lease, the count of tokens and the record of reports were lost with the store, and the next holder took the older ones for the newest. Now tokens hold the store's era in their upper bits; the last holder, if its lease was current, goes on with what it knows; other VMs claim the role one lease time after the restore; and a holder whose record is of an earlier era reports no window that a lost report may cover. A claim that was begun in an earlier era does not count.

--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -4,7 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace hemlock {
 
@@ -13,6 +15,9 @@
 /// Renewals during one lease duration, so that a single failed renewal does not lose the role.
 constexpr int renewalsPerLease = 3;
 
+/// Holders of one era of the store.
+constexpr int tokenBitsPerEra = 16;
+
 std::int64_t parseToken(const std::string &text)
 {
     std::int64_t token = 0;
@@ -42,7 +47,8 @@
 
 void LeaderRole::tick(TimePoint now, double random)
 {
-    if (this->isCallPending || !this->claimTask.isDue(now, this->settings.ttl / renewalsPerLease, random))
+    if (this->isCallPending || now < this->claimsFrom
+        || !this->claimTask.isDue(now, this->settings.ttl / renewalsPerLease, random))
         return;
     this->isCallPending = true;
     this->callSentAt = now;
@@ -64,7 +70,27 @@
 
 std::int64_t LeaderRole::fencingToken() const
 {
-    return this->isHeld() ? this->token : 0;
+    return this->isHeld() ? this->ownClaim.token : 0;
+}
+
+std::int64_t LeaderRole::storeEra() const
+{
+    return this->settings.storeEra ? this->settings.storeEra() : 0;
+}
+
+bool LeaderRole::storeRestored(TimePoint now)
+{
+    const bool isLastHolder = this->isLeaseCurrent(now);
+    this->claimsFrom = isLastHolder ? now : now + this->settings.ttl;
+    this->isResuming = this->isHeld();
+    this->resetClaim();
+    this->claimTask.expedite();
+    return isLastHolder;
+}
+
+bool LeaderRole::mayResume() const
+{
+    return this->isResuming;
 }
 
 void LeaderRole::readRecords()
@@ -76,9 +102,12 @@
             this->isCallPending = false;
             if (result.status != KvStatus::Ok)
                 return;
+            const bool wasResuming = std::exchange(this->isResuming, false);
             std::int64_t tokenRevision = 0;
             std::int64_t lastToken = 0;
             for (const KvEntry &entry : result.entries) {
+                if (entry.key == this->holderKey() && wasResuming)
+                    return this->resumeClaim(entry);
                 if (entry.key == this->holderKey())
                     return;
                 if (entry.key != this->tokenKey())
@@ -88,10 +117,20 @@
             }
             // A malformed token is not overwritten: restarting the count could reuse a fencing token.
             if (lastToken >= 0)
-                this->grantLease(tokenRevision, lastToken + 1);
+                this->grantLease(tokenRevision, std::max(lastToken, this->storeEra() << tokenBitsPerEra) + 1);
         });
 }
 
+void LeaderRole::resumeClaim(const KvEntry &holder)
+{
+    if (claimIdOf(holder.value) != this->ownClaim.id)
+        return;
+    this->becomeHolder(holder.modRevision, this->ownClaim);
+    // The record shows that the lease exists, but not for how long.
+    this->leaseSentAt = {};
+    this->claimTask.expedite();
+}
+
 void LeaderRole::grantLease(std::int64_t tokenRevision, std::int64_t newToken)
 {
     this->isCallPending = true;
@@ -108,31 +147,28 @@
 
 void LeaderRole::claim(std::int64_t newLease, std::int64_t tokenRevision, std::int64_t newToken)
 {
-    const std::string claimId = makeUniqueId();
-    const nlohmann::json record = {{"holder", this->settings.holder}, {"token", newToken}, {"claim", claimId}};
+    const Claim claim{makeUniqueId(), newLease, newToken, this->storeEra()};
+    const nlohmann::json record = {{"holder", this->settings.holder}, {"token", newToken}, {"claim", claim.id}};
     KvTxn txn;
     txn.compares = {{this->holderKey(), 0}, {this->tokenKey(), tokenRevision}};
     txn.puts = {{this->holderKey(), record.dump(), newLease}, {this->tokenKey(), std::to_string(newToken), 0}};
     this->isCallPending = true;
-    this->kv.txn(
-        txn, [this, claimId, newLease, newToken, alive = std::weak_ptr<bool>(this->alive)](const KvTxnResult &result) {
-            if (alive.expired())
-                return;
-            this->isCallPending = false;
-            if (result.status == KvStatus::Unknown)
-                this->resolveClaim(claimId, newLease, newToken);
-            else if (result.status == KvStatus::Ok && result.succeeded)
-                this->becomeHolder(result.revision, newLease, newToken);
-        });
+    this->kv.txn(txn, [this, claim, alive = std::weak_ptr<bool>(this->alive)](const KvTxnResult &result) {
+        if (alive.expired())
+            return;
+        this->isCallPending = false;
+        if (result.status == KvStatus::Unknown)
+            this->resolveClaim(claim);
+        else if (result.status == KvStatus::Ok && result.succeeded)
+            this->becomeHolder(result.revision, claim);
+    });
 }
 
-void LeaderRole::resolveClaim(const std::string &claimId, std::int64_t newLease, std::int64_t newToken)
+void LeaderRole::resolveClaim(const Claim &claim)
 {
     this->isCallPending = true;
     this->kv.range(
-        this->holderKey(),
-        false,
-        [this, claimId, newLease, newToken, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+        this->holderKey(), false, [this, claim, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
             if (alive.expired())
                 return;
             this->isCallPending = false;
@@ -140,39 +176,41 @@
             if (result.status != KvStatus::Ok || result.entries.empty())
                 return;
             const KvEntry &entry = result.entries.front();
-            if (claimIdOf(entry.value) == claimId)
-                this->becomeHolder(entry.modRevision, newLease, newToken);
+            if (claimIdOf(entry.value) == claim.id)
+                this->becomeHolder(entry.modRevision, claim);
         });
 }
 
-void LeaderRole::becomeHolder(std::int64_t newHolderRevision, std::int64_t newLease, std::int64_t newToken)
+void LeaderRole::becomeHolder(std::int64_t newHolderRevision, const Claim &claim)
 {
+    // The token was chosen by records of an earlier era, so another holder may have used it. The claim expires.
+    if (claim.era != this->storeEra() && claim.id != this->ownClaim.id)
+        return;
     this->holderRevision = newHolderRevision;
     this->leaseSentAt = this->callSentAt;
-    this->lease = newLease;
-    this->token = newToken;
+    this->ownClaim = claim;
 }
 
 void LeaderRole::renew()
 {
-    this->kv.keepLeaseAlive(this->lease, [this, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
-        if (alive.expired())
-            return;
-        this->isCallPending = false;
-        if (result.status != KvStatus::Ok)
-            return;
-        if (result.ttl.count() == 0)
-            this->resetClaim();
-        else
-            this->leaseSentAt = this->callSentAt;
-    });
+    const std::int64_t renewed = this->ownClaim.lease;
+    this->kv.keepLeaseAlive(renewed,
+                            [this, renewed, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
+                                if (alive.expired())
+                                    return;
+                                this->isCallPending = false;
+                                if (result.status != KvStatus::Ok || !this->isHeld() || this->ownClaim.lease != renewed)
+                                    return;
+                                if (result.ttl.count() == 0)
+                                    this->resetClaim();
+                                else
+                                    this->leaseSentAt = this->callSentAt;
+                            });
 }
 
 void LeaderRole::resetClaim()
 {
     this->holderRevision = 0;
-    this->lease = 0;
-    this->token = 0;
 }
 
 void LeaderRole::commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done)
@@ -183,10 +221,11 @@
     txn.compares = {{this->holderKey(), this->holderRevision}};
     txn.puts = puts;
     this->kv.txn(txn,
-                 [this, done = std::move(done), alive = std::weak_ptr<bool>(this->alive)](const KvTxnResult &result) {
+                 [this, claim = this->ownClaim.id, done = std::move(done), alive = std::weak_ptr<bool>(this->alive)](
+                     const KvTxnResult &result) {
                      if (alive.expired())
                          return;
-                     if (result.status != KvStatus::Ok)
+                     if (result.status != KvStatus::Ok || !this->isHeld() || this->ownClaim.id != claim)
                          return done(CommitResult::Unknown);
                      if (!result.succeeded)
                          this->resetClaim();
@@ -203,6 +242,7 @@
     txn.deletes = {this->holderKey()};
     this->kv.txn(txn, [](const KvTxnResult &) {});
     this->resetClaim();
+    this->ownClaim = {};
 }
 
 std::string LeaderRole::holderKey() const
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -18,6 +18,8 @@
     std::string key; ///< Prefix of the role's two records, such as "roles/placer".
     std::string holder; ///< Identifier of this node.
     std::chrono::seconds ttl{15}; ///< Duration of the lease.
+    /// Returns the era of the store, as by StoreEra::current(). Unset for a store that is never restored.
+    std::function<std::int64_t()> storeEra;
 };
 
 /// A role that at most one node holds at a time, by leader election through the key-value store.
@@ -25,6 +27,9 @@
 /// KEY/holder names the holder and is bound to a lease. KEY/token has no lease; it counts the holders and is the
 /// fencing token. The lease only decides when another node may claim the role. Writes of a holder go through commit(),
 /// which compares the holder's record, so a holder that was paused until its lease expired can no longer write.
+///
+/// A store that is restored from an older copy may lose claims. Fencing tokens hold the era of the store in their upper
+/// bits, so that those of lost claims are not given out again.
 class LeaderRole
 {
 public:
@@ -56,16 +61,35 @@
     /// Writes @p puts in one transaction that succeeds only while this node holds the role.
     void commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done);
 
+    /// Called when the store was restored. Returns whether this node is certain to be the last holder. It then claims
+    /// the role at once; other nodes wait for a lease duration, as a holder whose claim was lost may act for so long.
+    bool storeRestored(TimePoint now);
+
+    /// Whether the restored store may still hold the claim of this node, which the next ticks find out.
+    bool mayResume() const;
+
     /// Releases the role so that another node can claim it immediately.
     void release();
 
 private:
+    /// What this node wrote, or tried to write, to take the role.
+    struct Claim
+    {
+        std::string id;
+        std::int64_t lease = 0;
+        std::int64_t token = 0;
+        std::int64_t era = 0; ///< Era of the store whose records led to the claim.
+    };
+
     void readRecords();
     void grantLease(std::int64_t tokenRevision, std::int64_t token);
     void claim(std::int64_t lease, std::int64_t tokenRevision, std::int64_t token);
     /// Reads whether a claim took effect after its transaction ended with an unknown result.
-    void resolveClaim(const std::string &claimId, std::int64_t lease, std::int64_t token);
-    void becomeHolder(std::int64_t holderRevision, std::int64_t lease, std::int64_t token);
+    void resolveClaim(const Claim &claim);
+    void becomeHolder(std::int64_t holderRevision, const Claim &claim);
+    /// Continues the claim of this node that the restored store still holds.
+    void resumeClaim(const KvEntry &holder);
+    std::int64_t storeEra() const;
     void renew();
     void resetClaim();
 
@@ -77,8 +101,9 @@
     PeriodicTask claimTask;
     bool isCallPending = false;
     std::int64_t holderRevision = 0; ///< Store revision of this node's claim; 0 while it does not hold the role.
-    std::int64_t lease = 0;
-    std::int64_t token = 0;
+    Claim ownClaim; ///< The latest that took effect.
+    bool isResuming = false; ///< See mayResume().
+    TimePoint claimsFrom; ///< The role is not claimed before.
     TimePoint leaseSentAt; ///< When the grant or last successful renewal of the current lease was sent.
     TimePoint callSentAt;
     /// Expires with this object, so that late callbacks return at once.
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -13,12 +13,19 @@
 
 constexpr std::chrono::milliseconds refusedOrderRetryDelay{1500};
 
-std::string encodeRecord(const std::map<std::int64_t, UsageCounts> &windows)
+/// Reports of a holder, and the era of the store in which it wrote them.
+struct ReportRecord
 {
-    nlohmann::json json = nlohmann::json::object();
-    for (const auto &[window, counts] : windows)
-        json[std::to_string(window)] = counts;
-    return json.dump();
+    std::int64_t era = 0;
+    std::map<std::int64_t, UsageCounts> windows;
+};
+
+std::string encodeRecord(const ReportRecord &record)
+{
+    nlohmann::json windows = nlohmann::json::object();
+    for (const auto &[window, counts] : record.windows)
+        windows[std::to_string(window)] = counts;
+    return nlohmann::json{{"era", record.era}, {"windows", std::move(windows)}}.dump();
 }
 
 using RunCounts = std::map<std::int64_t, std::map<std::string, UsageCounts>>;
@@ -31,13 +38,14 @@
     return json.dump();
 }
 
-std::map<std::int64_t, UsageCounts> decodeRecord(const std::string &text)
+ReportRecord decodeRecord(const std::string &text)
 {
-    std::map<std::int64_t, UsageCounts> windows;
+    ReportRecord record;
     const auto json = nlohmann::json::parse(text);
-    for (const auto &[window, counts] : json.items())
-        windows[std::stoll(window)] = counts.get<UsageCounts>();
-    return windows;
+    json.at("era").get_to(record.era);
+    for (const auto &[window, counts] : json.at("windows").items())
+        record.windows[std::stoll(window)] = counts.get<UsageCounts>();
+    return record;
 }
 
 } // namespace
@@ -47,7 +55,7 @@
     , settings(settings)
     , transport(transport)
     , usage(usage)
-    , role(std::move(kv), {settings.keyPrefix, settings.holder, settings.leaseTtl})
+    , role(std::move(kv), {settings.keyPrefix, settings.holder, settings.leaseTtl, settings.storeEra})
 {
 }
 
@@ -89,14 +97,28 @@
         && this->role.isLeaseCurrent(at + this->settings.minLeaseRemaining);
 }
 
-void DutyRunner::tick(TimePoint time, WallTime wallTime, double random)
+void DutyRunner::storeRestored(TimePoint at)
+{
+    const bool wasRecordLoaded = this->isRecordLoaded;
+    this->knowsAllReports = this->role.storeRestored(at) && wasRecordLoaded;
+    this->savedCounts.clear();
+    logEvent(LogLevel::Info, "duty-store-restored", {{"knowsAllReports", this->knowsAllReports}});
+}
+
+std::int64_t DutyRunner::storeEra() const
+{
+    return this->settings.storeEra ? this->settings.storeEra() : 0;
+}
+
+void DutyRunner::tick(TimePoint time, WallTime timeOfDay, double random)
 {
     this->now = time;
+    this->wallTime = timeOfDay;
     if (!this->reportsUsage && !this->ordersUpstreams)
         return;
     // Claims of other nodes arrive as store changes, so only the holder, or any node while there is none, calls the
-    // store.
-    if (this->role.isHeld() || (this->claimsRole && !this->hasHolder))
+    // store. A restored store may still hold the claim of this node.
+    if (this->role.isHeld() || this->role.mayResume() || (this->claimsRole && !this->hasHolder))
         this->role.tick(time, random);
     if (!this->role.isHeld()) {
         if (this->roleHeldSince)
@@ -117,8 +139,8 @@
     if (!this->isActing(time))
         return;
     if (this->reportsUsage) {
-        this->reportNextWindow(wallTime);
-        this->saveCounts(time, wallTime);
+        this->reportNextWindow(timeOfDay);
+        this->saveCounts(time, timeOfDay);
     }
     if (this->ordersUpstreams)
         this->sendNextOrder(time);
@@ -183,21 +205,39 @@
         logEvent(LogLevel::Warning, "duty-record", {{"error", result.error}});
         return;
     }
-    this->recordedCounts.clear();
-    this->unsentWindows.clear();
-    this->nextWindow.reset();
-    if (!result.entries.empty()) {
+    if (!std::exchange(this->knowsAllReports, false))
+        this->applyRecord(result.entries.empty() ? std::string() : result.entries.front().value);
+    this->isRecordLoaded = true;
+}
+
+void DutyRunner::applyRecord(const std::string &value)
+{
+    ReportRecord record;
+    if (!value.empty()) {
         try {
-            this->recordedCounts = decodeRecord(result.entries.front().value);
+            record = decodeRecord(value);
         } catch (const std::exception &error) {
             logEvent(LogLevel::Error, "duty-record", {{"error", error.what()}});
         }
     }
+    this->recordedCounts = std::move(record.windows);
+    this->unsentWindows.clear();
+    this->nextWindow.reset();
     for (const auto &[window, counts] : this->recordedCounts) {
         this->unsentWindows.insert(window);
         this->nextWindow = window + 1;
     }
-    this->isRecordLoaded = true;
+    const bool isFirstHolder = value.empty() && !this->oldestSavedWindow;
+    if (record.era < this->storeEra() && !isFirstHolder)
+        this->skipReportableWindows();
+}
+
+void DutyRunner::skipReportableWindows()
+{
+    const std::int64_t first = this->usage.windowAt(this->wallTime - this->settings.peerCountDelay);
+    const std::int64_t next = this->nextWindow.value_or(this->oldestSavedWindow.value_or(first));
+    this->nextWindow = std::max(first, next);
+    logEvent(LogLevel::Warning, "duty-windows-skipped", {{"from", next}, {"count", *this->nextWindow - next}});
 }
 
 void DutyRunner::reportNextWindow(WallTime wallTime)
@@ -221,7 +261,7 @@
     windowCounts[window] = this->usage.totalCounts(window);
     this->isReporting = true;
     this->role.commit(
-        {{this->usageKey(), encodeRecord(windowCounts), 0}},
+        {{this->usageKey(), encodeRecord({this->storeEra(), windowCounts}), 0}},
         [this, window, windowCounts, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
             if (alive.expired())
                 return;
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -34,6 +34,8 @@
     std::string countsKey; ///< Key under which the counts of unfinished windows are saved.
     /// How often the counts of unfinished windows are saved, for a successor after all VMs stopped at once.
     std::chrono::milliseconds saveInterval{400};
+    /// As by LeaderRoleSettings.
+    std::function<std::int64_t()> storeEra;
 };
 
 /// Performs the duties that only one node at a time may perform, while this node holds the leader role: reporting usage
@@ -42,6 +44,9 @@
 /// The content of a usage report is written to the store first, on condition that this node holds the role. A successor
 /// reads it there and sends exactly the same report again. A node that stops lets its lease expire instead of releasing
 /// the role, so that two holders never alternate within one lease time.
+///
+/// A store that is restored from an older copy may lose reports that the platform has. The last holder knows them; any
+/// other one reports no window that a lost report may have covered.
 class DutyRunner
 {
 public:
@@ -71,6 +76,9 @@
     /// Whether this node holds the role and may send calls at @p now.
     bool isActing(TimePoint now) const;
 
+    /// Called when the store was restored from an older copy.
+    void storeRestored(TimePoint now);
+
     /// Renews or claims the role and sends calls that are due; @p random is in [0, 1).
     void tick(TimePoint now, WallTime wallTime, double random);
 
@@ -83,6 +91,11 @@
     void countsLoaded(const KvRangeResult &result);
     void loadRecord();
     void recordLoaded(const KvRangeResult &result);
+    /// Replaces what is known of earlier reports by the record of the store.
+    void applyRecord(const std::string &value);
+    /// Skips the windows that a holder whose record was lost may have reported.
+    void skipReportableWindows();
+    std::int64_t storeEra() const;
     void reportNextWindow(WallTime wallTime);
     void sendReport(std::int64_t window);
     void sendNextOrder(TimePoint now);
@@ -99,6 +112,8 @@
     std::string currentHolder;
     std::optional<TimePoint> roleHeldSince;
     TimePoint now;
+    WallTime wallTime;
+    bool knowsAllReports = false; ///< The store was restored, and this node was the holder until then.
     bool isRecordLoaded = false;
     bool isLoadingRecord = false;
     bool isSaving = false;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -90,7 +90,7 @@
     return settings;
 }
 
-DutySettings dutySettings(const RelaySettings &settings, const std::string &runId)
+DutySettings dutySettings(const RelaySettings &settings, const std::string &runId, const StoreEra &era)
 {
     DutySettings duties;
     duties.runId = runId;
@@ -98,6 +98,7 @@
     duties.keyPrefix = std::string(ownKeyPrefix) + "duties";
     duties.countsKey = std::string(countsKey);
     duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
+    duties.storeEra = [&era] { return era.current(); };
     return duties;
 }
 
@@ -130,7 +131,7 @@
                this->settings.zone.name,
                this->settings.controlAddress,
                {this->settings.cpuShare, std::chrono::system_clock::now()})
-    , duties(this->kv, dutySettings(this->settings, this->runId), this->transport, this->usage)
+    , duties(this->kv, dutySettings(this->settings, this->runId, this->storeEra), this->transport, this->usage)
     , context{loop,
               http,
               this->transport,
@@ -319,6 +320,7 @@
 
 void RelayProcess::storeRestored()
 {
+    this->duties.storeRestored(this->now());
     this->store.reload();
 }
 
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -21,18 +21,20 @@
     struct Node
     {
         Node(DutyRunnerFixture &fixture, const std::string &name, const std::string &runId)
-            : runner(fixture.store.access(), settings(name, runId), fixture.transport, this->usage)
+            : runner(fixture.store.access(), settings(fixture, name, runId), fixture.transport, this->usage)
         {
             this->runner.setEnabledDuties(true, true);
         }
 
-        static DutySettings settings(const std::string &name, const std::string &runId)
+        static DutySettings
+        settings(const DutyRunnerFixture &fixture, const std::string &name, const std::string &runId)
         {
             DutySettings settings;
             settings.holder = name;
             settings.runId = runId;
             settings.keyPrefix = "duties";
             settings.countsKey = "counts";
+            settings.storeEra = [&fixture] { return fixture.store.era; };
             return settings;
         }
 
@@ -67,6 +69,26 @@
         }
     }
 
+    /// Windows that were reported with two different counts.
+    std::set<std::int64_t> contradictions() const
+    {
+        std::map<std::int64_t, UsageCounts> first;
+        std::set<std::int64_t> windows;
+        for (const Report &report : this->reports) {
+            if (first.try_emplace(report.window, report.counts).first->second != report.counts)
+                windows.insert(report.window);
+        }
+        return windows;
+    }
+
+    /// Brings the store back from a copy, and tells the nodes.
+    void restore(const MemoryStore::Copy &copy, const std::vector<Node *> &nodes)
+    {
+        this->store.restore(copy);
+        for (Node *node : nodes)
+            node->runner.storeRestored(this->now);
+    }
+
     MemoryStore store;
     RelayTransport transport;
     std::vector<Report> reports;
@@ -217,3 +239,82 @@
     REQUIRE(this->orders.size() == 1);
     CHECK(this->orders.front().zone == "zone-a");
 }
+
+// Guards against reports with other counts after the store lost what was reported.
+TEST_CASE_METHOD(DutyRunnerFixture, "DutyRunner: store lost the record of reports: the holder repeats none")
+{
+    this->store.era = 1;
+    Node holder(*this, "a", "run-a");
+    this->advance(holder, std::chrono::seconds(6));
+    const auto copy = this->store.copy();
+    holder.usage.count("account", this->wallTime);
+    this->advance(holder, std::chrono::seconds(12));
+    const std::int64_t lastWindow = this->reports.back().window;
+    this->restore(copy, {&holder});
+    holder.usage.count("account", this->wallTime - std::chrono::seconds(12));
+    this->advance(holder, std::chrono::seconds(12));
+    CHECK(this->contradictions().empty());
+    CHECK(this->reports.back().window > lastWindow);
+}
+
+// The processes of all VMs ended with what they knew.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: store lost the record of reports and all VMs restarted: no window is reported anew")
+{
+    this->store.era = 1;
+    Node before(*this, "a", "run-a");
+    this->advance(before, std::chrono::seconds(6));
+    const auto copy = this->store.copy();
+    before.usage.count("account", this->wallTime);
+    this->advance(before, std::chrono::seconds(12));
+    const std::int64_t lastWindow = this->reports.back().window;
+    this->restore(copy, {});
+    this->store.entries.erase("duties/holder");
+    Node after(*this, "b", "run-b");
+    this->advance(after, std::chrono::seconds(15));
+    CHECK(this->contradictions().empty());
+    CHECK(this->reports.back().window > lastWindow);
+}
+
+TEST_CASE_METHOD(DutyRunnerFixture, "DutyRunner: store lost a claim of the role: its fencing token is not used again")
+{
+    this->store.era = 1;
+    const auto copy = this->store.copy();
+    Node first(*this, "a", "run-a");
+    this->advance(first, std::chrono::seconds(15));
+    const std::int64_t token = this->reports.back().lease.fencingToken;
+    this->restore(copy, {});
+    Node second(*this, "b", "run-b");
+    this->advance(second, std::chrono::seconds(15));
+    CHECK(this->reports.back().lease.holder == "b");
+    CHECK(this->reports.back().lease.fencingToken > token);
+}
+
+// Guards against two holders that act alternately after one of them has lost its claim.
+TEST_CASE_METHOD(DutyRunnerFixture, "DutyRunner: store lost the claim of a holder: another VM waits for its lease time")
+{
+    this->store.era = 1;
+    const auto copy = this->store.copy();
+    Node holder(*this, "a", "run-a");
+    Node other(*this, "b", "run-b");
+    this->advance(holder, std::chrono::seconds(6));
+    this->advance(other, std::chrono::milliseconds(100));
+    this->restore(copy, {&holder, &other});
+    this->advance(other, std::chrono::milliseconds(2900));
+    CHECK_FALSE(other.runner.isActing(this->now));
+    CHECK(this->store.entries.count("duties/holder") == 0);
+    this->advance(other, std::chrono::seconds(3));
+    CHECK(other.runner.isActing(this->now));
+}
+
+TEST_CASE_METHOD(DutyRunnerFixture, "DutyRunner: restored store still holds the claim: the holder goes on")
+{
+    this->store.era = 1;
+    Node holder(*this, "a", "run-a");
+    this->advance(holder, std::chrono::seconds(6));
+    const auto copy = this->store.copy();
+    this->restore(copy, {&holder});
+    CHECK_FALSE(holder.runner.isActing(this->now));
+    this->advance(holder, std::chrono::seconds(3));
+    CHECK(holder.runner.isActing(this->now));
+}
--- a/tests/unit/memorystore.h
+++ b/tests/unit/memorystore.h
@@ -57,6 +57,7 @@
         KvRangeResult result;
         result.status = this->isUnavailable ? KvStatus::Unknown : KvStatus::Ok;
         result.revision = this->revision;
+        result.era = this->era;
         for (const auto &[name, entry] : this->entries) {
             if (!this->isUnavailable && (name == key || (prefix && name.starts_with(key))))
                 result.entries.push_back(entry);
@@ -69,6 +70,7 @@
         if (this->isUnavailable)
             return {KvStatus::NotApplied, false, 0, {}, "outage"};
         KvTxnResult result;
+        result.era = this->era;
         result.status = KvStatus::Ok;
         result.succeeded = std::all_of(txn.compares.begin(), txn.compares.end(), [this](const KvCompare &compare) {
             const auto match = this->entries.find(compare.key);
@@ -100,6 +102,27 @@
         return {KvStatus::Ok, lease, ttl, {}};
     }
 
+    /// Content of the store, for restore().
+    struct Copy
+    {
+        std::map<std::string, KvEntry> entries;
+        std::int64_t revision = 0;
+    };
+
+    Copy copy() const
+    {
+        return {this->entries, this->revision};
+    }
+
+    /// Returns to the state of an older copy, in a new era.
+    void restore(const Copy &copy)
+    {
+        this->entries = copy.entries;
+        this->revision = copy.revision;
+        ++this->era;
+    }
+
+    std::int64_t era = 0; ///< Rises with each restore(); told in answers.
     std::map<std::string, KvEntry> entries;
     std::deque<std::function<void()>> queue;
     std::int64_t revision = 0;
