Carry the era of the store in polls between entry VMs

At larger sites one VM of a zone reads the store for the others. Reader and follower compared revisions without an era, so that a follower of the restored store could take a reader's changes of the earlier era, or the other way round. Polls and answers tell the era now: a poll of an earlier era has to read anew, one of a later era is not answered and goes to the store, and either side learns of the restore by it. After a restore a reader answers nothing from before.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -300,6 +300,8 @@
     hooks.reachabilityChanged = [this](bool reachable, const std::string &error) {
         this->storeReachabilityChanged(reachable, error);
     };
+    hooks.eraTold = [this](std::int64_t era) { return this->storeEra.observe(era); };
+    hooks.era = [this] { return this->storeEra.current(); };
     hooks.reader = [this](const std::set<std::string> &excluded) -> std::optional<StoreReader> {
         const TimePoint now = this->now();
         if (now < this->startTime + peerDiscoveryTime)
--- a/src/libhemlock/relay/storepoll.cpp
+++ b/src/libhemlock/relay/storepoll.cpp
@@ -8,7 +8,9 @@
 
 std::string encodeStorePoll(const StorePoll &poll)
 {
-    return nlohmann::json{{"prefix", poll.prefix}, {"revision", poll.revision}, {"waitMs", poll.wait.count()}}.dump();
+    return nlohmann::json{
+        {"prefix", poll.prefix}, {"revision", poll.revision}, {"era", poll.era}, {"waitMs", poll.wait.count()}}
+        .dump();
 }
 
 StorePoll decodeStorePoll(const std::string &body)
@@ -18,6 +20,7 @@
     json.at("prefix").get_to(poll.prefix);
     json.at("revision").get_to(poll.revision);
     poll.wait = std::chrono::milliseconds(json.at("waitMs").get<std::int64_t>());
+    poll.era = json.value("era", std::int64_t{0});
     return poll;
 }
 
@@ -28,8 +31,9 @@
         events.push_back({event.isDelete, event.entry.key, event.entry.value, event.entry.modRevision});
     // CBOR, since values may hold any bytes.
     std::string body;
-    nlohmann::json::to_cbor({{"compacted", changes.isCompacted}, {"revision", changes.revision}, {"events", events}},
-                            body);
+    nlohmann::json::to_cbor(
+        {{"compacted", changes.isCompacted}, {"revision", changes.revision}, {"era", changes.era}, {"events", events}},
+        body);
     return body;
 }
 
@@ -49,6 +53,7 @@
         const auto json = nlohmann::json::from_cbor(body);
         json.at("compacted").get_to(result.changes.isCompacted);
         json.at("revision").get_to(result.changes.revision);
+        result.changes.era = json.value("era", std::int64_t{0});
         for (const nlohmann::json &item : json.at("events")) {
             KvEvent event;
             item.at(0).get_to(event.isDelete);
--- a/src/libhemlock/relay/storepoll.h
+++ b/src/libhemlock/relay/storepoll.h
@@ -16,6 +16,7 @@
     std::string prefix;
     std::int64_t revision = 0; ///< Changes after this revision are wanted.
     std::chrono::milliseconds wait{0}; ///< How long the peer may wait for a change.
+    std::int64_t era = 0; ///< Era of the store that the revision belongs to; 0 when unknown.
 };
 
 /// Answer of a peer to a StorePoll.
--- a/src/libhemlock/relay/storepollrouter.cpp
+++ b/src/libhemlock/relay/storepollrouter.cpp
@@ -72,6 +72,8 @@
 
 void StorePollRouter::handlePoll(const StorePoll &poll, StorePollServer::Answer answer)
 {
+    if (this->hooks.eraTold)
+        this->hooks.eraTold(poll.era);
     const TimePoint now = this->hooks.now();
     const bool wasReading = this->readsStore();
     this->pollServer.poll(poll, std::move(answer), now);
@@ -131,6 +133,7 @@
 {
     const auto poll = std::make_shared<Poll>();
     poll->request = request;
+    poll->request.era = this->hooks.era ? this->hooks.era() : 0;
     poll->done = std::move(done);
     this->waits[request.prefix] = request.wait;
     const auto reader = this->currentReader();
@@ -163,8 +166,15 @@
                                    const std::string &node,
                                    const PeerPollResult &result)
 {
-    if (result.status == PeerPollResult::Status::Answered)
-        return poll->done(result.changes);
+    if (result.status == PeerPollResult::Status::Answered) {
+        const bool isCurrent = !this->hooks.eraTold || this->hooks.eraTold(result.changes.era);
+        if (isCurrent && result.changes.era == poll->request.era)
+            return poll->done(result.changes);
+        // The reader is in another era than this poll. A reader in a later one has made this VM read everything anew.
+        KvChanges failure;
+        failure.error = "the peer answered from another era of the store";
+        return poll->done(failure);
+    }
     this->failedUntil[node] = this->hooks.now() + this->settings.failedPeerTime;
     logEvent(LogLevel::Info,
              "store-reader-failed",
--- a/src/libhemlock/relay/storepollrouter.h
+++ b/src/libhemlock/relay/storepollrouter.h
@@ -36,6 +36,10 @@
     std::function<std::function<void()>(
         const std::string &address, const StorePoll &poll, std::function<void(const PeerPollResult &)> done)>
         askPeer;
+    /// Records the era of the store that a peer tells; as StoreEra::observe(). Unset for a store that tells no era.
+    std::function<bool(std::int64_t era)> eraTold;
+    /// Returns the era of the store that this VM knows; unset for a store that tells no era.
+    std::function<std::int64_t()> era;
     /// Cancels the long polls in progress and starts them again.
     std::function<void()> restartPolls;
 };
--- a/src/libhemlock/relay/storepollserver.cpp
+++ b/src/libhemlock/relay/storepollserver.cpp
@@ -15,9 +15,20 @@
 
 } // namespace
 
-void StorePollServer::keysLoaded(const std::string &prefix, std::int64_t revision)
+void StorePollServer::storeRestored()
+{
+    for (auto &[prefix, feed] : this->feeds) {
+        feed.log = ChangeLog();
+        feed.validUntil = TimePoint::min();
+        for (const Waiting &waiting : std::exchange(feed.waiting, {}))
+            answerUnknown(feed, waiting);
+    }
+}
+
+void StorePollServer::keysLoaded(const std::string &prefix, std::int64_t revision, std::int64_t era)
 {
     Feed &feed = this->feeds[prefix];
+    feed.era = era;
     feed.log.reset(revision);
     feed.waiting.remove_if([&feed](const Waiting &waiting) { return tryAnswer(feed, waiting, true); });
 }
@@ -50,7 +61,7 @@
     this->askedUntil = now + askedTime;
     Feed &feed = this->feeds[poll.prefix];
     Waiting waiting{poll, std::move(answer), now + std::clamp(poll.wait, std::chrono::milliseconds(0), maxWait)};
-    if (feed.log.revision() == 0 || feed.isLost)
+    if (feed.log.revision() == 0 || feed.isLost || poll.era > feed.era)
         return answerUnknown(feed, waiting);
     if (!tryAnswer(feed, waiting, true))
         feed.waiting.push_back(std::move(waiting));
@@ -94,13 +105,14 @@
 {
     KvChanges changes;
     const auto events = feed.log.eventsAfter(waiting.poll.revision);
-    changes.isCompacted = !events;
+    changes.isCompacted = !events || waiting.poll.era != feed.era;
+    changes.era = feed.era;
     if (events)
         changes.events = *events;
     if (mayWait && !changes.isCompacted && changes.events.empty())
         return false;
     // A peer that read the store more recently keeps its own revision.
-    changes.revision = std::max(feed.log.revision(), waiting.poll.revision);
+    changes.revision = changes.isCompacted ? feed.log.revision() : std::max(feed.log.revision(), waiting.poll.revision);
     waiting.answer(200, encodeStoreChanges(changes));
     return true;
 }
--- a/src/libhemlock/relay/storepollserver.h
+++ b/src/libhemlock/relay/storepollserver.h
@@ -22,8 +22,11 @@
     using TimePoint = std::chrono::steady_clock::time_point;
     using Answer = std::function<void(int status, std::string body)>;
 
-    /// Keys with @p prefix were read completely, at @p revision.
-    void keysLoaded(const std::string &prefix, std::int64_t revision);
+    /// The store was restored: what was read before answers no polls any more.
+    void storeRestored();
+
+    /// Keys with @p prefix were read completely, at @p revision of an era of the store; 0 when the era is unknown.
+    void keysLoaded(const std::string &prefix, std::int64_t revision, std::int64_t era);
 
     /// Keys with @p prefix changed; the changes are complete up to @p revision.
     void keysChanged(const std::string &prefix, const std::vector<KvEvent> &events, std::int64_t revision);
@@ -59,6 +62,7 @@
     struct Feed
     {
         ChangeLog log;
+        std::int64_t era = 0; ///< That the revisions of the log belong to.
         TimePoint validUntil = TimePoint::min();
         bool isLost = false; ///< The last read failed.
         std::list<Waiting> waiting;
--- a/src/libhemlock/relay/storesubscriptions.cpp
+++ b/src/libhemlock/relay/storesubscriptions.cpp
@@ -118,6 +118,7 @@
 
 void StoreSubscriptions::reload()
 {
+    this->pollRouter.server().storeRestored();
     this->configWatcher.reload();
     this->upstreamWatcher.reload();
     this->ownKeysWatcher.reload();
@@ -154,6 +155,8 @@
     StorePollRouterHooks routerHooks;
     routerHooks.now = bootTimeNow;
     routerHooks.reader = this->hooks.reader;
+    routerHooks.eraTold = this->hooks.eraTold;
+    routerHooks.era = this->hooks.era;
     routerHooks.restartPolls = [this] { this->restartPolls(); };
     routerHooks.askPeer = [&http](const std::string &address,
                                   const StorePoll &poll,
@@ -187,7 +190,7 @@
     StoreWatcherHooks watcherHooks;
     watcherHooks.snapshotLoaded = [this, prefix, keysLoaded, &watcher](const StoreSubscriptionsHooks::Values &values) {
         keysLoaded(values);
-        this->pollRouter.server().keysLoaded(prefix, watcher.revision());
+        this->pollRouter.server().keysLoaded(prefix, watcher.revision(), this->hooks.era());
     };
     watcherHooks.keysChanged = [this, prefix, &watcher](const std::vector<KvEvent> &events) {
         this->hooks.keysChanged(events);
--- a/src/libhemlock/relay/storesubscriptions.h
+++ b/src/libhemlock/relay/storesubscriptions.h
@@ -42,6 +42,8 @@
     std::function<void(bool reachable, const std::string &error)> reachabilityChanged;
     /// As by StorePollRouterHooks.
     std::function<std::optional<StoreReader>(const std::set<std::string> &excluded)> reader;
+    std::function<bool(std::int64_t era)> eraTold;
+    std::function<std::int64_t()> era;
 };
 
 /// Keeps an entry VM up to date with the store: watches its keys, in the store or at a peer that reads the store for
--- a/tests/unit/storepollroutertest.cpp
+++ b/tests/unit/storepollroutertest.cpp
@@ -17,6 +17,7 @@
         bool isCancelled = false;
         std::function<void(const KvChanges &)> storeDone;
         std::function<void(const PeerPollResult &)> peerDone;
+        std::int64_t era = 0; ///< Of a poll at a peer.
     };
 
     StorePollRouterFixture()
@@ -47,7 +48,12 @@
         hooks.askPeer = [this](const std::string &address,
                                const StorePoll &poll,
                                std::function<void(const PeerPollResult &)> done) {
-            return this->addCall({address, poll.wait, false, {}, std::move(done)});
+            return this->addCall({address, poll.wait, false, {}, std::move(done), poll.era});
+        };
+        hooks.era = [this] { return this->era; };
+        hooks.eraTold = [this](std::int64_t told) {
+            this->era = std::max(this->era, told);
+            return told >= this->era;
         };
         hooks.restartPolls = [this] {
             ++this->restarts;
@@ -69,7 +75,7 @@
     void load()
     {
         this->access.readPage("servers/", {}, [](const KvPage &) {});
-        this->router->server().keysLoaded("servers/", this->revision);
+        this->router->server().keysLoaded("servers/", this->revision, 0);
     }
 
     void poll()
@@ -108,6 +114,7 @@
     }
 
     std::int64_t revision = 10;
+    std::int64_t era = 0; ///< Of the store.
     std::vector<std::string> readers; ///< Peers that read the store, in the order in which they are chosen.
     std::vector<Call> calls;
     std::vector<KvChanges> results;
@@ -272,3 +279,19 @@
     CHECK(revision == this->revision);
     CHECK(this->calls.empty());
 }
+
+TEST_CASE_METHOD(StorePollRouterFixture,
+                 "StorePollRouter: reader answers from another era of the store: its changes do not count")
+{
+    this->era = 2;
+    this->readers = {"reader"};
+    const std::int64_t told = GENERATE(std::int64_t{1}, std::int64_t{3});
+    this->poll();
+    CHECK(this->calls.back().era == 2);
+    PeerPollResult result = answered(12);
+    result.changes.era = told;
+    this->calls.back().peerDone(result);
+    REQUIRE(this->results.size() == 1);
+    CHECK(this->results.front().status == KvStatus::Unknown);
+    CHECK(this->era == std::max(std::int64_t{2}, told));
+}
--- a/tests/unit/storepollservertest.cpp
+++ b/tests/unit/storepollservertest.cpp
@@ -9,10 +9,10 @@
 class StorePollServerFixture
 {
 protected:
-    void load(std::int64_t revision)
+    void load(std::int64_t revision, std::int64_t era = 0)
     {
         this->server.storeAnswered("servers/", this->now + std::chrono::seconds(3));
-        this->server.keysLoaded("servers/", revision);
+        this->server.keysLoaded("servers/", revision, era);
     }
 
     void change(const std::string &key, std::int64_t revision)
@@ -25,10 +25,10 @@
         this->server.keysChanged("servers/", {event}, revision);
     }
 
-    void poll(std::int64_t revision)
+    void poll(std::int64_t revision, std::int64_t era = 0)
     {
         this->server.poll(
-            {"servers/", revision, std::chrono::milliseconds(2000)},
+            {"servers/", revision, std::chrono::milliseconds(2000), era},
             [this](int status, const std::string &body) {
                 this->answers.push_back(decodePeerPollResult(status, body));
             },
@@ -139,3 +139,35 @@
     CHECK(decodePeerPollResult(200, "not cbor").status == PeerPollResult::Status::NoAnswer);
     CHECK(decodePeerPollResult(404, "").status == PeerPollResult::Status::NoAnswer);
 }
+
+// Revisions are given out again by a restored store, so that those of two eras look alike.
+TEST_CASE_METHOD(StorePollServerFixture, "StorePollServer: poll is of an earlier era of the store: has to read anew")
+{
+    this->load(10, 2);
+    this->poll(10, 1);
+    REQUIRE(this->answers.size() == 1);
+    CHECK(this->answers.front().changes.isCompacted);
+    CHECK(this->answers.front().changes.era == 2);
+}
+
+TEST_CASE_METHOD(StorePollServerFixture, "StorePollServer: poll is of a later era of the store: gets no answer")
+{
+    this->load(10, 1);
+    this->poll(10, 2);
+    REQUIRE(this->answers.size() == 1);
+    CHECK(this->answers.front().status == PeerPollResult::Status::NoAnswer);
+}
+
+TEST_CASE_METHOD(StorePollServerFixture, "StorePollServer: store was restored: nothing is answered from before")
+{
+    this->load(10, 1);
+    this->poll(10, 1);
+    this->server.storeRestored();
+    this->poll(10, 1);
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers[0].status == PeerPollResult::Status::NoAnswer);
+    CHECK(this->answers[1].status == PeerPollResult::Status::NoAnswer);
+    this->load(5, 2);
+    this->poll(5, 2);
+    CHECK(this->answers.size() == 2);
+}
