Do not use upstreams again that left before the store was restored

A restored store lists upstreams that have left since its copy was made, until their entries lapse or are written again, and lacks those that registered since. Upstreams that left are remembered for a minute by identifier and incarnation: those that announced their shutdown stay gone, the others until the copy's entries have settled, when the list is read once more; one that is leaving goes on leaving. Missing ones stay for the grace period of an outage, also if none was noticed. 'restored store lists upstreams that have left*' failed when replaceAll() took the copy as it is.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -322,6 +322,7 @@
 
 void RelayProcess::storeRestored()
 {
+    this->directory.storeRestored(this->now());
     this->duties.storeRestored(this->now());
     this->store.reload();
 }
@@ -500,6 +501,8 @@
         this->reportHealth(now, std::chrono::steady_clock::now() - this->tickTimer.expiry());
     if (this->directory.expire(now))
         this->applyUpstreams();
+    if (this->directory.takeReloadDue(now))
+        this->store.reloadUpstreams();
     this->store.tick();
     this->scheduler.tick(now);
     this->suspectRecords.tick();
--- a/src/libhemlock/relay/storesubscriptions.cpp
+++ b/src/libhemlock/relay/storesubscriptions.cpp
@@ -116,6 +116,11 @@
     this->pollRouter.tick();
 }
 
+void StoreSubscriptions::reloadUpstreams()
+{
+    this->upstreamWatcher.reload();
+}
+
 void StoreSubscriptions::reload()
 {
     this->pollRouter.server().storeRestored();
--- a/src/libhemlock/relay/storesubscriptions.h
+++ b/src/libhemlock/relay/storesubscriptions.h
@@ -64,6 +64,9 @@
     void start();
     void tick();
 
+    /// Reads the entries of all upstreams anew.
+    void reloadUpstreams();
+
     /// Reads everything anew after the store was restored from an older copy.
     void reload();
 
--- a/src/libhemlock/relay/upstreamdirectory.cpp
+++ b/src/libhemlock/relay/upstreamdirectory.cpp
@@ -1,6 +1,7 @@
 #include "relay/upstreamdirectory.h"
 
 #include <set>
+#include <utility>
 
 namespace hemlock {
 
@@ -23,7 +24,30 @@
     if (now < this->graceEnd && found->second.upstream.state == UpstreamState::Serving)
         found->second.isMissing = true;
     else
-        this->entries.erase(found);
+        this->depart(found, now);
+}
+
+void UpstreamDirectory::depart(std::map<std::string, Entry>::iterator entry, TimePoint now)
+{
+    const Upstream &upstream = entry->second.upstream;
+    std::erase_if(this->departures,
+                  [this, now](const auto &item) { return now - item.second.time > this->settings.departureMemory; });
+    this->departures[upstream.id] = {upstream.incarnation, upstream.state == UpstreamState::Leaving, now};
+    this->entries.erase(entry);
+}
+
+bool UpstreamDirectory::isOutdated(const Upstream &upstream, TimePoint now) const
+{
+    // Without an incarnation, an upstream that has restarted cannot be told from the one that left.
+    if (upstream.incarnation.empty() || upstream.state != UpstreamState::Serving)
+        return false;
+    if (const auto known = this->entries.find(upstream.id); known != this->entries.end())
+        return known->second.upstream.state == UpstreamState::Leaving
+            && known->second.upstream.incarnation == upstream.incarnation;
+    const auto departure = this->departures.find(upstream.id);
+    return departure != this->departures.end() && departure->second.incarnation == upstream.incarnation
+        && now - departure->second.time <= this->settings.departureMemory
+        && (departure->second.isFinal || now < this->copyEnd);
 }
 
 void UpstreamDirectory::replaceAll(const std::vector<Upstream> &upstreams, TimePoint now)
@@ -31,7 +55,8 @@
     std::set<std::string> listed;
     for (const Upstream &upstream : upstreams) {
         listed.insert(upstream.id);
-        this->set(upstream);
+        if (!this->isOutdated(upstream, now))
+            this->set(upstream);
     }
     std::vector<std::string> missing;
     for (const auto &[id, entry] : this->entries) {
@@ -47,11 +72,30 @@
     this->graceEnd = now + this->settings.outageGracePeriod;
 }
 
+void UpstreamDirectory::storeRestored(TimePoint now)
+{
+    this->storeRecovered(now);
+    this->copyEnd = now + this->settings.restoreGracePeriod;
+    this->isReloadPending = true;
+}
+
+bool UpstreamDirectory::takeReloadDue(TimePoint now)
+{
+    return now >= this->copyEnd && std::exchange(this->isReloadPending, false);
+}
+
 bool UpstreamDirectory::expire(TimePoint now)
 {
     if (now < this->graceEnd)
         return false;
-    return std::erase_if(this->entries, [](const auto &entry) { return entry.second.isMissing; }) > 0;
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.isMissing)
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        this->depart(this->entries.find(id), now);
+    return !missing.empty();
 }
 
 std::vector<Upstream> UpstreamDirectory::upstreams() const
--- a/tests/unit/upstreamdirectorytest.cpp
+++ b/tests/unit/upstreamdirectorytest.cpp
@@ -67,3 +67,62 @@
     this->directory.remove("a", this->now);
     CHECK(this->count() == 0);
 }
+
+// Guards against requests to upstreams that left after the copy was made.
+TEST_CASE_METHOD(UpstreamDirectoryFixture,
+                 "UpstreamDirectory: restored store lists upstreams that have left: they are not in use again")
+{
+    const auto born = [](Upstream upstream) {
+        upstream.incarnation = "1";
+        return upstream;
+    };
+    const Upstream leaving = born(upstream("leaving"));
+    const Upstream left = born(upstream("left"));
+    const Upstream lapsed = born(upstream("lapsed"));
+    for (const Upstream &listed : {leaving, left, lapsed})
+        this->directory.set(listed);
+    this->directory.set(born(upstream("leaving", UpstreamState::Leaving)));
+    this->directory.set(born(upstream("left", UpstreamState::Leaving)));
+    this->directory.remove("left", this->now);
+    this->directory.remove("lapsed", this->now);
+    this->directory.storeRestored(this->now);
+    this->directory.replaceAll({leaving, left, lapsed}, this->now);
+    REQUIRE(this->count() == 1);
+    CHECK(this->directory.upstreams().front().state == UpstreamState::Leaving);
+
+    // An upstream that lives and reaches the store is listed after the grace period as well.
+    CHECK_FALSE(this->directory.takeReloadDue(this->now + std::chrono::seconds(4)));
+    this->now += std::chrono::seconds(5);
+    CHECK(this->directory.takeReloadDue(this->now));
+    CHECK_FALSE(this->directory.takeReloadDue(this->now));
+    this->directory.replaceAll({leaving, left, lapsed}, this->now);
+    CHECK(this->count() == 2);
+}
+
+TEST_CASE_METHOD(
+    UpstreamDirectoryFixture,
+    "UpstreamDirectory: restored store lacks upstreams that registered since: they stay in use for a while")
+{
+    this->directory.set(upstream("a"));
+    this->directory.storeRestored(this->now);
+    this->directory.replaceAll({}, this->now);
+    CHECK(this->count() == 1);
+    this->directory.set(upstream("a"));
+    CHECK_FALSE(this->directory.expire(this->now + std::chrono::seconds(3)));
+    CHECK(this->count() == 1);
+}
+
+TEST_CASE_METHOD(
+    UpstreamDirectoryFixture,
+    "UpstreamDirectory: upstream that left restarts under its identifier: is in use, whatever was restored")
+{
+    Upstream restarted = upstream("a", UpstreamState::Leaving);
+    restarted.incarnation = "1";
+    this->directory.set(restarted);
+    this->directory.remove("a", this->now);
+    this->directory.storeRestored(this->now);
+    restarted.incarnation = "2";
+    restarted.state = UpstreamState::Serving;
+    this->directory.replaceAll({restarted}, this->now);
+    CHECK(this->count() == 1);
+}
