Write the records of VMs and refused subjects again when the store was restored

A restored store may lack both, and a VM that starts then knows neither its peers nor what crashes upstreams: its own record was written again at the next renewal, up to 8 s later, and a refused subject never. Both are written at once.

--- a/src/libhemlock/relay/peerregistry.cpp
+++ b/src/libhemlock/relay/peerregistry.cpp
@@ -234,6 +234,12 @@
     });
 }
 
+void PeerRegistry::storeRestored()
+{
+    this->lease = 0;
+    this->task.expedite();
+}
+
 void PeerRegistry::unregister()
 {
     KvTxn txn;
--- a/src/libhemlock/relay/peerregistry.h
+++ b/src/libhemlock/relay/peerregistry.h
@@ -92,6 +92,9 @@
     /// Deletes the record of this VM.
     void unregister();
 
+    /// The store was restored from an older copy and may have lost this VM's record, which is written again.
+    void storeRestored();
+
 private:
     struct Peer
     {
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -324,6 +324,8 @@
 {
     this->directory.storeRestored(this->now());
     this->duties.storeRestored(this->now());
+    this->registry.storeRestored();
+    this->suspectRecords.storeRestored();
     this->store.reload();
 }
 
--- a/src/libhemlock/relay/suspectrecords.cpp
+++ b/src/libhemlock/relay/suspectrecords.cpp
@@ -75,6 +75,12 @@
     }
 }
 
+void SuspectRecords::storeRestored()
+{
+    this->records.clear();
+    this->processedVersion = 0;
+}
+
 void SuspectRecords::write(const std::string &subject, const nlohmann::json &content, const WriteDone &done)
 {
     this->pendingWrites.insert(subject);
--- a/src/libhemlock/relay/suspectrecords.h
+++ b/src/libhemlock/relay/suspectrecords.h
@@ -50,6 +50,9 @@
     /// Writes the records that are due.
     void tick();
 
+    /// The store was restored from an older copy: records may be lost, and are written again.
+    void storeRestored();
+
     /// A record below the prefix was written, or removed when the value is empty. An invalid value is logged.
     void recordChanged(const std::string &key, const std::string &value);
 
--- a/tests/unit/peerregistrytest.cpp
+++ b/tests/unit/peerregistrytest.cpp
@@ -1,4 +1,5 @@
 #include "relay/peerregistry.h"
+#include "memorystore.h"
 
 #include <catch2/catch.hpp>
 
@@ -87,3 +88,20 @@
     CHECK_FALSE(registry.isLargeFleet(now));
     CHECK_FALSE(registry.storeReader({}, now));
 }
+
+// Guards against VMs that new ones do not know of after a restore, until their lease would have been renewed.
+TEST_CASE("PeerRegistry: restored store lost the record of this VM: it is written again at once")
+{
+    MemoryStore store;
+    PeerRegistry registry(store.access(), "nodes/", "vm-1", "vm-1:1", "zone-a", "vm-1:2", {});
+    const std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+    const auto copy = store.copy();
+    registry.tick(now, 0.5);
+    store.runAll();
+    REQUIRE(store.entries.count("nodes/vm-1") == 1);
+    store.restore(copy);
+    registry.storeRestored();
+    registry.tick(now, 0.5);
+    store.runAll();
+    CHECK(store.entries.count("nodes/vm-1") == 1);
+}
--- a/tests/unit/suspectrecordstest.cpp
+++ b/tests/unit/suspectrecordstest.cpp
@@ -254,3 +254,18 @@
     this->settle();
     CHECK(this->store.entries.size() <= 200);
 }
+
+// Guards against a subject that crashes upstreams again after a restore and a restart of all VMs.
+TEST_CASE_METHOD(SuspectRecordsFixture, "SuspectRecords: restored store lost a record: it is written again")
+{
+    const auto copy = this->store.copy();
+    this->crashTwice(this->first);
+    this->settle();
+    REQUIRE(this->store.entries.size() == 1);
+    this->store.restore(copy);
+    for (SuspectVm *vm : this->vms)
+        vm->records.storeRestored();
+    this->settle();
+    CHECK(this->store.entries.size() == 1);
+    CHECK(this->permissionAt(this->first) == Permission::Refused);
+}
