--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -177,6 +177,38 @@
     CHECK_THROWS(platform::decodeUpstreamEntry("i-1", "not json"));
 }
 
+// Guards against a process that ends, or an upstream with nonsensical limits, by an entry of another writer.
+TEST_CASE_METHOD(PlatformAdapterFixture, "decodeUpstreamEntry: number, port or nesting out of range: throws")
+{
+    const json entry = {{"service", "s"},
+                        {"address", "10.2.0.1:80"},
+                        {"zone", "zone-a"},
+                        {"slots", 64},
+                        {"state", "ready"},
+                        {"born", 1700000000000}};
+    const auto decode = [&entry](const std::string &name, const std::string &value) {
+        json changed = entry;
+        changed[name] = "VALUE";
+        std::string text = changed.dump();
+        text.replace(text.find("\"VALUE\""), std::string("\"VALUE\"").size(), value);
+        return platform::decodeUpstreamEntry("i-1", text);
+    };
+    CHECK_NOTHROW(decode("slots", "64"));
+    for (const std::string slots : {"-1", "0", "1e300", "1e400", "4294967360", "18446744073709551615", "true", "6.5"})
+        CHECK_THROWS(decode("slots", slots));
+    for (const std::string port : {"0", "70000", "80x", "-80", "", "99999999999999999999"})
+        CHECK_THROWS(decode("address", "\"10.2.0.1:" + port + "\""));
+    CHECK_THROWS(decode("address", "\":80\""));
+    for (const std::string born : {"1e300", "\"1700000000000\"", "[]"})
+        CHECK_THROWS(decode("born", born));
+    constexpr std::size_t levels = 100000;
+    const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+    CHECK_THROWS(decode("born", nested));
+    CHECK_NOTHROW(decode("unknown", nested));
+    CHECK_THROWS(decode("service", "\"" + std::string(1000000, 's') + "\""));
+    CHECK_THROWS(decode("zone", "\"\xff\""));
+}
+
 TEST_CASE_METHOD(PlatformAdapterFixture,
                  "decodeRelayRequest: caller's request: is decoded without the header fields that are not forwarded")
 {
