Believe a refusal only if it names its attempt and says that nothing ran

Reported by other operators: callers were told 'not run, try again' for requests that ran, after an upstream wrote an earlier refusal once more on a kept connection. Shown here: a refusal without an attempt identifier was believed, and an answer 408, 429 or 503 of an upstream that does not say that it did not run was passed on, which callers take for that promise. Every answer has to name its attempt now, and such a status becomes a retry or 502. 'earlier refusal arrives once more*' and 'upstream answers with a status that promises not run*' failed before.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -73,6 +73,12 @@
     return "unknown";
 }
 
+/// Whether callers take an answer with this status for the promise that the request was not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string nextCallId()
 {
     static std::uint64_t last = 0;
@@ -344,8 +350,7 @@
     // One second less than the upstream announces, since the upstream measures idleness at its own end.
     if (this->answer.keepAlive && *this->answer.keepAlive > std::chrono::seconds(1))
         this->context.idleLimit = std::min(this->context.idleLimit, *this->answer.keepAlive - std::chrono::seconds(1));
-    const bool namesAttempt = !this->answer.attemptId.empty();
-    this->isMismatched = namesAttempt ? this->answer.attemptId != this->request.attemptId : headStatus < 300;
+    this->isMismatched = this->answer.attemptId != this->request.attemptId;
     if (this->isMismatched)
         return this->abortAttempt("the answer belongs to another request");
     this->recordRateLimit();
@@ -477,10 +482,14 @@
     if (this->isStreaming)
         return this->finishStream(outcome);
     const bool isUnsigned = outcome.status < 300 && !this->answer.isSigned;
-    if ((outcome.status >= 500 || isUnsigned) && this->scheduleRetry("status " + std::to_string(outcome.status)))
+    const bool isPromise = promisesNotRun(outcome.status);
+    if ((outcome.status >= 500 || isUnsigned || isPromise)
+        && this->scheduleRetry("status " + std::to_string(outcome.status)))
         return;
     if (isUnsigned || this->hasStreamBegun)
         return this->retryOrFail("the answer is not signed");
+    if (isPromise)
+        return this->retryOrFail("the upstream refused the request without saying that it did not run");
     this->responder->reply(outcome.status, endToEndHeaders(outcome.headers), outcome.body);
     this->finish(outcome.status, "answered");
 }
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -38,6 +38,13 @@
             + "\r\n\r\n" + body;
     }
 
+    /// Returns a refusal that says that the request was not run.
+    static std::string refusal(const std::string &attemptHeader)
+    {
+        return "HTTP/1.1 503 Service Unavailable\r\n" + attemptHeader
+            + "X-Hemlockflow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     /// How a connection goes on after an answer.
     enum class Ending {
         KeepOpen,
@@ -338,3 +345,26 @@
     CHECK(this->quarantine.permissionFor(fingerprint, std::chrono::steady_clock::now())
           == Quarantine::Permission::Isolated);
 }
+
+// Guards against "not run" for a request that runs, by an earlier refusal on the same connection.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: earlier refusal arrives once more: the request counts as possibly run")
+{
+    const std::string attemptHeader = GENERATE("X-Hemlockflow-Attempt-Id: attempt-1\r\n", "");
+    this->raw.bytesFor = [attemptHeader](std::size_t index, const std::string &attemptId) {
+        return index == 0 ? RawUpstream::refusal("X-Hemlockflow-Attempt-Id: attempt-1\r\n")
+                          : RawUpstream::refusal(attemptHeader) + RawUpstream::answer(attemptId);
+    };
+    CHECK(this->call("attempt-1").status == 503);
+    CHECK(this->call("attempt-2").status == 502);
+}
+
+TEST_CASE_METHOD(StaleAnswerFixture,
+                 "RelayCall: upstream answers with a status that promises not run, but does not say so: is no promise")
+{
+    const int status = GENERATE(408, 429, 503);
+    this->raw.bytesFor = [status](std::size_t, const std::string &attemptId) {
+        return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Hemlockflow-Attempt-Id: " + attemptId
+            + "\r\nContent-Length: 0\r\n\r\n";
+    };
+    CHECK(this->call("attempt-1").status == 502);
+}
