Continue a stream only with an event stream

Reported by other operators: the next upstream of a broken stream answered with an error, and callers found its text in the middle of their stream, or a stream that looked complete. Errors were kept out here already (4xx and 5xx, shown by the test); a signed 200 of another content type was appended, and ended the stream as complete. An answer that names another type than text/event-stream does not continue a stream now, which ends as broken off. 'stream breaks off and the next upstream answers without events*' failed before for the 200.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -79,6 +79,12 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Whether an answer may be an event stream; upstreams need not tell the type.
+bool isEventStream(const HttpHeaders &headers)
+{
+    return !headers.has("Content-Type") || headers.value("Content-Type").starts_with("text/event-stream");
+}
+
 std::string nextCallId()
 {
     static std::uint64_t last = 0;
@@ -354,8 +360,10 @@
     if (this->isMismatched)
         return this->abortAttempt("the answer belongs to another request");
     this->recordRateLimit();
+    const bool isSuccessful = headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
+    // An answer of another type does not continue a stream.
     this->isStreaming =
-        this->route->kind == CallKind::Stream && headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
+        this->route->kind == CallKind::Stream && isSuccessful && (!this->hasStreamBegun || isEventStream(head));
     if (this->route->kind != CallKind::Stream)
         this->context.scheduler.answerBegan(this->id, this->context.now());
 }
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -725,3 +725,33 @@
     CHECK(this->quarantine.permissionFor("service/5a", std::chrono::steady_clock::now())
           == Quarantine::Permission::Allowed);
 }
+
+// Guards against the text of an error in the middle of a stream, and against a stream that looks complete.
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: stream breaks off and the next upstream answers without events: ends as broken off")
+{
+    this->configure(CallKind::Stream, 2, true);
+    const auto answerNext = GENERATE(
+        as<std::function<void(const HttpHeaders &, const HttpResponderPtr &)>>(),
+        [](const HttpHeaders &headers, const HttpResponderPtr &responder) {
+            responder->reply(404, headers, "no such thing\n\n");
+        },
+        [](const HttpHeaders &headers, const HttpResponderPtr &responder) {
+            responder->reply(500, headers, "id: 2\ndata: error\n\n");
+        },
+        [](HttpHeaders headers, const HttpResponderPtr &responder) {
+            headers.add("Content-Type", "application/json");
+            responder->reply(200, headers, "{}\n\n");
+        });
+    this->setHandlers([&answerNext](const HttpRequest &request, const HttpResponderPtr &responder) {
+        if (request.headers.has("Last-Event-Id"))
+            return answerNext(answerHeaders(request), responder);
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: a\n\n");
+        responder->abort();
+    });
+    const auto result = this->call(this->request());
+    CHECK(this->sentCount() == 2);
+    CHECK_FALSE(result.outcome.isComplete());
+    CHECK(result.bytes == "id: 1\ndata: a\n\n");
+}
