--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -199,7 +199,8 @@
     for (const std::string port : {"0", "70000", "80x", "-80", "", "99999999999999999999"})
         CHECK_THROWS(decode("address", "\"10.2.0.1:" + port + "\""));
     CHECK_THROWS(decode("address", "\":80\""));
-    for (const std::string born : {"1e300", "\"1700000000000\"", "[]"})
+    CHECK_NOTHROW(decode("born", "0"));
+    for (const std::string born : {"-1", "1e300", "\"1700000000000\"", "[]"})
         CHECK_THROWS(decode("born", born));
     constexpr std::size_t levels = 100000;
     const std::string nested = std::string(levels, '[') + std::string(levels, ']');
