Let the soak restore the store from an older copy

In a drill the store refuses calls for up to 2.2 s, comes back from a copy of up to 10.5 s before in a new era, and what the operator and the upstreams wrote is written again within 1.5 s. A process that starts while the store holds the copy can only know the copy, and is not in touch by the users' rules; the two checks that hold at once for new processes leave it out.

--- a/tests/failure/relaysoak.h
+++ b/tests/failure/relaysoak.h
@@ -152,6 +152,7 @@
     void pauseVm(std::size_t index);
     void cutStore(std::size_t index);
     void failStore();
+    void restoreStore();
     void disturbConnections(SoakUpstream &upstream);
     void crashUpstream(SoakUpstream &upstream);
     void retireUpstream(std::size_t index, bool announces);
@@ -171,6 +172,8 @@
     void checkSoundStreams();
     void handleDuty(const HttpRequest &request, const HttpResponderPtr &responder);
     bool isInTouch(const Vm &vm, Time since) const;
+    /// Whether the process of a VM started while the store held an older copy.
+    bool startedFromCopy(const Vm &vm) const;
     void violate(const std::string &rule, const std::string &what, const Call *call = nullptr);
     void count(const std::string &name);
 
@@ -197,6 +200,7 @@
     std::multimap<Time, std::function<void()>> agenda;
     Calls calls;
     Time storeDisturbedUntil;
+    std::vector<std::pair<Time, Time>> copyTimes; ///< When the store held an older copy, each with a margin.
     std::int64_t configVersion = 0;
     int upstreamNumber = 0;
     int startNumber = 0;
--- a/tests/failure/soakstore.h
+++ b/tests/failure/soakstore.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace hemlock {
@@ -39,6 +40,12 @@
     /// Discards the history of changes.
     void compact();
 
+    /// Returns to the state of @p age ago, in a new era.
+    void restore(std::chrono::milliseconds age);
+
+    /// Writes again what put() and remove() wrote and a restore has lost.
+    void writeAgain();
+
 private:
     using Clock = std::chrono::steady_clock;
 
@@ -56,6 +63,15 @@
         Clock::time_point end;
     };
 
+    /// State of the store at some moment, without the history.
+    struct Copy
+    {
+        Clock::time_point time;
+        std::map<std::string, Item> items;
+        std::map<std::int64_t, Lease> leases;
+        std::int64_t revision = 0;
+    };
+
     struct Poll
     {
         std::string prefix;
@@ -72,6 +88,7 @@
     void runTransaction(const HttpRequest &request, const HttpResponderPtr &responder);
     void write(const std::string &key, const std::string &value, std::int64_t lease);
     void erase(const std::string &key);
+    void reply(const HttpResponderPtr &responder, int status, const nlohmann::json &body) const;
     bool answerPoll(Poll &poll) const;
     void tick();
     nlohmann::json encode(const std::string &key, const Item &item) const;
@@ -84,7 +101,10 @@
     std::int64_t compactedRevision = 0;
     std::int64_t revision = 1;
     std::int64_t lastLease = 0;
+    std::int64_t era = 1;
     std::map<std::int64_t, Lease> leases;
+    std::map<std::string, std::optional<std::string>> written; ///< Latest by put() and remove(); unset if removed.
+    std::deque<Copy> copies; ///< Of the last seconds, the oldest first.
     std::list<Poll> polls;
     std::list<HttpResponderPtr> unanswered; ///< Of calls that get no answer.
 };
