--- a/tests/unit/peerexchangetest.cpp
+++ b/tests/unit/peerexchangetest.cpp
@@ -23,12 +23,7 @@
             , exchange(
                   loop,
                   settings,
-                  {this->quota,
-                   this->usage,
-                   this->quarantine,
-                   this->scheduler,
-                   this->clock,
-                   this->registry},
+                  {this->quota, this->usage, this->quarantine, this->scheduler, this->clock, this->registry},
                   [] { return std::chrono::steady_clock::now(); },
                   [] { return std::chrono::system_clock::now(); })
         {
