Let the last holder of the duties go on only while nobody has reported since the restore

The platform could get two reports with other counts for one window: a holder that kept what it knew at a restore, did not get the role back, and took it again after another VM had reported windows, went on from its own memory. What it knows counts now only while the record in the store is of an earlier era. Found by reading the change; 'another VM reported after a restore*' failed before.

--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -205,8 +205,7 @@
         logEvent(LogLevel::Warning, "duty-record", {{"error", result.error}});
         return;
     }
-    if (!std::exchange(this->knowsAllReports, false))
-        this->applyRecord(result.entries.empty() ? std::string() : result.entries.front().value);
+    this->applyRecord(result.entries.empty() ? std::string() : result.entries.front().value);
     this->isRecordLoaded = true;
 }
 
@@ -220,6 +219,9 @@
             logEvent(LogLevel::Error, "duty-record", {{"error", error.what()}});
         }
     }
+    const bool isOutdated = record.era < this->storeEra();
+    if (isOutdated && this->knowsAllReports)
+        return;
     this->recordedCounts = std::move(record.windows);
     this->unsentWindows.clear();
     this->nextWindow.reset();
@@ -228,7 +230,7 @@
         this->nextWindow = window + 1;
     }
     const bool isFirstHolder = value.empty() && !this->oldestSavedWindow;
-    if (record.era < this->storeEra() && !isFirstHolder)
+    if (isOutdated && !isFirstHolder)
         this->skipReportableWindows();
 }
 
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -91,7 +91,7 @@
     void countsLoaded(const KvRangeResult &result);
     void loadRecord();
     void recordLoaded(const KvRangeResult &result);
-    /// Replaces what is known of earlier reports by the record of the store.
+    /// Replaces what is known of earlier reports by the record of the store, unless this node knows more.
     void applyRecord(const std::string &value);
     /// Skips the windows that a holder whose record was lost may have reported.
     void skipReportableWindows();
@@ -113,7 +113,8 @@
     std::optional<TimePoint> roleHeldSince;
     TimePoint now;
     WallTime wallTime;
-    bool knowsAllReports = false; ///< The store was restored, and this node was the holder until then.
+    /// The store was restored, and this node was the holder until then. Holds until a record of a later era is found.
+    bool knowsAllReports = false;
     bool isRecordLoaded = false;
     bool isLoadingRecord = false;
     bool isSaving = false;
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -318,3 +318,26 @@
     this->advance(holder, std::chrono::seconds(3));
     CHECK(holder.runner.isActing(this->now));
 }
+
+// Guards against a holder that goes on with what it knew although another one has reported since.
+TEST_CASE_METHOD(
+    DutyRunnerFixture,
+    "DutyRunner: another VM reported after a restore: the earlier holder does not report its windows again")
+{
+    this->store.era = 1;
+    const auto copy = this->store.copy();
+    Node holder(*this, "a", "run-a");
+    Node other(*this, "b", "run-b");
+    this->advance(holder, std::chrono::seconds(9));
+    this->advance(other, std::chrono::milliseconds(100));
+    this->restore(copy, {&holder, &other});
+    other.usage.count("account", this->wallTime);
+    this->advance(other, std::chrono::seconds(15));
+    REQUIRE(this->reports.back().lease.holder == "b");
+    const std::int64_t lastWindow = this->reports.back().window;
+    this->store.entries.erase("duties/holder");
+    this->advance(holder, std::chrono::seconds(15));
+    REQUIRE(this->reports.back().lease.holder == "a");
+    CHECK(this->contradictions().empty());
+    CHECK(this->reports.back().window > lastWindow);
+}
