Take the era of a claim from the records that led to it

Two holders could get the same fencing token: a claim noted the era when it was sent, but its token came from records that were read two calls earlier, so that a restore between them went unnoticed. The claim is made where the records are read, and the check in becomeHolder() needs no exception for a resumed claim any more. Found by reading the change; 'store is restored while a claim is under way*' failed before.

--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -116,8 +116,11 @@
                 lastToken = parseToken(entry.value);
             }
             // A malformed token is not overwritten: restarting the count could reuse a fencing token.
-            if (lastToken >= 0)
-                this->grantLease(tokenRevision, std::max(lastToken, this->storeEra() << tokenBitsPerEra) + 1);
+            if (lastToken < 0)
+                return;
+            const std::int64_t era = this->storeEra();
+            const std::int64_t token = std::max(lastToken, era << tokenBitsPerEra) + 1;
+            this->grantLease({makeUniqueId(), 0, token, era}, tokenRevision);
         });
 }
 
@@ -125,33 +128,33 @@
 {
     if (claimIdOf(holder.value) != this->ownClaim.id)
         return;
+    this->ownClaim.era = this->storeEra();
     this->becomeHolder(holder.modRevision, this->ownClaim);
     // The record shows that the lease exists, but not for how long.
     this->leaseSentAt = {};
     this->claimTask.expedite();
 }
 
-void LeaderRole::grantLease(std::int64_t tokenRevision, std::int64_t newToken)
+void LeaderRole::grantLease(const Claim &claim, std::int64_t tokenRevision)
 {
     this->isCallPending = true;
     this->kv.grantLease(
         this->settings.ttl,
-        [this, tokenRevision, newToken, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
+        [this, claim, tokenRevision, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
             if (alive.expired())
                 return;
             this->isCallPending = false;
             if (result.status == KvStatus::Ok && result.lease != 0)
-                this->claim(result.lease, tokenRevision, newToken);
+                this->sendClaim({claim.id, result.lease, claim.token, claim.era}, tokenRevision);
         });
 }
 
-void LeaderRole::claim(std::int64_t newLease, std::int64_t tokenRevision, std::int64_t newToken)
+void LeaderRole::sendClaim(const Claim &claim, std::int64_t tokenRevision)
 {
-    const Claim claim{makeUniqueId(), newLease, newToken, this->storeEra()};
-    const nlohmann::json record = {{"holder", this->settings.holder}, {"token", newToken}, {"claim", claim.id}};
+    const nlohmann::json record = {{"holder", this->settings.holder}, {"token", claim.token}, {"claim", claim.id}};
     KvTxn txn;
     txn.compares = {{this->holderKey(), 0}, {this->tokenKey(), tokenRevision}};
-    txn.puts = {{this->holderKey(), record.dump(), newLease}, {this->tokenKey(), std::to_string(newToken), 0}};
+    txn.puts = {{this->holderKey(), record.dump(), claim.lease}, {this->tokenKey(), std::to_string(claim.token), 0}};
     this->isCallPending = true;
     this->kv.txn(txn, [this, claim, alive = std::weak_ptr<bool>(this->alive)](const KvTxnResult &result) {
         if (alive.expired())
@@ -184,7 +187,7 @@
 void LeaderRole::becomeHolder(std::int64_t newHolderRevision, const Claim &claim)
 {
     // The token was chosen by records of an earlier era, so another holder may have used it. The claim expires.
-    if (claim.era != this->storeEra() && claim.id != this->ownClaim.id)
+    if (claim.era != this->storeEra())
         return;
     this->holderRevision = newHolderRevision;
     this->leaseSentAt = this->callSentAt;
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -82,8 +82,8 @@
     };
 
     void readRecords();
-    void grantLease(std::int64_t tokenRevision, std::int64_t token);
-    void claim(std::int64_t lease, std::int64_t tokenRevision, std::int64_t token);
+    void grantLease(const Claim &claim, std::int64_t tokenRevision);
+    void sendClaim(const Claim &claim, std::int64_t tokenRevision);
     /// Reads whether a claim took effect after its transaction ended with an unknown result.
     void resolveClaim(const Claim &claim);
     void becomeHolder(std::int64_t holderRevision, const Claim &claim);
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -341,3 +341,28 @@
     CHECK(this->contradictions().empty());
     CHECK(this->reports.back().window > lastWindow);
 }
+
+// Guards against a fencing token that was chosen by what the store has lost meanwhile.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: store is restored while a claim is under way: the claim does not count")
+{
+    this->store.era = 1;
+    const auto copy = this->store.copy();
+    Node late(*this, "b", "run-b");
+    late.runner.tick(this->now, this->wallTime, 0.5);
+    REQUIRE(this->store.runNext());
+    const auto claim = std::exchange(this->store.queue, {});
+    Node first(*this, "a", "run-a");
+    this->advance(first, std::chrono::seconds(9));
+    const std::int64_t token = this->reports.back().lease.fencingToken;
+    this->restore(copy, {});
+    this->store.queue = claim;
+    this->store.runAll();
+    REQUIRE(this->store.entries.count("duties/holder") == 1);
+    this->advance(late, std::chrono::seconds(2));
+    CHECK_FALSE(late.runner.isActing(this->now));
+    this->store.entries.erase("duties/holder");
+    this->advance(late, std::chrono::seconds(15));
+    CHECK(this->reports.back().lease.holder == "b");
+    CHECK(this->reports.back().lease.fencingToken > token);
+}
