Ask once whether an answer that cannot be passed on is retried

The answer to an unsigned or refusing upstream went through scheduleRetry() twice when the first call declined, by itself and again in retryOrFail(). No change of behaviour; the tests of RelayCall pass unchanged.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -490,14 +490,12 @@
     if (this->isStreaming)
         return this->finishStream(outcome);
     const bool isUnsigned = outcome.status < 300 && !this->answer.isSigned;
-    const bool isPromise = promisesNotRun(outcome.status);
-    if ((outcome.status >= 500 || isUnsigned || isPromise)
-        && this->scheduleRetry("status " + std::to_string(outcome.status)))
-        return;
     if (isUnsigned || this->hasStreamBegun)
         return this->retryOrFail("the answer is not signed");
-    if (isPromise)
+    if (promisesNotRun(outcome.status))
         return this->retryOrFail("the upstream refused the request without saying that it did not run");
+    if (outcome.status >= 500 && this->scheduleRetry("status " + std::to_string(outcome.status)))
+        return;
     this->responder->reply(outcome.status, endToEndHeaders(outcome.headers), outcome.body);
     this->finish(outcome.status, "answered");
 }
