Collect the subjects of a request once

Each check of a request copied its subjects into a new list, twice at its arrival and again before each attempt. They stand in one list now, set in one call; the field of a refusal that nobody read is gone.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -171,7 +171,6 @@
         return false;
     }
     this->service = targetService(*this->route, this->request.attemptId);
-    this->suspects.setParts(this->service, this->request.parts);
     return true;
 }
 
@@ -185,7 +184,7 @@
     }
     const std::string name = this->account ? this->account->name : std::string();
     this->fingerprint = requestFingerprint(name, this->request.target, this->request.body);
-    this->suspects.setFingerprint(this->fingerprint);
+    this->suspects.setRequest(this->service, this->request.parts, this->fingerprint);
     return true;
 }
 
--- a/src/libhemlock/relay/requestsuspects.cpp
+++ b/src/libhemlock/relay/requestsuspects.cpp
@@ -11,25 +11,15 @@
 {
 }
 
-void RequestSuspects::setFingerprint(const std::string &requestFingerprint)
+void RequestSuspects::setRequest(const std::string &service,
+                                 const std::vector<PromptPart> &parts,
+                                 const std::string &fingerprint)
 {
-    this->fingerprint = requestFingerprint;
-}
-
-void RequestSuspects::setParts(const std::string &service, const std::vector<PromptPart> &promptParts)
-{
-    this->parts.clear();
+    this->subjects.clear();
     // A part need not crash the upstreams of another service.
-    for (std::size_t i = 0; i + 1 < promptParts.size(); ++i)
-        this->parts.push_back(fmt::format("{}/{:x}", service, promptParts[i].id));
-}
-
-std::vector<std::string> RequestSuspects::subjects() const
-{
-    std::vector<std::string> all = this->parts;
-    if (!this->fingerprint.empty())
-        all.push_back(this->fingerprint);
-    return all;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        this->subjects.push_back(fmt::format("{}/{:x}", service, parts[i].id));
+    this->subjects.push_back(fingerprint);
 }
 
 bool RequestSuspects::isRefused(const std::string &subject, Time now) const
@@ -41,11 +31,11 @@
 std::optional<RequestSuspects::Refusal> RequestSuspects::refusal(Time now) const
 {
     const auto granted = this->grantedTrial(now);
-    for (const std::string &subject : this->subjects()) {
+    for (const std::string &subject : this->subjects) {
         if (subject == granted || !this->isRefused(subject, now))
             continue;
         const auto wait = std::chrono::ceil<std::chrono::seconds>(this->quarantine.trialWait(subject, now));
-        return Refusal{subject, subject != this->fingerprint, std::max(std::chrono::seconds(1), wait)};
+        return Refusal{&subject != &this->subjects.back(), std::max(std::chrono::seconds(1), wait)};
     }
     return std::nullopt;
 }
@@ -54,7 +44,7 @@
 {
     std::optional<std::string> due;
     int suspects = 0;
-    for (const std::string &subject : this->subjects()) {
+    for (const std::string &subject : this->subjects) {
         const Quarantine::Permission permission = this->quarantine.permissionFor(subject, now);
         if (permission != Quarantine::Permission::Allowed)
             ++suspects;
@@ -89,24 +79,23 @@
     case CrashEvidence::None:
         return;
     case CrashEvidence::Answered:
-        this->quarantine.clearSuspicion(this->fingerprint, now, now);
+        this->quarantine.clearSuspicion(this->subjects.back(), now, now);
         return this->recordProgress(answerStart, now);
     case CrashEvidence::BrokeAtAnswerStart:
-        for (const std::string &part : this->parts)
-            this->quarantine.recordCrash(part, upstream, now);
-        [[fallthrough]];
+        for (const std::string &subject : this->subjects)
+            this->quarantine.recordCrash(subject, upstream, now);
+        return;
     case CrashEvidence::BrokeBeforeAnswer:
         // Parts are shared by requests that waited beside the one that crashed the upstream.
-        if (!this->fingerprint.empty())
-            this->quarantine.recordCrash(this->fingerprint, upstream, now);
+        this->quarantine.recordCrash(this->subjects.back(), upstream, now);
         return;
     }
 }
 
 void RequestSuspects::recordProgress(Time answerStart, Time now)
 {
-    for (const std::string &part : this->parts)
-        this->quarantine.recordSuccess(part, answerStart, now);
+    for (std::size_t part = 0; part + 1 < this->subjects.size(); ++part)
+        this->quarantine.recordSuccess(this->subjects[part], answerStart, now);
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/requestsuspects.h
+++ b/src/libhemlock/relay/requestsuspects.h
@@ -20,18 +20,15 @@
 
     struct Refusal
     {
-        std::string subject;
         bool isPart = false; ///< Whether the subject is a part of the prompt.
         std::chrono::seconds wait{1}; ///< Time after which the next trial is due; at least one second.
     };
 
     explicit RequestSuspects(Quarantine &quarantine);
 
-    /// Sets the fingerprint of the request, as by requestFingerprint().
-    void setFingerprint(const std::string &fingerprint);
-
-    /// Sets the parts of a prompt for a service. The last one belongs to its request alone and is never a suspect.
-    void setParts(const std::string &service, const std::vector<PromptPart> &parts);
+    /// Sets the parts of the prompt for a service, and the fingerprint of the request as by requestFingerprint(). The
+    /// last part belongs to its request alone and is never a suspect.
+    void setRequest(const std::string &service, const std::vector<PromptPart> &parts, const std::string &fingerprint);
 
     /// The first subject that is refused, unless this request is its granted trial.
     std::optional<Refusal> refusal(Time now) const;
@@ -56,12 +53,10 @@
     void recordProgress(Time answerStart, Time now);
 
 private:
-    std::vector<std::string> subjects() const;
     bool isRefused(const std::string &subject, Time now) const;
 
     Quarantine &quarantine;
-    std::string fingerprint; ///< Empty until it is known.
-    std::vector<std::string> parts;
+    std::vector<std::string> subjects; ///< The parts of the prompt, then the request; empty until they are known.
     std::string trialSubject; ///< Empty if no trial was granted.
     Time trialValidUntil{};
 };
