--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -65,6 +65,9 @@
     /// the role at once; other nodes wait for a lease duration, as a holder whose claim was lost may act for so long.
     bool storeRestored(TimePoint now);
 
+    /// Era of the store; 0 when unknown.
+    std::int64_t storeEra() const;
+
     /// Whether the restored store may still hold the claim of this node, which the next ticks find out.
     bool mayResume() const;
 
@@ -89,7 +92,6 @@
     void becomeHolder(std::int64_t holderRevision, const Claim &claim);
     /// Continues the claim of this node that the restored store still holds.
     void resumeClaim(const KvEntry &holder);
-    std::int64_t storeEra() const;
     void renew();
     void resetClaim();
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -105,11 +105,6 @@
     logEvent(LogLevel::Info, "duty-store-restored", {{"knowsAllReports", this->knowsAllReports}});
 }
 
-std::int64_t DutyRunner::storeEra() const
-{
-    return this->settings.storeEra ? this->settings.storeEra() : 0;
-}
-
 void DutyRunner::tick(TimePoint time, WallTime timeOfDay, double random)
 {
     this->now = time;
@@ -219,7 +214,7 @@
             logEvent(LogLevel::Error, "duty-record", {{"error", error.what()}});
         }
     }
-    const bool isOutdated = record.era < this->storeEra();
+    const bool isOutdated = record.era < this->role.storeEra();
     if (isOutdated && this->knowsAllReports)
         return;
     this->recordedCounts = std::move(record.windows);
@@ -263,7 +258,7 @@
     windowCounts[window] = this->usage.totalCounts(window);
     this->isReporting = true;
     this->role.commit(
-        {{this->usageKey(), encodeRecord({this->storeEra(), windowCounts}), 0}},
+        {{this->usageKey(), encodeRecord({this->role.storeEra(), windowCounts}), 0}},
         [this, window, windowCounts, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
             if (alive.expired())
                 return;
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -95,7 +95,6 @@
     void applyRecord(const std::string &value);
     /// Skips the windows that a holder whose record was lost may have reported.
     void skipReportableWindows();
-    std::int64_t storeEra() const;
     void reportNextWindow(WallTime wallTime);
     void sendReport(std::int64_t window);
     void sendNextOrder(TimePoint now);
