--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -92,7 +92,7 @@
 public:
     enum class Fate {
         Done,
-        Late, ///< Not answered; done after lateDelay if its condition still holds.
+        Late, ///< Not answered; done later if its condition still holds; see lateReady.
     };
 
     Store()
@@ -131,7 +131,8 @@
     std::function<Fate(const json &transaction)> fate;
     /// Called after each transaction, with whether it was done late and whether its condition held.
     std::function<void(const json &transaction, bool isLate, bool isDone)> executed;
-    Ms lateDelay{0};
+    std::function<bool()> lateReady; ///< Whether a late transaction is done now.
+    Ms lateMost{6000}; ///< By then it is done anyway.
     std::atomic<bool> isSilent{false}; ///< Calls are neither done nor answered.
 
 private:
@@ -274,7 +275,9 @@
             const json transaction = json::parse(request.body);
             if (this->fate && this->fate(transaction) == Fate::Late) {
                 std::thread([this, transaction] {
-                    std::this_thread::sleep_for(this->lateDelay);
+                    const auto until = Clock::now() + this->lateMost;
+                    while (Clock::now() < until && !this->lateReady())
+                        std::this_thread::sleep_for(Ms(10));
                     const std::lock_guard guard(this->mutex);
                     json body;
                     const int status = this->execute(transaction, body);
--- a/review/standin/usage.cpp
+++ b/review/standin/usage.cpp
@@ -36,13 +36,17 @@
     std::atomic<bool> lateDone{false};
     std::atomic<bool> lateHeld{false};
     std::atomic<std::int64_t> lateWindow{-1};
-    store.lateDelay = Ms(5700);
+    // The late write is done once the next window is reported, 6 s after it was sent at most.
+    store.lateReady = [&] {
+        const std::lock_guard lock(mutex);
+        return reports.contains(lateWindow + 1);
+    };
     store.fate = [&](const json &transaction) {
         if (!isUsageRecord(transaction))
             return Store::Fate::Done;
         if (losesNext.exchange(false)) {
             lateWindow = std::stoll(json::parse(recordText(transaction)).at("windows").begin().key());
-            record.line("store: a write is not answered, and done 5.7 s later: " + recordText(transaction));
+            record.line("store: a write is not answered, and done later: " + recordText(transaction));
             return Store::Fate::Late;
         }
         return Store::Fate::Done;
