Bound the memory of answers and requests without end

Cause: libcurl passes the fields of a trailer to the callback of the head, which kept each of them. The limit of the body does not count them. On related paths no limit held for all exchanges together: 60 bodies of answers without end, or 40 bodies of callers, were each cut at 16 MiB only.

HttpClient limits the fields of an answer, with interim heads and the trailer, to 64 KiB and no longer merges a trailer into the head. RelayCall counts incomplete events. HttpServer counts the bytes of requests as they are read and of responses until they are written; what finds no room gets 503 or 413. Log lines, counters, and sums in the health line.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -1,8 +1,12 @@
 #include "httpclient.h"
 
+#include "bufferpool.h"
+#include "logger.h"
+
 #include <asio.hpp>
 #include <curl/curl.h>
 #include <linux/sockios.h>
+#include <nlohmann/json.hpp>
 #include <sys/ioctl.h>
 
 #include <unordered_map>
@@ -11,8 +15,19 @@
 
 namespace {
 
+/// Limit for the header fields of an answer, with those of interim answers and of the trailer.
+constexpr std::size_t maxFieldBytes = std::size_t{64} * 1024;
+
 struct Transfer
 {
+    Transfer(HttpClient::CallId id, HttpCall call, HttpCallHooks hooks)
+        : id(id)
+        , call(std::move(call))
+        , hooks(std::move(hooks))
+        , buffered(this->call.buffers)
+    {
+    }
+
     HttpClient::CallId id = 0;
     CURL *easyHandle = nullptr;
     curl_slist *headerList = nullptr;
@@ -21,9 +36,12 @@
     HttpOutcome outcome;
     int sendAttempts = 0;
     curl_socket_t socket = CURL_SOCKET_BAD;
+    bool isHeadComplete = false; ///< The head of the final answer has arrived; later fields belong to the trailer.
     bool headReported = false;
     bool cancelled = false;
-    bool bodyLimitExceeded = false;
+    std::size_t fieldBytes = 0;
+    BufferPool::Share buffered; ///< Fields, and the body if there is no data hook.
+    std::string rejection; ///< Why the answer was broken off; empty if it kept to the limits.
 
     ~Transfer()
     {
@@ -40,6 +58,16 @@
         if (this->hooks.head && !this->cancelled)
             this->hooks.head(this->outcome.status, this->outcome.headers);
     }
+
+    /// Accounts for bytes that are kept. Returns false if the answer has to be broken off.
+    bool buffer(std::size_t bytes)
+    {
+        if (this->buffered.grow(bytes))
+            return true;
+        this->rejection = "the answers in progress take too much memory, this one "
+            + std::to_string(this->buffered.size()) + " bytes";
+        return false;
+    }
 };
 
 /// Called by libcurl when the connection is established, before the first byte of the request is written.
@@ -59,6 +87,16 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::string_view line(bytes, size * count);
+    transfer->fieldBytes += line.size();
+    if (transfer->fieldBytes > maxFieldBytes) {
+        transfer->rejection = "the header fields are longer than " + std::to_string(maxFieldBytes) + " bytes";
+        return 0;
+    }
+    if (!transfer->buffer(line.size()))
+        return 0;
+    // Fields of a trailer are not merged into the head (RFC 9110, 6.5.1), but libcurl keeps them until the end.
+    if (transfer->isHeadComplete)
+        return transfer->cancelled ? 0 : line.size();
     if (line.substr(0, 5) == "HTTP/") {
         transfer->outcome.headers = {};
         long status = 0;
@@ -68,8 +106,10 @@
     }
     if (line == "\r\n" || line == "\n") {
         // An interim response (1xx) is followed by another head.
-        if (transfer->outcome.status >= 200)
+        if (transfer->outcome.status >= 200) {
+            transfer->isHeadComplete = true;
             transfer->reportHead();
+        }
         // A cancelled transfer must fail here: libcurl may read the whole response at once and would then keep the
         // connection for reuse.
         return transfer->cancelled ? 0 : line.size();
@@ -96,7 +136,9 @@
     if (transfer->hooks.data) {
         transfer->hooks.data(std::string_view(bytes, length));
     } else if (transfer->outcome.body.size() + length > transfer->call.maxBodyBytes) {
-        transfer->bodyLimitExceeded = true;
+        transfer->rejection = "the body is longer than " + std::to_string(transfer->call.maxBodyBytes) + " bytes";
+        return 0;
+    } else if (!transfer->buffer(length)) {
         return 0;
     } else {
         transfer->outcome.body.append(bytes, length);
@@ -198,6 +240,7 @@
     asio::steady_timer timer;
     CURLM *multiHandle;
     CallId nextId = 1;
+    std::uint64_t brokenOffAnswers = 0;
     std::unordered_map<CallId, std::shared_ptr<Transfer>> transfers;
     std::unordered_map<CallId, std::weak_ptr<Transfer>> queuedTransfers;
 
@@ -313,7 +356,7 @@
         }
     }
 
-    static void setOutcome(Transfer &transfer, CURLcode code)
+    void setOutcome(Transfer &transfer, CURLcode code)
     {
         if (code == CURLE_OK) {
             transfer.outcome.verdict = Verdict::Ran;
@@ -321,8 +364,14 @@
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error = curl_easy_strerror(code);
-        if (transfer.bodyLimitExceeded)
-            transfer.outcome.error = "the body is longer than " + std::to_string(transfer.call.maxBodyBytes) + " bytes";
+        if (!transfer.rejection.empty()) {
+            transfer.outcome.error = transfer.rejection;
+            transfer.outcome.body = {};
+            ++this->brokenOffAnswers;
+            logEvent(LogLevel::Warning,
+                     "answer-broken-off",
+                     {{"url", transfer.call.url}, {"status", transfer.outcome.status}, {"error", transfer.rejection}});
+        }
         if (transfer.sendAttempts == 0)
             transfer.outcome.failure = HttpFailure::Connect;
         else if (code == CURLE_OPERATION_TIMEDOUT)
@@ -397,10 +446,7 @@
 
 HttpClient::CallId HttpClient::start(HttpCall call, HttpCallHooks hooks)
 {
-    auto transfer = std::make_shared<Transfer>();
-    transfer->id = this->d->nextId++;
-    transfer->call = std::move(call);
-    transfer->hooks = std::move(hooks);
+    auto transfer = std::make_shared<Transfer>(this->d->nextId++, std::move(call), std::move(hooks));
     this->d->configure(*transfer);
     this->d->queuedTransfers[transfer->id] = transfer;
     // libcurl rejects calls to its multi interface from its own callbacks, from which hooks are called.
@@ -431,4 +477,9 @@
     });
 }
 
+std::uint64_t HttpClient::brokenOffAnswers() const
+{
+    return this->d->brokenOffAnswers;
+}
+
 } // namespace hemlock
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -17,6 +17,8 @@
 
 namespace hemlock {
 
+class BufferPool;
+
 /// Adds "http://" to an endpoint of the form "ADDRESS:PORT"; returns a URL unchanged.
 std::string endpointUrl(const std::string &endpoint);
 
@@ -34,6 +36,8 @@
     bool closesConnection = false; ///< Closes the connection afterwards instead of keeping it for reuse.
     bool omitsDefaultHeaders = false; ///< Omits the Accept and Content-Type fields that libcurl adds by default.
     std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024; ///< Without a data hook, a longer body fails the call.
+    /// Bounds the fields and the buffered body together with those of other answers; unset for no common bound.
+    std::shared_ptr<BufferPool> buffers;
     std::chrono::seconds maxIdleTime{0}; ///< Connections idle for longer are not reused; 0 uses libcurl's default.
 };
 
@@ -42,7 +46,7 @@
     None,
     Connect, ///< No connection could be established.
     Timeout,
-    Broken, ///< The connection closed early, the response is malformed, or its body exceeds maxBodyBytes.
+    Broken, ///< The connection closed early, the response is malformed, or it exceeds a limit of its size.
 };
 
 /// Result of an exchange.
@@ -93,6 +97,9 @@
     /// Aborts an exchange and closes its connection. Of its hooks, only closed is called afterwards.
     void cancel(CallId id);
 
+    /// Number of answers that were broken off because they were too long or not final.
+    std::uint64_t brokenOffAnswers() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -1,5 +1,9 @@
 #include "httpserver.h"
 
+#include "bufferpool.h"
+#include "logger.h"
+
+#include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
 #include <limits>
@@ -11,6 +15,113 @@
 
 class Responder;
 
+/// Bytes that the requests and responses of all servers on a loop may take together. RESTinio holds a request twice,
+/// and an attempt that relays it once more.
+constexpr std::size_t bufferCapacity = std::size_t{32} * 1024 * 1024;
+
+/// Time after which a caller may repeat a request that found no room.
+constexpr std::string_view retryAfterSeconds = "1";
+
+class MeteredSocket;
+
+/// Buffers of all servers on a loop. A service of the loop, since RESTinio creates sockets from the loop alone.
+class ServerBuffers : public asio::execution_context::service
+{
+public:
+    using key_type = ServerBuffers;
+    static inline asio::execution_context::id id;
+
+    explicit ServerBuffers(asio::execution_context &context)
+        : asio::execution_context::service(context)
+    {
+    }
+
+    std::shared_ptr<BufferPool> pool = std::make_shared<BufferPool>(bufferCapacity);
+    MeteredSocket *readingSocket = nullptr; ///< Its bytes are being handled.
+
+private:
+    void shutdown() override
+    {
+    }
+};
+
+/// Socket that accounts for the bytes of each request until its response is complete.
+///
+/// RESTinio buffers the body of a request without telling how much of it has arrived.
+class MeteredSocket : public asio::ip::tcp::socket
+{
+public:
+    explicit MeteredSocket(asio::io_context &loop)
+        : asio::ip::tcp::socket(loop)
+        , buffers(&asio::use_service<ServerBuffers>(loop))
+    {
+    }
+
+    template <class Buffer, class Handler>
+    void async_read_some(const Buffer &buffer, Handler handler)
+    {
+        const auto executor = asio::get_associated_executor(handler);
+        asio::ip::tcp::socket::async_read_some(
+            buffer,
+            asio::bind_executor(executor,
+                                [this, handler = std::move(handler)](asio::error_code error, std::size_t size) mutable {
+                                    if (!error && !this->account(size))
+                                        error = asio::error::no_buffer_space;
+                                    const auto outer = std::exchange(this->buffers->readingSocket, this);
+                                    auto *const ownBuffers = this->buffers;
+                                    // The socket may be destroyed by its handler.
+                                    handler(error, size);
+                                    ownBuffers->readingSocket = outer;
+                                }));
+    }
+
+    /// Hands over the bytes of the request that was read. They count until the result is destroyed.
+    std::shared_ptr<BufferPool::Share> takeRequest()
+    {
+        auto request = std::exchange(this->request, nullptr);
+        this->answeredRequest = request;
+        return request;
+    }
+
+private:
+    bool account(std::size_t size)
+    {
+        if (!this->request)
+            this->request = std::make_shared<BufferPool::Share>(this->buffers->pool);
+        if (this->request->grow(size))
+            return true;
+        this->refuseRequest(this->buffers->pool->fits(this->request->size() + size));
+        return false;
+    }
+
+    /// Sends a response to a request that is not read any further, unless another request's response is in progress.
+    void refuseRequest(bool isTemporary)
+    {
+        asio::error_code ignored;
+        const auto caller = this->remote_endpoint(ignored);
+        logEvent(LogLevel::Warning,
+                 "request-too-large",
+                 {{"caller", caller.address().to_string()},
+                  {"bytes", this->request->size()},
+                  {"allBytes", this->buffers->pool->usedBytes()},
+                  {"temporary", isTemporary}});
+        if (!this->answeredRequest.expired())
+            return;
+        const std::string_view body = R"({"error":{"code":"too-large","verdict":"not-run"}})";
+        std::string response = isTemporary ? "HTTP/1.1 503 Error\r\n" : "HTTP/1.1 413 Error\r\n";
+        if (isTemporary)
+            response.append("Retry-After: ").append(retryAfterSeconds).append("\r\n");
+        response.append("Connection: close\r\nContent-Type: application/json\r\nContent-Length: ");
+        response.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+        this->write_some(asio::buffer(response), ignored);
+        this->shutdown(shutdown_send, ignored);
+    }
+
+    ServerBuffers *buffers;
+    std::shared_ptr<BufferPool::Share> request; ///< The request that is being read.
+    std::weak_ptr<BufferPool::Share> answeredRequest; ///< Expires when the latest request's response is complete.
+};
+
 /// Maps each connection to its open responder, which is notified when the connection closes.
 class ConnectionTable
 {
@@ -61,6 +172,7 @@
     using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = ConnectionListener;
     using logger_t = restinio::null_logger_t;
+    using stream_socket_t = MeteredSocket;
     static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -75,9 +187,14 @@
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder>
 {
 public:
-    Responder(restinio::request_handle_t request, std::shared_ptr<ConnectionTable> table)
+    Responder(restinio::request_handle_t request,
+              std::shared_ptr<ConnectionTable> table,
+              std::shared_ptr<BufferPool::Share> requestBytes,
+              const std::shared_ptr<BufferPool> &buffers)
         : request(std::move(request))
         , table(std::move(table))
+        , requestBytes(std::move(requestBytes))
+        , output(std::make_shared<Output>(buffers))
         , keepAlive(this->request->header().should_keep_alive())
         , connectionId(this->request->connection_id())
         , connection(restinio::impl::access_req_connection(*this->request))
@@ -107,8 +224,10 @@
             return;
         auto response = this->request->create_response(statusLine(status));
         this->appendHeaders(response, headers);
+        if (!this->output->bytes.grow(body.size()))
+            return this->dropConnection();
         response.set_body(std::move(body));
-        response.done();
+        response.done([output = this->output](const asio::error_code &) { output->bytes.resize(0); });
         this->releaseRequest();
     }
 
@@ -128,10 +247,10 @@
             return;
         this->table->remove(this->connectionId);
         this->disconnectHook = nullptr;
-        this->stream.reset();
-        this->request.reset();
+        this->releaseBuffers();
         // Flushes pending output before closing, unless the caller is not reading.
-        if (this->output->pending > 0 && this->output->pending < maxPendingBytesToFlush)
+        const std::size_t pending = this->output->bytes.size();
+        if (pending > 0 && pending < maxPendingBytesToFlush)
             this->output->onDrained = [connection = this->connection] { closeConnection(connection); };
         else
             closeConnection(this->connection);
@@ -142,11 +261,12 @@
         if (!this->stream || chunk.empty())
             return;
         const std::size_t size = chunk.size();
-        this->output->pending += size;
+        if (!this->output->bytes.grow(size))
+            return this->dropConnection();
         this->stream->append_chunk(std::move(chunk));
         this->stream->flush([output = this->output, size](const asio::error_code &) {
-            output->pending -= size;
-            if (output->pending == 0 && output->onDrained)
+            output->bytes.shrink(size);
+            if (output->bytes.size() == 0 && output->onDrained)
                 std::exchange(output->onDrained, nullptr)();
         });
     }
@@ -156,13 +276,12 @@
         if (!this->stream)
             return;
         this->stream->done();
-        this->stream.reset();
         this->releaseRequest();
     }
 
     std::size_t pendingBytes() const override
     {
-        return this->output->pending;
+        return this->output->bytes.size();
     }
 
     bool isConnected() const override
@@ -177,20 +296,41 @@
 
     void connectionClosed()
     {
-        this->stream.reset();
-        this->request.reset();
+        this->releaseBuffers();
         if (const auto hook = std::exchange(this->disconnectHook, nullptr))
             hook();
     }
 
 private:
-    /// Pending output of a stream; shared with the write callbacks, which may outlive the responder.
+    /// Pending output; shared with the write callbacks, which may outlive the responder.
     struct Output
     {
-        std::size_t pending = 0;
+        explicit Output(const std::shared_ptr<BufferPool> &buffers)
+            : bytes(buffers)
+        {
+        }
+
+        BufferPool::Share bytes;
         std::function<void()> onDrained;
     };
 
+    /// Closes the connection of a caller that does not read while the pending output of all takes too much memory.
+    void dropConnection()
+    {
+        logEvent(LogLevel::Warning, "output-too-large", {{"pendingBytes", this->output->bytes.size()}});
+        const auto hook = std::exchange(this->disconnectHook, nullptr);
+        this->abort();
+        if (hook)
+            hook();
+    }
+
+    void releaseBuffers()
+    {
+        this->stream.reset();
+        this->request.reset();
+        this->requestBytes.reset();
+    }
+
     static void closeConnection(const std::weak_ptr<restinio::impl::connection_base_t> &connection)
     {
         const auto lockedConnection = connection.lock();
@@ -221,17 +361,18 @@
     void releaseRequest()
     {
         this->table->remove(this->request->connection_id());
-        this->request.reset();
+        this->releaseBuffers();
         this->disconnectHook = nullptr;
     }
 
     restinio::request_handle_t request;
     std::shared_ptr<ConnectionTable> table;
+    std::shared_ptr<BufferPool::Share> requestBytes;
+    std::shared_ptr<Output> output;
     bool keepAlive;
     restinio::connection_id_t connectionId;
     std::weak_ptr<restinio::impl::connection_base_t> connection;
     std::unique_ptr<ChunkedBuilder> stream;
-    std::shared_ptr<Output> output = std::make_shared<Output>();
     std::function<void()> disconnectHook;
 };
 
@@ -272,7 +413,10 @@
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &request) const
     {
-        auto responder = std::make_shared<Responder>(request, this->table);
+        auto &buffers = asio::use_service<ServerBuffers>(this->loop);
+        // A pipelined request may be read from the connection's buffer, without a read of the socket.
+        auto requestBytes = buffers.readingSocket ? buffers.readingSocket->takeRequest() : nullptr;
+        auto responder = std::make_shared<Responder>(request, this->table, std::move(requestBytes), buffers.pool);
         this->table->add(request->connection_id(), responder);
         this->handler(convertRequest(*request), std::move(responder));
         return restinio::request_accepted();
@@ -328,4 +472,9 @@
     this->d->table->draining = draining;
 }
 
+const BufferPool &HttpServer::buffers() const
+{
+    return *asio::use_service<ServerBuffers>(this->d->loop).pool;
+}
+
 } // namespace hemlock
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -14,6 +14,8 @@
 
 namespace hemlock {
 
+class BufferPool;
+
 /// Sends the response to one request, either whole or as a stream. Must be used on the server's Asio loop only.
 class HttpResponder
 {
@@ -67,6 +69,9 @@
     /// While draining, every response closes its connection.
     void setDraining(bool draining);
 
+    /// Bytes of requests and responses in progress, of all servers on the loop.
+    const BufferPool &buffers() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/libhemlock/relay/eventsplitter.cpp
+++ b/src/libhemlock/relay/eventsplitter.cpp
@@ -47,6 +47,11 @@
     return !this->partialEvent.empty();
 }
 
+std::size_t EventSplitter::partialEventBytes() const
+{
+    return this->partialEvent.size();
+}
+
 bool EventSplitter::isPartialEventTooLong() const
 {
     return this->partialEvent.size() > maxEventBytes;
--- a/src/libhemlock/relay/eventsplitter.h
+++ b/src/libhemlock/relay/eventsplitter.h
@@ -18,6 +18,9 @@
     /// Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const;
 
+    /// Bytes of the incomplete event that are buffered.
+    std::size_t partialEventBytes() const;
+
     /// Whether the incomplete event exceeds the maximum size of an event.
     bool isPartialEventTooLong() const;
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -100,6 +100,7 @@
     , timer(context.loop)
     , id(nextCallId())
     , suspects(context.quarantine)
+    , bufferedEvent(context.answerBuffers)
 {
 }
 
@@ -294,6 +295,7 @@
     HttpCall call = this->context.transport.encodeAttempt(this->request, attempt);
     call.connectTimeout = std::min(connectTimeout, attempt.timeLeft);
     call.maxBodyBytes = maxAnswerBytes;
+    call.buffers = this->context.answerBuffers;
     const bool isRepeatableKind = this->route->kind == CallKind::Idempotent
         || (this->route->kind == CallKind::Stream && this->route->isResumable);
     call.maxIdleTime = isRepeatableKind ? this->context.idleLimit : nonIdempotentIdleLimit;
@@ -409,7 +411,9 @@
         this->context.usage.count(this->account->name, this->context.wallTime());
     }
     this->forwardEvents(this->events.append(bytes));
-    if (this->events.isPartialEventTooLong() && !this->isFinished)
+    if (this->isFinished)
+        return;
+    if (this->events.isPartialEventTooLong() || !this->bufferedEvent.resize(this->events.partialEventBytes()))
         this->abortAttempt("an event of the stream is too long");
 }
 
@@ -570,6 +574,7 @@
              "retry",
              {{"request", this->request.attemptId}, {"attempt", this->attempts}, {"reason", reason}});
     this->events.discardPartialEvent();
+    this->bufferedEvent.resize(0);
     this->enqueue();
     return true;
 }
@@ -626,6 +631,8 @@
     if (this->isFinished)
         return;
     this->isFinished = true;
+    this->events.discardPartialEvent();
+    this->bufferedEvent.resize(0);
     this->timer.cancel();
     const auto selfReference = this->shared_from_this();
     // The rate limit counts requests that ran; a caller that retries after a refusal must not be charged twice.
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bufferpool.h"
 #include "httpserver.h"
 #include "relay/eventsplitter.h"
 #include "relay/relaycontext.h"
@@ -104,6 +105,7 @@
     std::size_t discardedBytes = 0;
     bool hasStreamBegun = false; ///< The status and headers of a stream were sent to the caller.
     EventSplitter events;
+    BufferPool::Share bufferedEvent; ///< The incomplete event in events.
     TimePoint answerStart; ///< When the head of the current attempt's answer arrived.
     int eventWrites = 0; ///< Writes of complete events that the current attempt's answer led to.
     TimePoint lastEventTime;
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bufferpool.h"
 #include "httpclient.h"
 #include "metrics.h"
 #include "quarantine.h"
@@ -11,6 +12,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -60,6 +62,10 @@
 
     /// Called when a prompt was sent, with the number of its tokens that the upstream has to compute.
     std::function<void(double tokens)> promptSent;
+
+    /// Bytes that the answers of upstreams may take together.
+    static constexpr std::size_t answerBufferCapacity = std::size_t{32} * 1024 * 1024;
+    std::shared_ptr<BufferPool> answerBuffers = std::make_shared<BufferPool>(answerBufferCapacity);
 };
 
 } // namespace hemlock
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayprocess.h"
 
 #include "bootclock.h"
+#include "bufferpool.h"
 #include "encoding.h"
 #include "logger.h"
 
@@ -481,10 +482,18 @@
     this->metrics.setTotal("hemlock_store_reader_polls_total",
                            "Long polls sent to the entry VM that reads the store for its neighbours.",
                            this->store.router().peerPollCount());
+    this->metrics.setTotal("hemlock_answers_broken_off_total",
+                           "Answers that this process broke off, too long or not final.",
+                           this->context.http.brokenOffAnswers());
+    this->metrics.setTotal("hemlock_buffer_refusals_total",
+                           "Requests and responses of callers that found no room in the buffers.",
+                           this->callerServer.buffers().refusalCount());
     logEvent(LogLevel::Info,
              "health",
              {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLateness).count()},
               {"calls", this->calls.size()},
+              {"answerBytes", this->context.answerBuffers->usedBytes()},
+              {"callerBytes", this->callerServer.buffers().usedBytes()},
               {"peerBytesSent", traffic.sentBytes - before.sentBytes},
               {"peerBytesReceived", traffic.receivedBytes - before.receivedBytes},
               {"peerUnsent", traffic.unsentDatagrams - before.unsentDatagrams},
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -1,10 +1,14 @@
 #include "httpclient.h"
+#include "bufferpool.h"
 
 #include <asio.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <fstream>
+#include <unistd.h>
 
 using namespace hemlock;
 using asio::ip::tcp;
@@ -14,6 +18,19 @@
 /// Limit for what a response may occupy: a quarter of the memory of the smallest VM.
 constexpr std::size_t maxAnswerBytes = std::size_t{40} * 1024 * 1024;
 
+/// Half of the memory of a small VM.
+constexpr std::size_t maxMemoryGrowth = std::size_t{130} * 1024 * 1024;
+
+/// Memory of this process, in bytes.
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t virtualPages = 0;
+    std::size_t residentPages = 0;
+    file >> virtualPages >> residentPages;
+    return residentPages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 /// Behaviour of the scripted server after it has read the head of a request.
 enum class Behaviour {
     Answer,
@@ -21,6 +38,8 @@
     TruncatedAnswer,
     EndlessHead,
     EndlessBody,
+    EndlessTrailer,
+    AnswerWithTrailer,
     NoAnswer,
 };
 
@@ -93,6 +112,13 @@
             return this->writeEndlessly(socket, "HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
         if (behaviour == Behaviour::EndlessBody)
             return this->writeEndlessly(socket, "HTTP/1.1 200 OK\r\n\r\n", std::string(std::size_t{64} * 1024, 'x'));
+        const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+        if (behaviour == Behaviour::EndlessTrailer)
+            return this->writeEndlessly(socket, chunkedAnswer, "X-More: " + std::string(1000, 'x') + "\r\n");
+        if (behaviour == Behaviour::AnswerWithTrailer) {
+            asio::write(*socket, asio::buffer(chunkedAnswer + "X-Late: 1\r\nHTTP/1.1 500: 1\r\n\r\n"));
+            return this->read(socket);
+        }
         this->answer(socket, behaviour == Behaviour::Answer);
     }
 
@@ -123,6 +149,7 @@
         call.method = "POST";
         call.url = url;
         call.timeout = this->timeout;
+        call.buffers = this->buffers;
         return this->client.start(call,
                                   {nullptr, nullptr, [&result](const HttpOutcome &outcome) { result = outcome; }});
     }
@@ -148,6 +175,7 @@
     ScriptedServer server{loop};
     HttpClient client{loop};
     std::chrono::milliseconds timeout{10000};
+    std::shared_ptr<BufferPool> buffers = std::make_shared<BufferPool>(std::size_t{32} * 1024 * 1024);
 };
 
 } // namespace
@@ -267,3 +295,48 @@
     CHECK(outcome.body.size() < maxAnswerBytes);
     CHECK(this->server.bytesWritten < maxAnswerBytes);
 }
+
+// Guards against a process that runs out of memory by the fields behind a chunked body.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: endless trailer: the connection is closed and the response is broken")
+{
+    this->server.script = {Behaviour::EndlessTrailer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.failure == HttpFailure::Broken);
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(this->server.bytesWritten < maxAnswerBytes);
+    CHECK(this->client.brokenOffAnswers() == 1);
+}
+
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient: response has a trailer: its fields are not taken for those of the head")
+{
+    this->server.script = {Behaviour::AnswerWithTrailer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.isComplete());
+    CHECK(outcome.status == 200);
+    CHECK(outcome.headers.has("Transfer-Encoding"));
+    CHECK_FALSE(outcome.headers.has("X-Late"));
+    CHECK(outcome.body == "done");
+}
+
+// Guards against a limit for each response that does not bound what many of them take together.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: many endless bodies at once: their sum is bounded")
+{
+    constexpr std::size_t callCount = 60;
+    this->server.script = std::deque<Behaviour>(callCount, Behaviour::EndlessBody);
+    std::vector<std::optional<HttpOutcome>> outcomes(callCount);
+    for (auto &outcome : outcomes)
+        this->start(this->server.url(), outcome);
+    const std::size_t memoryBefore = residentBytes();
+    std::size_t memoryPeak = memoryBefore;
+    for (const auto &outcome : outcomes) {
+        while (!outcome) {
+            this->loop.run_one();
+            memoryPeak = std::max(memoryPeak, residentBytes());
+        }
+        CHECK(outcome->failure == HttpFailure::Broken);
+    }
+    CHECK(memoryPeak - memoryBefore < maxMemoryGrowth);
+    this->server.script = {Behaviour::Answer};
+    CHECK(this->post(this->server.url()).isComplete());
+}
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -1,9 +1,14 @@
 #include "httpserver.h"
+#include "bufferpool.h"
 
 #include <asio.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <vector>
+
 using namespace hemlock;
 using asio::ip::tcp;
 
@@ -110,3 +115,120 @@
     this->send("GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
     CHECK(this->readToEnd().find("HTTP/1.1 500") == 0);
 }
+
+namespace {
+
+/// Callers that each send a chunked body, chunk after chunk, without ending it.
+class EndlessBodiesFixture : public HttpServerFixture
+{
+protected:
+    struct Caller
+    {
+        explicit Caller(asio::io_context &loop)
+            : socket(loop)
+        {
+        }
+
+        tcp::socket socket;
+        std::size_t sentBytes = 0;
+        bool isClosed = false;
+        std::string received;
+    };
+
+    static constexpr std::size_t bytesPerCaller = std::size_t{4} * 1024 * 1024;
+
+    void startCallers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            auto caller = std::make_unique<Caller>(this->loop);
+            caller->socket.connect(this->connection.remote_endpoint());
+            asio::write(
+                caller->socket,
+                asio::buffer(std::string("POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n")));
+            this->sendChunk(*caller);
+            this->receive(*caller);
+            this->callers.push_back(std::move(caller));
+        }
+    }
+
+    void sendChunk(Caller &caller)
+    {
+        static const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+        asio::async_write(
+            caller.socket, asio::buffer(chunk), [this, &caller](const asio::error_code &error, std::size_t) {
+                caller.sentBytes += chunk.size();
+                if (!error && caller.sentBytes < bytesPerCaller)
+                    this->sendChunk(caller);
+            });
+    }
+
+    void receive(Caller &caller)
+    {
+        asio::async_read(caller.socket,
+                         asio::dynamic_buffer(caller.received),
+                         [this, &caller](const asio::error_code &, std::size_t) { caller.isClosed = true; });
+    }
+
+    /// Bytes on the connections that are open.
+    std::size_t heldBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &caller : this->callers)
+            bytes += caller->isClosed ? 0 : caller->sentBytes;
+        return bytes;
+    }
+
+    bool isAllSent() const
+    {
+        return std::all_of(this->callers.begin(), this->callers.end(), [](const auto &caller) {
+            return caller->isClosed || caller->sentBytes >= bytesPerCaller;
+        });
+    }
+
+    std::vector<std::unique_ptr<Caller>> callers;
+};
+
+} // namespace
+
+// Guards against callers whose bodies without end take more memory together than a VM has.
+TEST_CASE_METHOD(EndlessBodiesFixture, "HttpServer: many callers send bodies without end: their sum is bounded")
+{
+    constexpr std::size_t callerCount = 40;
+    constexpr std::size_t maxBytes = std::size_t{40} * 1024 * 1024;
+    this->startServer(
+        [](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, "whole"); });
+    this->startCallers(callerCount);
+    // The server reads for some time what the kernel has buffered.
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    this->runUntil([this, deadline] {
+        return this->isAllSent() && (this->heldBytes() < maxBytes || std::chrono::steady_clock::now() >= deadline);
+    });
+    CHECK(this->heldBytes() < maxBytes);
+    CHECK(this->server->buffers().usedBytes() < maxBytes);
+    CHECK(std::any_of(this->callers.begin(), this->callers.end(), [](const auto &caller) {
+        return caller->received.starts_with("HTTP/1.1 503 ");
+    }));
+    // Others are served meanwhile.
+    this->send("GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+    CHECK(this->readToEnd().find("HTTP/1.1 200") == 0);
+}
+
+// Guards against bytes that stay counted after their request has ended, which would refuse all callers in the end.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: requests have ended: their bytes no longer count")
+{
+    this->startServer(
+        [](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, "whole"); });
+    for (int i = 0; i < 3; ++i) {
+        this->send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 5\r\n\r\nbytes");
+        std::string received;
+        bool isWhole = false;
+        asio::async_read_until(this->connection,
+                               asio::dynamic_buffer(received),
+                               "whole",
+                               [&isWhole](const asio::error_code &error, std::size_t) { isWhole = !error; });
+        this->runUntil([&isWhole] { return isWhole; });
+    }
+    this->runUntil([this] { return this->server->buffers().usedBytes() == 0; });
+    CHECK(this->server->buffers().usedBytes() == 0);
+    CHECK(this->server->buffers().refusalCount() == 0);
+}
