Keep late writes to the store from replacing newer records

Cause: the condition of the write compares the holder's record only. It protects against other holders, not against the holder's own earlier writes. The saved counts and the registry records of VMs had the same fault; a late removal of a registry record removed that of the restarted process.

Change: each window has a record of its own, and a repeated write has the counts of the first one, so that a late write changes nothing. All other writes go through LateWriteGuard, which makes them conditional on the latest known revision of their keys. The soak executes half of the writes whose answers are lost 5.5 s later.

Failed before, on: "DutyRunner: write of an older record is executed late*" and "DutyRunner: write of older saved counts*".

--- a/src/libhemlock/kvclient.h
+++ b/src/libhemlock/kvclient.h
@@ -52,6 +52,8 @@
     std::vector<KvPut> puts;
     std::vector<std::string> deletes;
     std::vector<std::string> readsOnFailure; ///< Keys returned when a compare fails.
+    /// Newer writes lose nothing if the store executes this one after them; see LateWriteGuard.
+    bool isOrderIndependent = false;
 };
 
 struct KvRangeResult
--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -218,11 +218,16 @@
 
 void LeaderRole::commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done)
 {
-    if (!this->isHeld())
-        return done(CommitResult::Lost);
     KvTxn txn;
-    txn.compares = {{this->holderKey(), this->holderRevision}};
     txn.puts = puts;
+    this->commit(std::move(txn), std::move(done));
+}
+
+void LeaderRole::commit(KvTxn txn, std::function<void(CommitResult)> done)
+{
+    if (!this->isHeld())
+        return done(CommitResult::Lost);
+    txn.compares.push_back({this->holderKey(), this->holderRevision});
     this->kv.txn(txn,
                  [this, claim = this->ownClaim.id, done = std::move(done), alive = std::weak_ptr<bool>(this->alive)](
                      const KvTxnResult &result) {
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -61,6 +61,9 @@
     /// Writes @p puts in one transaction that succeeds only while this node holds the role.
     void commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done);
 
+    /// Sends @p txn, which succeeds only while this node holds the role.
+    void commit(KvTxn txn, std::function<void(CommitResult)> done);
+
     /// Called when the store was restored. Returns whether this node is certain to be the last holder. It then claims
     /// the role at once; other nodes wait for a lease duration, as a holder whose claim was lost may act for so long.
     bool storeRestored(TimePoint now);
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -13,6 +13,12 @@
 
 constexpr std::chrono::milliseconds refusedOrderRetryDelay{1500};
 
+/// End of the keys of records of usage reports. Earlier versions kept one record for all windows, at PREFIX/usage.
+constexpr std::string_view recordSuffix = "/usage";
+
+/// The store limits the entries of a transaction.
+constexpr std::size_t maxRemovedRecords = 16;
+
 /// Reports of a holder, and the era of the store in which it wrote them.
 struct ReportRecord
 {
@@ -93,14 +99,14 @@
 
 bool DutyRunner::isActing(TimePoint at) const
 {
-    return this->roleHeldSince && this->isRecordLoaded && at >= *this->roleHeldSince + this->settings.takeoverDelay
+    return this->roleHeldSince && this->areRecordsLoaded && at >= *this->roleHeldSince + this->settings.takeoverDelay
         && this->role.isLeaseCurrent(at + this->settings.minLeaseRemaining);
 }
 
 void DutyRunner::storeRestored(TimePoint at)
 {
-    const bool wasRecordLoaded = this->isRecordLoaded;
-    this->knowsAllReports = this->role.storeRestored(at) && wasRecordLoaded;
+    const bool wereRecordsLoaded = this->areRecordsLoaded;
+    this->knowsAllReports = this->role.storeRestored(at) && wereRecordsLoaded;
     this->savedCounts.clear();
     logEvent(LogLevel::Info, "duty-store-restored", {{"knowsAllReports", this->knowsAllReports}});
 }
@@ -119,7 +125,7 @@
         if (this->roleHeldSince)
             logEvent(LogLevel::Warning, "duty-lost", {{"holder", this->settings.holder}});
         this->roleHeldSince.reset();
-        this->isRecordLoaded = false;
+        this->areRecordsLoaded = false;
         return;
     }
     if (!this->roleHeldSince) {
@@ -129,8 +135,8 @@
                  "duty-taken",
                  {{"holder", this->settings.holder}, {"fencingToken", this->role.fencingToken()}});
     }
-    if (!this->isRecordLoaded)
-        this->loadRecord();
+    if (!this->areRecordsLoaded)
+        this->loadRecords();
     if (!this->isActing(time))
         return;
     if (this->reportsUsage) {
@@ -146,14 +152,14 @@
     return this->settings.keyPrefix + "/holder";
 }
 
-std::string DutyRunner::usageKey() const
+std::string DutyRunner::recordKey(std::int64_t window) const
 {
-    return this->settings.keyPrefix + "/usage";
+    return this->settings.keyPrefix + "/reports/" + std::to_string(window) + std::string(recordSuffix);
 }
 
-void DutyRunner::loadRecord()
+void DutyRunner::loadRecords()
 {
-    if (std::exchange(this->isLoadingRecord, true))
+    if (std::exchange(this->isLoadingRecords, true))
         return;
     this->kv.range(
         this->settings.countsKey, false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
@@ -165,7 +171,7 @@
 void DutyRunner::countsLoaded(const KvRangeResult &result)
 {
     if (result.status != KvStatus::Ok || !this->role.isHeld()) {
-        this->isLoadingRecord = false;
+        this->isLoadingRecords = false;
         return;
     }
     this->oldestSavedWindow.reset();
@@ -184,47 +190,58 @@
             logEvent(LogLevel::Error, "duty-counts", {{"error", error.what()}});
         }
     }
-    this->kv.range(
-        this->usageKey(), false, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
-            if (!alive.expired())
-                this->recordLoaded(result);
-        });
+    this->kv.range(this->settings.keyPrefix + "/",
+                   true,
+                   [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &found) {
+                       if (!alive.expired())
+                           this->recordsLoaded(found);
+                   });
 }
 
-void DutyRunner::recordLoaded(const KvRangeResult &result)
+void DutyRunner::recordsLoaded(const KvRangeResult &result)
 {
-    this->isLoadingRecord = false;
+    this->isLoadingRecords = false;
     if (!this->role.isHeld())
         return;
     if (result.status != KvStatus::Ok) {
         logEvent(LogLevel::Warning, "duty-record", {{"error", result.error}});
         return;
     }
-    this->applyRecord(result.entries.empty() ? std::string() : result.entries.front().value);
-    this->isRecordLoaded = true;
+    this->applyRecords(result.entries);
+    this->areRecordsLoaded = true;
 }
 
-void DutyRunner::applyRecord(const std::string &value)
+void DutyRunner::applyRecords(const std::vector<KvEntry> &entries)
 {
-    ReportRecord record;
-    if (!value.empty()) {
+    std::map<std::int64_t, UsageCounts> windows;
+    std::int64_t latestEra = 0; ///< Of the record of the latest window.
+    this->storedRecords.clear();
+    for (const KvEntry &entry : entries) {
+        if (!entry.key.ends_with(recordSuffix))
+            continue;
         try {
-            record = decodeRecord(value);
+            const ReportRecord record = decodeRecord(entry.value);
+            for (const auto &[window, counts] : record.windows) {
+                if (windows.empty() || window >= windows.rbegin()->first)
+                    latestEra = record.era;
+                windows[window] = counts;
+                this->storedRecords[window] = entry.key;
+            }
         } catch (const std::exception &error) {
-            logEvent(LogLevel::Error, "duty-record", {{"error", error.what()}});
+            logEvent(LogLevel::Error, "duty-record", {{"key", entry.key}, {"error", error.what()}});
         }
     }
-    const bool isOutdated = record.era < this->role.storeEra();
+    const bool isOutdated = latestEra < this->role.storeEra();
     if (isOutdated && this->knowsAllReports)
         return;
-    this->recordedCounts = std::move(record.windows);
+    const bool isFirstHolder = windows.empty() && !this->oldestSavedWindow;
+    this->recordedCounts = std::move(windows);
     this->unsentWindows.clear();
     this->nextWindow.reset();
     for (const auto &[window, counts] : this->recordedCounts) {
         this->unsentWindows.insert(window);
         this->nextWindow = window + 1;
     }
-    const bool isFirstHolder = value.empty() && !this->oldestSavedWindow;
     if (isOutdated && !isFirstHolder)
         this->skipReportableWindows();
 }
@@ -252,26 +269,43 @@
     const std::int64_t window = *this->nextWindow;
     if (wallTime < this->usage.windowEnd(window) + this->settings.peerCountDelay)
         return;
-    // The record holds only this window: the platform has accepted the earlier ones, so a successor need not repeat
-    // them.
-    std::map<std::int64_t, UsageCounts> windowCounts;
-    windowCounts[window] = this->usage.totalCounts(window);
+    // A write that was given up may still be executed, so that a repeated one has the same counts.
+    const std::int64_t token = this->role.fencingToken();
+    const bool isRepeated =
+        this->recordAttempt && this->recordAttempt->window == window && this->recordAttempt->fencingToken == token;
+    if (!isRepeated)
+        this->recordAttempt = {window, token, this->usage.totalCounts(window)};
+    const std::map<std::int64_t, UsageCounts> windowCounts = {{window, this->recordAttempt->counts}};
+    KvTxn txn;
+    txn.puts = {{this->recordKey(window), encodeRecord({this->role.storeEra(), windowCounts}), 0}};
+    // The platform has accepted the earlier windows, so a successor need not repeat them.
+    std::vector<std::int64_t> removedWindows;
+    for (const auto &[stored, key] : this->storedRecords) {
+        if (stored >= window || removedWindows.size() == maxRemovedRecords)
+            break;
+        removedWindows.push_back(stored);
+        txn.deletes.push_back(key);
+    }
+    txn.isOrderIndependent = true;
     this->isReporting = true;
-    this->role.commit(
-        {{this->usageKey(), encodeRecord({this->role.storeEra(), windowCounts}), 0}},
-        [this, window, windowCounts, alive = std::weak_ptr<bool>(this->alive)](LeaderRole::CommitResult result) {
-            if (alive.expired())
-                return;
-            this->isReporting = false;
-            if (result == LeaderRole::CommitResult::Committed) {
-                this->recordedCounts = windowCounts;
-                this->nextWindow = window + 1;
-                this->unsentWindows.insert(window);
-            } else if (result == LeaderRole::CommitResult::Unknown) {
-                // The counts may be in the store already: only what is read from there may be sent.
-                this->isRecordLoaded = false;
-            }
-        });
+    this->role.commit(std::move(txn),
+                      [this, window, windowCounts, removedWindows, alive = std::weak_ptr<bool>(this->alive)](
+                          LeaderRole::CommitResult result) {
+                          if (alive.expired())
+                              return;
+                          this->isReporting = false;
+                          if (result == LeaderRole::CommitResult::Committed) {
+                              this->recordedCounts = windowCounts;
+                              this->nextWindow = window + 1;
+                              this->unsentWindows.insert(window);
+                              for (const std::int64_t removed : removedWindows)
+                                  this->storedRecords.erase(removed);
+                              this->storedRecords[window] = this->recordKey(window);
+                          } else if (result == LeaderRole::CommitResult::Unknown) {
+                              // The counts may be in the store already: only what is read from there may be sent.
+                              this->areRecordsLoaded = false;
+                          }
+                      });
 }
 
 void DutyRunner::saveCounts(TimePoint time, WallTime wallTime)
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -86,19 +86,28 @@
     std::string holderKey() const;
 
 private:
-    std::string usageKey() const;
+    /// Each window has a record of its own, so that a late write of one cannot replace that of a newer one.
+    std::string recordKey(std::int64_t window) const;
     void saveCounts(TimePoint now, WallTime wallTime);
     void countsLoaded(const KvRangeResult &result);
-    void loadRecord();
-    void recordLoaded(const KvRangeResult &result);
+    void loadRecords();
+    void recordsLoaded(const KvRangeResult &result);
     /// Replaces what is known of earlier reports by the record of the store, unless this node knows more.
-    void applyRecord(const std::string &value);
+    void applyRecords(const std::vector<KvEntry> &entries);
     /// Skips the windows that a holder whose record was lost may have reported.
     void skipReportableWindows();
     void reportNextWindow(WallTime wallTime);
     void sendReport(std::int64_t window);
     void sendNextOrder(TimePoint now);
 
+    /// Counts of a window that were sent to the store.
+    struct RecordAttempt
+    {
+        std::int64_t window = 0;
+        std::int64_t fencingToken = 0;
+        UsageCounts counts;
+    };
+
     KvAccess kv;
     DutySettings settings;
     const RelayTransport &transport;
@@ -114,14 +123,16 @@
     WallTime wallTime;
     /// The store was restored, and this node was the holder until then. Holds until a record of a later era is found.
     bool knowsAllReports = false;
-    bool isRecordLoaded = false;
-    bool isLoadingRecord = false;
+    bool areRecordsLoaded = false;
+    bool isLoadingRecords = false;
     bool isSaving = false;
     TimePoint nextSave;
     std::string savedCounts;
     bool isReporting = false;
     bool isOrdering = false;
     std::map<std::int64_t, UsageCounts> recordedCounts; ///< Windows whose final counts are in the store.
+    std::map<std::int64_t, std::string> storedRecords; ///< Keys of the records in the store, by window.
+    std::optional<RecordAttempt> recordAttempt; ///< The latest write of a record.
     std::set<std::int64_t> unsentWindows; ///< Recorded windows that the platform has not accepted from this node.
     std::optional<std::int64_t> oldestSavedWindow; ///< Oldest window with counts saved by the previous holder.
     std::optional<std::int64_t> nextWindow;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -113,7 +113,7 @@
     : loop(loop)
     , settings(std::move(relaySettings))
     , transport(std::move(relayTransport))
-    , kv(this->storeEra.observed(std::move(storeAccess)))
+    , kv(this->writeGuard.guarded(this->storeEra.observed(std::move(storeAccess))))
     , runId(makeUniqueId())
     , random(std::random_device()())
     , scheduler(this->settings.zone, RandomEngine(this->random()))
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -2,6 +2,7 @@
 
 #include "httpclient.h"
 #include "httpserver.h"
+#include "latewriteguard.h"
 #include "metrics.h"
 #include "relay/dutyrunner.h"
 #include "relay/fleetplanner.h"
@@ -108,6 +109,7 @@
     RelaySettings settings;
     RelayTransport transport;
     StoreEra storeEra;
+    LateWriteGuard writeGuard;
     KvAccess kv;
     std::string runId; ///< Unique for each start of the process.
     RandomEngine random;
--- a/tests/failure/soakstore.cpp
+++ b/tests/failure/soakstore.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::chrono::milliseconds tickInterval{20};
 
+/// A write without an answer may be executed for up to six seconds.
+constexpr std::chrono::milliseconds lateWriteDelay{5500};
+
 constexpr std::chrono::milliseconds copyInterval{200};
 constexpr std::chrono::seconds copyLifetime{15};
 
@@ -110,6 +113,7 @@
     this->leases = copy.leases;
     this->revision = copy.revision;
     this->compact();
+    this->lateWrites.clear();
     ++this->era;
     for (const Poll &poll : std::exchange(this->polls, {}))
         poll.responder->abort();
@@ -143,7 +147,9 @@
         this->unanswered.push_back(responder);
         return;
     case Fault::LosesAnswers:
-        if (request.path == "/kv-txn")
+        if (request.path == "/kv-txn" && ++this->lostWrites % 2 == 0)
+            this->lateWrites.emplace(Clock::now() + lateWriteDelay, request);
+        else if (request.path == "/kv-txn")
             this->runTransaction(request, nullptr);
         return responder->abort();
     }
@@ -265,6 +271,11 @@
         this->copies.push_back({now, this->items, this->leases, this->revision});
     if (now - this->copies.front().time > copyLifetime)
         this->copies.pop_front();
+    while (!this->lateWrites.empty() && this->lateWrites.begin()->first <= now) {
+        const HttpRequest request = this->lateWrites.begin()->second;
+        this->lateWrites.erase(this->lateWrites.begin());
+        this->runTransaction(request, nullptr);
+    }
     std::vector<std::string> lapsed;
     for (const auto &[key, item] : this->items) {
         const auto lease = this->leases.find(item.lease);
--- a/tests/failure/soakstore.h
+++ b/tests/failure/soakstore.h
@@ -23,7 +23,7 @@
         None,
         Refuses, ///< Calls are answered 503 and not executed.
         Silent, ///< Calls are neither executed nor answered.
-        LosesAnswers, ///< Calls are executed, but their connections break.
+        LosesAnswers, ///< Calls are executed, half of the writes seconds later, but their connections break.
     };
 
     explicit SoakStore(asio::io_context &loop);
@@ -107,6 +107,9 @@
     std::deque<Copy> copies; ///< Of the last seconds, the oldest first.
     std::list<Poll> polls;
     std::list<HttpResponderPtr> unanswered; ///< Of calls that get no answer.
+    std::multimap<Clock::time_point, HttpRequest>
+        lateWrites; ///< Not answered; executed later if their conditions hold.
+    int lostWrites = 0;
 };
 
 } // namespace hemlock
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -1,4 +1,5 @@
 #include "relay/dutyrunner.h"
+#include "latewriteguard.h"
 #include "memorystore.h"
 
 #include <catch2/catch.hpp>
@@ -21,7 +22,10 @@
     struct Node
     {
         Node(DutyRunnerFixture &fixture, const std::string &name, const std::string &runId)
-            : runner(fixture.store.access(), settings(fixture, name, runId), fixture.transport, this->usage)
+            : runner(this->writeGuard.guarded(fixture.store.access()),
+                     settings(fixture, name, runId),
+                     fixture.transport,
+                     this->usage)
         {
             this->runner.setEnabledDuties(true, true);
         }
@@ -39,6 +43,7 @@
         }
 
         UsageLedger usage{std::chrono::milliseconds(5000)};
+        LateWriteGuard writeGuard;
         DutyRunner runner;
     };
 
@@ -81,6 +86,28 @@
         return windows;
     }
 
+    /// Records of reports in the store, by key.
+    std::map<std::string, std::string> storedRecords() const
+    {
+        std::map<std::string, std::string> records;
+        for (const auto &[key, entry] : this->store.entries) {
+            if (key.starts_with("duties/") && key.ends_with("/usage"))
+                records[key] = entry.value;
+        }
+        return records;
+    }
+
+    /// Leaves the next write of a record of reports unanswered until MemoryStore::runLateTxns().
+    void delayNextRecord()
+    {
+        this->store.isLate = [this](const KvTxn &txn) {
+            if (txn.puts.empty() || !txn.puts.front().key.ends_with("/usage"))
+                return false;
+            this->store.isLate = nullptr;
+            return true;
+        };
+    }
+
     /// Brings the store back from a copy, and tells the nodes.
     void restore(const MemoryStore::Copy &copy, const std::vector<Node *> &nodes)
     {
@@ -198,11 +225,12 @@
     Node first(*this, "a", "run-a");
     this->advance(first, std::chrono::seconds(4));
     this->store.entries["duties/holder"].modRevision = 999;
-    const auto before = this->store.entries["duties/usage"].value;
+    const auto before = this->storedRecords();
+    REQUIRE(before.size() == 1);
     this->reports.clear();
     first.usage.count("x", this->wallTime);
     this->advance(first, std::chrono::seconds(8));
-    CHECK(this->store.entries["duties/usage"].value == before);
+    CHECK(this->storedRecords() == before);
     CHECK(this->reports.empty());
 }
 
@@ -366,3 +394,85 @@
     CHECK(this->reports.back().lease.holder == "b");
     CHECK(this->reports.back().lease.fencingToken > token);
 }
+
+// Guards against a window that is reported again with other counts, as a late write brought back an older record.
+TEST_CASE_METHOD(
+    DutyRunnerFixture,
+    "DutyRunner: write of an older record is executed late, then all VMs restart: no window is reported anew")
+{
+    Node before(*this, "a", "run-a");
+    this->advance(before, std::chrono::seconds(6));
+    this->delayNextRecord();
+    for (int second = 0; second < 16; ++second) {
+        before.usage.count("account", this->wallTime);
+        this->advance(before, std::chrono::seconds(1));
+    }
+    const std::int64_t lastWindow = this->reports.back().window;
+    REQUIRE(this->store.lateTxns.size() == 1);
+    const std::string lateKey = this->store.lateTxns.front().puts.front().key;
+    this->store.runLateTxns();
+    this->store.entries.erase("duties/holder");
+    CHECK(this->storedRecords().contains(lateKey));
+    CHECK(this->storedRecords().size() == 2);
+    Node after(*this, "b", "run-b");
+    this->advance(after, std::chrono::seconds(15));
+    CHECK(this->contradictions().empty());
+    CHECK(this->reports.back().window > lastWindow);
+}
+
+// Guards against counts that a late write takes back.
+TEST_CASE_METHOD(DutyRunnerFixture, "DutyRunner: write of older saved counts is executed late: the newer ones stay")
+{
+    Node node(*this, "a", "run-a");
+    this->advance(node, std::chrono::seconds(6));
+    this->store.isLate = [this](const KvTxn &txn) {
+        const bool isLate = txn.puts.front().key == "counts";
+        if (isLate)
+            this->store.isLate = nullptr;
+        return isLate;
+    };
+    node.usage.count("account", this->wallTime);
+    this->advance(node, std::chrono::seconds(1));
+    REQUIRE(this->store.lateTxns.size() == 1);
+    node.usage.count("account", this->wallTime);
+    this->advance(node, std::chrono::seconds(1));
+    const std::string saved = this->store.entries["counts"].value;
+    this->store.runLateTxns();
+    CHECK(this->store.entries["counts"].value == saved);
+}
+
+// Guards against a window that is recorded twice with different counts, as counts of peers arrived in between.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: write of a record is given up and its counts change: it is repeated with the same counts")
+{
+    Node before(*this, "a", "run-a");
+    this->advance(before, std::chrono::seconds(6));
+    this->delayNextRecord();
+    while (this->store.lateTxns.empty()) {
+        before.usage.count("account", this->wallTime);
+        this->advance(before, std::chrono::milliseconds(200));
+    }
+    const KvPut late = this->store.lateTxns.front().puts.front();
+    const std::int64_t window = std::stoll(late.key.substr(std::string("duties/reports/").size()));
+    before.usage.mergePeerCounts("run-b", {{window, {{"account", 50}}}});
+    this->advance(before, std::chrono::seconds(1));
+    REQUIRE(this->storedRecords().contains(late.key));
+    CHECK(this->storedRecords().at(late.key) == late.value);
+}
+
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: store has the record of an earlier version: the holder goes on after it")
+{
+    Node probe(*this, "b", "run-b");
+    const std::int64_t window = probe.usage.windowAt(this->wallTime);
+    const std::string record = R"({"era":0,"windows":{")" + std::to_string(window) + R"(":{"account":3}}})";
+    this->store.executeTxn({{}, {{"duties/usage", record, 0}}, {}, {}});
+    Node node(*this, "a", "run-a");
+    this->advance(node, std::chrono::seconds(15));
+    REQUIRE_FALSE(this->reports.empty());
+    CHECK(this->reports.front().window == window);
+    CHECK(this->reports.front().counts == UsageCounts{{"account", 3}});
+    CHECK(this->reports.back().window > window);
+    CHECK(this->contradictions().empty());
+    CHECK_FALSE(this->store.entries.contains("duties/usage"));
+}
--- a/tests/unit/memorystore.h
+++ b/tests/unit/memorystore.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlock {
@@ -22,7 +23,12 @@
             this->queue.push_back([this, key, prefix, done] { done(this->executeRange(key, prefix)); });
         };
         access.txn = [this](const KvTxn &txn, std::function<void(const KvTxnResult &)> done) {
-            this->queue.push_back([this, txn, done] { done(this->executeTxn(txn)); });
+            this->queue.push_back([this, txn, done] {
+                if (!this->isLate || !this->isLate(txn))
+                    return done(this->executeTxn(txn));
+                this->lateTxns.push_back(txn);
+                done({KvStatus::Unknown, false, 0, {}, "no answer"});
+            });
         };
         access.grantLease = [this](std::chrono::seconds ttl, std::function<void(const KvLeaseResult &)> done) {
             this->queue.push_back([this, ttl, done] { done(this->makeLeaseResult(++this->lastLease, ttl)); });
@@ -52,6 +58,13 @@
             continue;
     }
 
+    /// Executes the transactions that were not answered.
+    void runLateTxns()
+    {
+        for (const KvTxn &txn : std::exchange(this->lateTxns, {}))
+            this->executeTxn(txn);
+    }
+
     KvRangeResult executeRange(const std::string &key, bool prefix) const
     {
         KvRangeResult result;
@@ -127,6 +140,8 @@
     std::deque<std::function<void()>> queue;
     std::int64_t revision = 0;
     std::int64_t lastLease = 0;
+    std::function<bool(const KvTxn &txn)> isLate; ///< Whether a transaction is not answered, and executed later.
+    std::vector<KvTxn> lateTxns;
     int lostResponses = 0; ///< Number of next transactions that are applied but reported as Unknown.
     bool isUnavailable = false; ///< All calls fail.
     int callCount = 0; ///< Calls that have run.
