Accept only calls that fit into what is left before the exit

Cause: after SIGTERM, calls were accepted by a typical length of 2 s, not by what the request and its route allow, and the process exited shortly before the end of the grace time whatever was open.

Change: ShutdownProgress accepts what has to end before the exit by the request's own limit; the rest is refused with 503 and not sent. Streams that can be resumed are accepted for 2.5 s as before, since callers can continue them at another VM. Calls that are open shortly before the exit end with an answer that tells whether they may have run. The process exits only when its answers are written to their sockets, or its time is over.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -147,6 +147,7 @@
     }
 
     bool draining = false;
+    std::size_t openResponses = 0; ///< Not written to their sockets as a whole.
 
 private:
     std::unordered_map<restinio::connection_id_t, std::weak_ptr<Responder>> responders;
@@ -194,7 +195,7 @@
         : request(std::move(request))
         , table(std::move(table))
         , requestBytes(std::move(requestBytes))
-        , output(std::make_shared<Output>(buffers))
+        , output(std::make_shared<Output>(buffers, this->table))
         , keepAlive(this->request->header().should_keep_alive())
         , connectionId(this->request->connection_id())
         , connection(restinio::impl::access_req_connection(*this->request))
@@ -275,7 +276,8 @@
     {
         if (!this->stream)
             return;
-        this->stream->done();
+        // The response counts as open until the callback is destroyed.
+        this->stream->done([output = this->output](const asio::error_code &) {});
         this->releaseRequest();
     }
 
@@ -305,12 +307,23 @@
     /// Pending output; shared with the write callbacks, which may outlive the responder.
     struct Output
     {
-        explicit Output(const std::shared_ptr<BufferPool> &buffers)
+        Output(const std::shared_ptr<BufferPool> &buffers, std::shared_ptr<ConnectionTable> table)
             : bytes(buffers)
+            , table(std::move(table))
         {
+            ++this->table->openResponses;
         }
 
+        ~Output()
+        {
+            --this->table->openResponses;
+        }
+
+        Output(const Output &) = delete;
+        Output &operator=(const Output &) = delete;
+
         BufferPool::Share bytes;
+        std::shared_ptr<ConnectionTable> table;
         std::function<void()> onDrained;
     };
 
@@ -472,6 +485,11 @@
     this->d->table->draining = draining;
 }
 
+std::size_t HttpServer::openResponses() const
+{
+    return this->d->table->openResponses;
+}
+
 const BufferPool &HttpServer::buffers() const
 {
     return *asio::use_service<ServerBuffers>(this->d->loop).pool;
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -69,6 +69,9 @@
     /// While draining, every response closes its connection.
     void setDraining(bool draining);
 
+    /// Number of requests whose response has not been written to the socket as a whole.
+    std::size_t openResponses() const;
+
     /// Bytes of requests and responses in progress, of all servers on the loop.
     const BufferPool &buffers() const;
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -116,10 +116,11 @@
     const auto trial = this->suspects.dueTrial(this->arrivalTime);
     if (const auto error = this->quarantineError(); error && !trial)
         return this->refuse(*error);
-    if (!this->context.acceptsCall(this->route->kind))
-        return this->refuse({Verdict::NotRun, 503, "stopping", "the process is about to end", std::chrono::seconds(0)});
     const auto routeLimit = this->route->timeout.count() > 0 ? this->route->timeout : defaultTimeLimit;
-    this->answerDeadline = this->arrivalTime + std::min(routeLimit, this->request.deadline.value_or(routeLimit));
+    const auto timeLimit = std::min(routeLimit, this->request.deadline.value_or(routeLimit));
+    if (!this->context.acceptsCall(timeLimit, this->route->kind == CallKind::Stream && this->route->isResumable))
+        return this->refuse({Verdict::NotRun, 503, "stopping", "the process is about to end", std::chrono::seconds(0)});
+    this->answerDeadline = this->arrivalTime + timeLimit;
     if (this->timeLeft() < minRemainingTime)
         return this->refuse({Verdict::NotRun, 503, "deadline", "too little time is left", std::chrono::seconds(1)});
     if (!this->takeQuota())
@@ -595,6 +596,16 @@
 }
 
 void RelayCall::deadlineExpired()
+{
+    this->endUnanswered("the time limit was reached");
+}
+
+void RelayCall::endEarly()
+{
+    this->endUnanswered("the process is about to end");
+}
+
+void RelayCall::endUnanswered(const std::string &reason)
 {
     if (this->isFinished)
         return;
@@ -602,12 +613,11 @@
         this->verdict = Verdict::MayHaveRun;
     if (this->hasStreamBegun) {
         this->responder->abort();
-        return this->finish(0, "the time limit was reached");
+        return this->finish(0, reason);
     }
     if (this->verdict == Verdict::NotRun)
-        return this->refuse(
-            {Verdict::NotRun, 503, "deadline", "no upstream was free in time", std::chrono::seconds(1)});
-    this->refuse({this->verdict, 504, "timeout", "the time limit was reached", {}});
+        return this->refuse({Verdict::NotRun, 503, "deadline", "not sent: " + reason, std::chrono::seconds(1)});
+    this->refuse({this->verdict, 504, "timeout", reason, {}});
 }
 
 void RelayCall::callerDisconnected()
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -32,6 +32,9 @@
 
     void start(HttpRequest request);
 
+    /// Ends the call before its time limit, since the process is about to exit.
+    void endEarly();
+
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
 
@@ -61,6 +64,7 @@
     bool scheduleRetry(const std::string &reason);
     void retryOrFail(const std::string &reason);
     void deadlineExpired();
+    void endUnanswered(const std::string &reason);
     void callerDisconnected();
 
     void refuse(const RequestError &error);
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -41,8 +41,9 @@
     Quarantine &quarantine; ///< For its subjects see RequestSuspects.
     UsageLedger &usage;
     Metrics &metrics;
-    /// Whether a new call of this kind is accepted; false when too little of the drain time is left before shutdown.
-    std::function<bool(CallKind kind)> acceptsCall;
+    /// Whether a new call is accepted that may take until @p timeLimit from now; false when that is more than what is
+    /// left before the process exits.
+    std::function<bool(std::chrono::milliseconds timeLimit, bool isResumable)> acceptsCall;
     RouteTablePtr routes; ///< Null until the first configuration was read.
     std::chrono::seconds idleLimit{10}; ///< Connections to upstreams that were idle for longer are not reused.
     std::function<std::size_t()> peerCount; ///< Number of other entry VMs.
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -19,13 +19,6 @@
 /// Prompts with at least this many tokens are reported to peers at once.
 constexpr double longPromptTokens = 5000.0;
 
-/// Time after the start of a drain in which new streams are accepted; later ones would be cut off at its end. By then
-/// the load balancer sends requests to other VMs, unless there is no other in the zone.
-constexpr std::chrono::milliseconds streamAcceptTime{2500};
-
-/// Calls other than streams take less time than this, so they are refused only when less is left of the drain.
-constexpr std::chrono::milliseconds maxShortCallTime{2000};
-
 /// Two broken connections to an upstream within this time mean that it has crashed.
 constexpr std::chrono::milliseconds crashWindow{1500};
 
@@ -142,7 +135,9 @@
               this->quarantine,
               this->usage,
               this->metrics,
-              [this](CallKind kind) { return this->accepts(kind); },
+              [this](std::chrono::milliseconds timeLimit, bool isResumable) {
+                  return this->shutdown.accepts(timeLimit, isResumable, this->now());
+              },
               nullptr,
               std::chrono::seconds(10),
               [this] { return this->peerCount(this->now()); },
@@ -608,16 +603,6 @@
     this->scheduler.upstreamFailed(upstream.id, now);
 }
 
-bool RelayProcess::accepts(CallKind kind) const
-{
-    if (!this->shutdown.hasBegun())
-        return true;
-    const TimePoint now = this->now();
-    if (kind == CallKind::Stream)
-        return this->shutdown.elapsed(now) < streamAcceptTime;
-    return this->shutdown.timeLeft(now) > maxShortCallTime;
-}
-
 void RelayProcess::awaitSignal()
 {
     this->signals.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error, int) {
@@ -639,8 +624,15 @@
 
 void RelayProcess::checkDrained()
 {
-    if (this->shutdown.mayExit(this->calls.size(), this->now())) {
-        logEvent(LogLevel::Info, "stop", {{"calls", this->calls.size()}});
+    const TimePoint now = this->now();
+    if (this->shutdown.mustEndCalls(now)) {
+        // Calls that end remove themselves.
+        for (const auto &call : std::set(this->calls))
+            call->endEarly();
+    }
+    const std::size_t unwritten = this->callerServer.openResponses();
+    if (this->shutdown.mayExit(std::max(this->calls.size(), unwritten), now)) {
+        logEvent(LogLevel::Info, "stop", {{"calls", this->calls.size()}, {"unwrittenAnswers", unwritten}});
         this->loop.stop();
         return;
     }
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -100,7 +100,6 @@
     void planUpstreams();
     FleetPlanner::Supply upstreamSupply(const std::string &service);
 
-    bool accepts(CallKind kind) const;
     void awaitSignal();
     void drain();
     void checkDrained();
--- a/src/libhemlock/relay/shutdownprogress.cpp
+++ b/src/libhemlock/relay/shutdownprogress.cpp
@@ -26,7 +26,19 @@
 
 std::chrono::milliseconds ShutdownProgress::timeLeft(TimePoint now) const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(this->end - now);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->end - this->settings.flushTime - now);
+}
+
+bool ShutdownProgress::accepts(std::chrono::milliseconds timeLimit, bool isResumable, TimePoint now) const
+{
+    if (!this->isBegun || timeLimit <= this->timeLeft(now))
+        return true;
+    return isResumable && this->elapsed(now) < this->settings.resumableAcceptTime;
+}
+
+bool ShutdownProgress::mustEndCalls(TimePoint now) const
+{
+    return this->isBegun && this->timeLeft(now).count() <= 0;
 }
 
 void ShutdownProgress::callStartedOrEnded(TimePoint now)
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -76,7 +76,7 @@
         this->transport.decodeRequest = platform::decodeRelayRequest;
         this->transport.encodeAttempt = platform::encodeRelayAttempt;
         this->transport.decodeAnswer = platform::decodeRelayAnswer;
-        this->context.acceptsCall = [this](CallKind) { return this->isAccepting; };
+        this->context.acceptsCall = [this](std::chrono::milliseconds, bool) { return this->isAccepting; };
         this->context.peerCount = [] { return std::size_t{0}; };
         this->context.now = [] { return std::chrono::steady_clock::now(); };
         this->context.wallTime = [] { return std::chrono::system_clock::now(); };
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -25,10 +25,28 @@
             this->decodedConfigs.push_back(value);
             RelayConfig config;
             config.version = std::stoll(value);
+            if (this->upstreamAddress.empty())
+                return config;
+            RelayRoute route;
+            route.name = "route";
+            route.host = "h.example";
+            route.pathPrefix = "/x";
+            route.kind = CallKind::NonIdempotent;
+            route.timeout = this->routeTimeout;
+            route.latencyTarget = this->routeTimeout;
+            route.targets = {{"service", 1.0}};
+            config.routes = {route};
             return config;
         };
-        this->transport.decodeUpstream = [](const std::string &, const std::string &) -> Upstream {
-            throw std::invalid_argument("no upstream");
+        this->transport.decodeUpstream = [this](const std::string &id, const std::string &) {
+            Upstream upstream;
+            upstream.id = id;
+            upstream.service = "service";
+            upstream.address = this->upstreamAddress;
+            upstream.zone = {"zone-a"};
+            upstream.state = UpstreamState::Serving;
+            upstream.slots = 4;
+            return upstream;
         };
         this->kv.readPage =
             [this](const std::string &prefix, const std::string &, const std::function<void(const KvPage &)> &done) {
@@ -44,6 +62,9 @@
                     entry.value = this->configVersion;
                     if (entry.key.starts_with(prefix))
                         page.range.entries.push_back(entry);
+                    entry.key = "servers/upstream-1";
+                    if (!this->upstreamAddress.empty() && entry.key.starts_with(prefix))
+                        page.range.entries.push_back(entry);
                 }
                 asio::post(this->loop, [done, page] { done(page); });
             };
@@ -91,6 +112,7 @@
         settings.upstreamPrefix = "servers/";
         settings.upstreamUpdateDeadline = this->updateDeadline;
         settings.configUpdateDeadline = this->updateDeadline;
+        settings.drainTime = this->drainTime;
         this->settings = settings;
         this->process = std::make_unique<RelayProcess>(this->loop, settings, this->http, this->kv, this->transport);
         this->process->start();
@@ -98,18 +120,45 @@
 
     int requestStatus(const std::string &address, const HttpHeaders &headers = {})
     {
-        int status = 0;
-        bool isDone = false;
+        return this->request(address, headers).status;
+    }
+
+    HttpOutcome request(const std::string &address, const HttpHeaders &headers = {})
+    {
+        std::optional<HttpOutcome> result;
+        this->startRequest(address, headers, result);
+        while (!result && !this->loop.stopped())
+            this->loop.run_one();
+        return result.value_or(HttpOutcome{});
+    }
+
+    void startRequest(const std::string &address, const HttpHeaders &headers, std::optional<HttpOutcome> &result)
+    {
         HttpCall call;
         call.url = endpointUrl(address) + "/x";
         call.headers = headers;
-        this->client.start(call, {{}, {}, [&](const HttpOutcome &outcome) {
-                                      status = outcome.status;
-                                      isDone = true;
-                                  }});
-        while (!isDone)
-            this->loop.run_one();
-        return status;
+        this->client.start(call, {{}, {}, [&result](const HttpOutcome &outcome) { result = outcome; }});
+    }
+
+    /// Starts the process before an upstream that takes requests and answers them through openRequests.
+    void startWithUpstream()
+    {
+        this->upstreamServer = std::make_unique<HttpServer>(
+            this->loop, HttpServerSettings{}, [this](HttpRequest, HttpResponderPtr responder) {
+                this->openRequests.push_back(std::move(responder));
+            });
+        this->upstreamAddress = this->upstreamServer->start();
+        this->start();
+        while (this->readinessStatus() != 200)
+            continue;
+    }
+
+    /// Waits until the process has noticed a SIGTERM.
+    void terminate()
+    {
+        std::raise(SIGTERM);
+        while (this->readinessStatus() == 200)
+            continue;
     }
 
     int readinessStatus()
@@ -144,6 +193,11 @@
     std::unique_ptr<RelayProcess> process;
     std::function<void(const KvChanges &)> changesDone;
     std::map<std::string, std::chrono::milliseconds> pollTimeouts; ///< Of the latest long polls, by prefix.
+    std::unique_ptr<HttpServer> upstreamServer;
+    std::string upstreamAddress; ///< Empty for no upstream and no route.
+    std::vector<HttpResponderPtr> openRequests; ///< At the upstream.
+    std::chrono::milliseconds routeTimeout{3000};
+    std::chrono::milliseconds drainTime{8000};
     std::chrono::milliseconds updateDeadline{2000};
     std::string configVersion = "5";
     std::int64_t revision = 10;
@@ -198,6 +252,52 @@
     CHECK(this->requestStatus(this->settings.callerAddress, routeHeaders) == 404);
 }
 
+// Guards against calls that are passed on and cut by the exit of the process: the route allows more than is left.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: SIGTERM, then a call that may take longer than is left: it is refused and not sent")
+{
+    this->drainTime = std::chrono::milliseconds(3400);
+    this->startWithUpstream();
+    this->terminate();
+    const HttpOutcome outcome = this->request(this->settings.callerAddress, routeHeaders);
+    CHECK(outcome.status == 503);
+    CHECK(outcome.body.find("\"stopping\"") != std::string::npos);
+    CHECK(this->openRequests.empty());
+}
+
+// Guards against connections that end without an answer when the process exits.
+TEST_CASE_METHOD(RelayProcessFixture, "RelayProcess: call is open when the process exits: its caller gets an answer")
+{
+    this->drainTime = std::chrono::milliseconds(1500);
+    this->startWithUpstream();
+    std::optional<HttpOutcome> result;
+    this->startRequest(this->settings.callerAddress, routeHeaders, result);
+    this->runUntil([this] { return !this->openRequests.empty(); });
+    this->terminate();
+    while (!result && !this->loop.stopped())
+        this->loop.run_one();
+    REQUIRE(result);
+    CHECK(result->isComplete());
+    CHECK(result->status == 504);
+    CHECK(result->body.find("may-have-run") != std::string::npos);
+}
+
+TEST_CASE_METHOD(RelayProcessFixture, "RelayProcess: SIGTERM comes twice during a call: the call gets its answer")
+{
+    this->startWithUpstream();
+    std::optional<HttpOutcome> result;
+    this->startRequest(this->settings.callerAddress, routeHeaders, result);
+    this->runUntil([this] { return !this->openRequests.empty(); });
+    this->terminate();
+    std::raise(SIGTERM);
+    CHECK(this->readinessStatus() == 503);
+    this->openRequests.front()->reply(
+        200, {{"X-Hemlockflow-Attempt-Id", "a"}, {"X-Hemlockflow-Response-Signature", "signed"}}, "whole");
+    this->runUntil([&result] { return result.has_value(); });
+    CHECK(result->isComplete());
+    CHECK(result->body == "whole");
+}
+
 // Guards against changes that are not applied until the store has made as many as it lost.
 TEST_CASE_METHOD(RelayProcessFixture,
                  "RelayProcess: store comes back from an older copy: a configuration written since is applied at once")
--- a/tests/unit/shutdownprogresstest.cpp
+++ b/tests/unit/shutdownprogresstest.cpp
@@ -19,6 +19,11 @@
         return this->progress.mayExit(openCalls, this->at(ms));
     }
 
+    bool acceptsAt(int ms, int timeLimitMs, bool isResumable = false) const
+    {
+        return this->progress.accepts(std::chrono::milliseconds(timeLimitMs), isResumable, this->at(ms));
+    }
+
     std::chrono::steady_clock::time_point at(int ms) const
     {
         return this->start + std::chrono::milliseconds(ms);
@@ -53,6 +58,32 @@
     CHECK(this->mayExitAt(5600));
 }
 
+// Guards against calls that are taken and cut by the exit, though their limits would let them run on.
+TEST_CASE_METHOD(ShutdownProgressFixture, "ShutdownProgress: request may take longer than is left: it is not accepted")
+{
+    CHECK(this->acceptsAt(0, 3000));
+    CHECK(this->acceptsAt(4400, 3000));
+    CHECK_FALSE(this->acceptsAt(4401, 3000));
+    CHECK_FALSE(this->acceptsAt(5400, 3000));
+    CHECK(this->acceptsAt(5400, 2000));
+    CHECK_FALSE(this->acceptsAt(0, 12000));
+}
+
+TEST_CASE_METHOD(ShutdownProgressFixture,
+                 "ShutdownProgress: stream can be resumed at another VM: it is accepted until others get the requests")
+{
+    CHECK(this->acceptsAt(2400, 12000, true));
+    CHECK_FALSE(this->acceptsAt(2500, 12000, true));
+    CHECK(this->acceptsAt(2500, 4000, true));
+}
+
+TEST_CASE_METHOD(ShutdownProgressFixture, "ShutdownProgress: calls stay open: they end before the process exits")
+{
+    CHECK_FALSE(this->progress.mustEndCalls(this->at(7300)));
+    CHECK(this->progress.mustEndCalls(this->at(7400)));
+    CHECK_FALSE(this->mayExitAt(7400, 1));
+}
+
 TEST_CASE_METHOD(ShutdownProgressFixture,
                  "ShutdownProgress: a call stays open: exits shortly before the platform kills")
 {
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -136,7 +136,7 @@
         this->transport.decodeRequest = platform::decodeRelayRequest;
         this->transport.encodeAttempt = platform::encodeRelayAttempt;
         this->transport.decodeAnswer = platform::decodeRelayAnswer;
-        this->context.acceptsCall = [](CallKind) { return true; };
+        this->context.acceptsCall = [](std::chrono::milliseconds, bool) { return true; };
         this->context.peerCount = [] { return std::size_t{0}; };
         this->context.now = [] { return std::chrono::steady_clock::now(); };
         this->context.wallTime = [] { return std::chrono::system_clock::now(); };
