Do not take a head that breaks off for a complete answer

Cause: libcurl ends such an exchange without an error, and HttpClient took that for a complete answer.

Change: an exchange is complete only after the empty line that ends the head of its final answer. Anything else is broken and may have run.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -358,12 +358,15 @@
 
     void setOutcome(Transfer &transfer, CURLcode code)
     {
-        if (code == CURLE_OK) {
+        // libcurl takes a head that ends with its connection for a complete answer.
+        const bool isFinalAnswer = transfer.isHeadComplete;
+        if (code == CURLE_OK && isFinalAnswer) {
             transfer.outcome.verdict = Verdict::Ran;
             return;
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
-        transfer.outcome.error = curl_easy_strerror(code);
+        transfer.outcome.error =
+            isFinalAnswer || code != CURLE_OK ? curl_easy_strerror(code) : "the head is not complete";
         if (!transfer.rejection.empty()) {
             transfer.outcome.error = transfer.rejection;
             transfer.outcome.body = {};
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -40,6 +40,7 @@
     EndlessBody,
     EndlessTrailer,
     AnswerWithTrailer,
+    PartialHead,
     NoAnswer,
 };
 
@@ -68,6 +69,7 @@
     }
 
     std::deque<Behaviour> script;
+    std::string partialHead;
     int requests = 0;
     int connections = 0;
     std::size_t bytesWritten = 0; ///< Bytes of endless responses written so far.
@@ -115,6 +117,10 @@
         const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
         if (behaviour == Behaviour::EndlessTrailer)
             return this->writeEndlessly(socket, chunkedAnswer, "X-More: " + std::string(1000, 'x') + "\r\n");
+        if (behaviour == Behaviour::PartialHead) {
+            asio::write(*socket, asio::buffer(this->partialHead));
+            return socket->close();
+        }
         if (behaviour == Behaviour::AnswerWithTrailer) {
             asio::write(*socket, asio::buffer(chunkedAnswer + "X-Late: 1\r\nHTTP/1.1 500: 1\r\n\r\n"));
             return this->read(socket);
@@ -340,3 +346,21 @@
     this->server.script = {Behaviour::Answer};
     CHECK(this->post(this->server.url()).isComplete());
 }
+
+// Guards against taking a head that breaks off for an answer with an empty body.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: connection closes within the head: verdict is may-have-run")
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &fields : {std::string("X-Signature: s\r\n"),
+                                      std::string("X-Signature: s\r\nX-Mo"),
+                                      std::string("X-Signature: s\r\nContent-Le"),
+                                      std::string("X-Signature: s\r\nContent-Length: 4"),
+                                      std::string()}) {
+        INFO(fields);
+        this->server.partialHead = status + fields;
+        this->server.script = {Behaviour::PartialHead};
+        const HttpOutcome outcome = this->post(this->server.url());
+        CHECK(outcome.verdict == Verdict::MayHaveRun);
+        CHECK(outcome.failure == HttpFailure::Broken);
+    }
+}
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -278,6 +278,23 @@
     CHECK((!outcome.isComplete() || outcome.status >= 500));
 }
 
+// Guards against an empty success in place of an answer whose upstream stopped within the head.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: answer breaks off within its head: does not look complete")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream));
+    const std::string end =
+        GENERATE("", "Content-Ty", "Content-Length: 4", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n");
+    this->raw.ending = RawUpstream::Ending::Close;
+    this->raw.bytesFor = [end](std::size_t, const std::string &attemptId) {
+        return "HTTP/1.1 200 OK\r\nX-Hemlockflow-Attempt-Id: " + attemptId
+            + "\r\nX-Hemlockflow-Response-Signature: signed\r\n" + end;
+    };
+    INFO(end);
+    const HttpOutcome outcome = this->call("attempt-1");
+    CHECK((!outcome.isComplete() || outcome.status == 502));
+    CHECK(outcome.body.find("\"ran\"") == std::string::npos);
+}
+
 TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: answer ends with its connection: is forwarded whole")
 {
     this->answerUnframed("whole", RawUpstream::Ending::Close);
