Take only a status from 200 to 599 for that of a final answer

Cause: libcurl ends an exchange at a 101, since its user may want the connection. No place asked whether the status is one of a final answer.

Change: HttpClient fails such an exchange as broken, and one with a status above 599. RelayCall retries it like any broken one.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// Statuses of final answers. Those below are interim, and 101 would change the protocol of the connection.
+constexpr int minFinalStatus = 200;
+constexpr int maxFinalStatus = 599;
+
 /// Limit for the header fields of an answer, with those of interim answers and of the trailer.
 constexpr std::size_t maxFieldBytes = std::size_t{64} * 1024;
 
@@ -41,7 +45,7 @@
     bool cancelled = false;
     std::size_t fieldBytes = 0;
     BufferPool::Share buffered; ///< Fields, and the body if there is no data hook.
-    std::string rejection; ///< Why the answer was broken off; empty if it kept to the limits.
+    std::string rejection; ///< Why this client broke the answer off; empty if it did not.
 
     ~Transfer()
     {
@@ -106,7 +110,12 @@
     }
     if (line == "\r\n" || line == "\n") {
         // An interim response (1xx) is followed by another head.
-        if (transfer->outcome.status >= 200) {
+        if (transfer->outcome.status > maxFinalStatus) {
+            transfer->rejection =
+                "status " + std::to_string(transfer->outcome.status) + " is not that of a final answer";
+            return 0;
+        }
+        if (transfer->outcome.status >= minFinalStatus) {
             transfer->isHeadComplete = true;
             transfer->reportHead();
         }
@@ -130,9 +139,9 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::size_t length = size * count;
-    if (transfer->cancelled)
+    // libcurl passes on the body of an interim answer that ends the exchange.
+    if (transfer->cancelled || !transfer->isHeadComplete)
         return 0;
-    transfer->reportHead();
     if (transfer->hooks.data) {
         transfer->hooks.data(std::string_view(bytes, length));
     } else if (transfer->outcome.body.size() + length > transfer->call.maxBodyBytes) {
@@ -366,7 +375,7 @@
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error =
-            isFinalAnswer || code != CURLE_OK ? curl_easy_strerror(code) : "the head is not complete";
+            isFinalAnswer || code != CURLE_OK ? curl_easy_strerror(code) : "no complete head of a final answer";
         if (!transfer.rejection.empty()) {
             transfer.outcome.error = transfer.rejection;
             transfer.outcome.body = {};
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -40,7 +40,7 @@
     EndlessBody,
     EndlessTrailer,
     AnswerWithTrailer,
-    PartialHead,
+    RawAnswer,
     NoAnswer,
 };
 
@@ -69,7 +69,7 @@
     }
 
     std::deque<Behaviour> script;
-    std::string partialHead;
+    std::string rawAnswer;
     int requests = 0;
     int connections = 0;
     std::size_t bytesWritten = 0; ///< Bytes of endless responses written so far.
@@ -117,8 +117,8 @@
         const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
         if (behaviour == Behaviour::EndlessTrailer)
             return this->writeEndlessly(socket, chunkedAnswer, "X-More: " + std::string(1000, 'x') + "\r\n");
-        if (behaviour == Behaviour::PartialHead) {
-            asio::write(*socket, asio::buffer(this->partialHead));
+        if (behaviour == Behaviour::RawAnswer) {
+            asio::write(*socket, asio::buffer(this->rawAnswer));
             return socket->close();
         }
         if (behaviour == Behaviour::AnswerWithTrailer) {
@@ -347,6 +347,31 @@
     CHECK(this->post(this->server.url()).isComplete());
 }
 
+// Guards against passing on an answer after which a caller waits for the final one.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: status is not that of a final answer: verdict is may-have-run")
+{
+    const std::string status = GENERATE("101 Switching", "100 Continue", "199 Unknown", "600 Unknown", "999 Unknown");
+    INFO(status);
+    this->server.rawAnswer = "HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\ndone";
+    this->server.script = {Behaviour::RawAnswer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(outcome.failure == HttpFailure::Broken);
+    CHECK(outcome.body.empty());
+}
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: interim answers precede the final one: the final one is taken")
+{
+    this->server.rawAnswer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    this->server.script = {Behaviour::RawAnswer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.isComplete());
+    CHECK(outcome.status == 200);
+    CHECK(outcome.body == "done");
+    CHECK_FALSE(outcome.headers.has("X-Hint"));
+}
+
 // Guards against taking a head that breaks off for an answer with an empty body.
 TEST_CASE_METHOD(HttpClientFixture, "HttpClient: connection closes within the head: verdict is may-have-run")
 {
@@ -357,8 +382,8 @@
                                       std::string("X-Signature: s\r\nContent-Length: 4"),
                                       std::string()}) {
         INFO(fields);
-        this->server.partialHead = status + fields;
-        this->server.script = {Behaviour::PartialHead};
+        this->server.rawAnswer = status + fields;
+        this->server.script = {Behaviour::RawAnswer};
         const HttpOutcome outcome = this->post(this->server.url());
         CHECK(outcome.verdict == Verdict::MayHaveRun);
         CHECK(outcome.failure == HttpFailure::Broken);
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -295,6 +295,18 @@
     CHECK(outcome.body.find("\"ran\"") == std::string::npos);
 }
 
+// Guards against a caller that gets an interim answer and then nothing.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: status of the answer is not final: is not forwarded")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::Stream));
+    const std::string status = GENERATE("101 Switching", "600 Unknown");
+    this->raw.bytesFor = [status](std::size_t, const std::string &attemptId) {
+        return "HTTP/1.1 " + status + "\r\nX-Hemlockflow-Attempt-Id: " + attemptId
+            + "\r\nX-Hemlockflow-Response-Signature: signed\r\nContent-Length: 5\r\n\r\nwhole";
+    };
+    CHECK(this->call("attempt-1").status == 502);
+}
+
 TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: answer ends with its connection: is forwarded whole")
 {
     this->answerUnframed("whole", RawUpstream::Ending::Close);
