Reset connections whose request was given up unacknowledged

Cause: the connection was closed, not reset, so the kernel went on delivering what the peer had not acknowledged.

Change: libcurl closes sockets through HttpClient, which resets those that hold unacknowledged bytes.

Failed before, on: "HttpClient: call is cancelled before its request was read*" and "HttpClient: call times out before its request was read*".

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -8,6 +8,8 @@
 #include <linux/sockios.h>
 #include <nlohmann/json.hpp>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <unordered_map>
 
@@ -164,6 +166,17 @@
     return static_cast<std::size_t>(bytes);
 }
 
+/// Closes a socket for libcurl. Bytes that the peer has not acknowledged belong to a request that was given up. A reset
+/// discards them; otherwise the kernel would still deliver them after a network failure.
+int closeSocket(void *, curl_socket_t socket)
+{
+    if (unsentBytes(socket).value_or(0) > 0) {
+        const linger discard{1, 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    }
+    return close(socket);
+}
+
 /// Waits for events of a socket that libcurl owns; the descriptor releases the socket without closing it.
 struct WatchedSocket
 {
@@ -441,6 +454,7 @@
     curl_easy_setopt(easyHandle, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easyHandle, CURLOPT_WRITEFUNCTION, &dataReceived);
     curl_easy_setopt(easyHandle, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easyHandle, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
     curl_easy_setopt(easyHandle, CURLOPT_PRIVATE, &transfer);
 }
 
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -389,3 +389,70 @@
         CHECK(outcome.failure == HttpFailure::Broken);
     }
 }
+
+namespace {
+
+/// A server that accepts a connection and reads from it only when the test says so, like one behind a broken link.
+class UnreadRequestFixture : public HttpClientFixture
+{
+protected:
+    UnreadRequestFixture()
+    {
+        this->acceptor.open(tcp::v4());
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        this->acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        this->acceptor.listen();
+    }
+
+    /// Starts a call with a body that exceeds what the kernel buffers for the connection, and accepts the connection.
+    HttpClient::CallId startLongCall()
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
+        call.body = std::string(std::size_t{16} * 1024 * 1024, 'x');
+        call.timeout = this->timeout;
+        HttpCallHooks hooks;
+        hooks.done = [this](const HttpOutcome &) { this->isEnded = true; };
+        hooks.closed = [this](std::optional<std::size_t>) { this->isEnded = true; };
+        const auto id = this->client.start(call, std::move(hooks));
+        bool isAccepted = false;
+        this->acceptor.async_accept(this->peer, [&isAccepted](const asio::error_code &) { isAccepted = true; });
+        while (!isAccepted || this->peer.available() == 0)
+            this->loop.run_one_for(std::chrono::milliseconds(10));
+        return id;
+    }
+
+    /// Reads what the kernel still delivers. Returns how the connection ended.
+    asio::error_code readToEnd()
+    {
+        while (!this->isEnded)
+            this->loop.run_one();
+        asio::error_code error;
+        std::string bytes(std::size_t{64} * 1024, 0);
+        while (!error)
+            this->peer.read_some(asio::buffer(bytes), error);
+        return error;
+    }
+
+    tcp::acceptor acceptor{this->loop};
+    tcp::socket peer{this->loop};
+    bool isEnded = false;
+};
+
+} // namespace
+
+// Guards against requests that reach an upstream after they were given up, once a broken link works again.
+TEST_CASE_METHOD(UnreadRequestFixture,
+                 "HttpClient: call is cancelled before its request was read: the rest is discarded")
+{
+    this->client.cancel(this->startLongCall());
+    CHECK(this->readToEnd() == asio::error::connection_reset);
+}
+
+TEST_CASE_METHOD(UnreadRequestFixture, "HttpClient: call times out before its request was read: the rest is discarded")
+{
+    this->timeout = std::chrono::milliseconds(200);
+    this->startLongCall();
+    CHECK(this->readToEnd() == asio::error::connection_reset);
+}
