Let streams that have begun go on until the process exits

Calls that are open end 0.2 s before the exit, so that their answers are written; a stream that has begun has no such answer, but was aborted by it as well.

Change: RelayCall::endEarly leaves it alone. A test of the process.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -602,7 +602,9 @@
 
 void RelayCall::endEarly()
 {
-    this->endUnanswered("the process is about to end");
+    // A stream that has begun needs no time for an answer, and may still end by itself.
+    if (!this->hasStreamBegun)
+        this->endUnanswered("the process is about to end");
 }
 
 void RelayCall::endUnanswered(const std::string &reason)
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -32,7 +32,7 @@
 
     void start(HttpRequest request);
 
-    /// Ends the call before its time limit, since the process is about to exit.
+    /// Answers the call before its time limit, since the process is about to exit. A stream that has begun goes on.
     void endEarly();
 
 private:
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -35,7 +35,11 @@
             route.timeout = this->routeTimeout;
             route.latencyTarget = this->routeTimeout;
             route.targets = {{"service", 1.0}};
-            config.routes = {route};
+            RelayRoute streamRoute = route;
+            streamRoute.name = "stream";
+            streamRoute.pathPrefix = "/stream/";
+            streamRoute.kind = CallKind::Stream;
+            config.routes = {route, streamRoute};
             return config;
         };
         this->transport.decodeUpstream = [this](const std::string &id, const std::string &) {
@@ -132,10 +136,13 @@
         return result.value_or(HttpOutcome{});
     }
 
-    void startRequest(const std::string &address, const HttpHeaders &headers, std::optional<HttpOutcome> &result)
+    void startRequest(const std::string &address,
+                      const HttpHeaders &headers,
+                      std::optional<HttpOutcome> &result,
+                      const std::string &path = "/x")
     {
         HttpCall call;
-        call.url = endpointUrl(address) + "/x";
+        call.url = endpointUrl(address) + path;
         call.headers = headers;
         this->client.start(call, {{}, {}, [&result](const HttpOutcome &outcome) { result = outcome; }});
     }
@@ -282,6 +289,32 @@
     CHECK(result->body.find("may-have-run") != std::string::npos);
 }
 
+// Guards against streams that are cut before the process exits.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: stream has begun when other calls have to end: it can still end whole")
+{
+    this->drainTime = std::chrono::milliseconds(1500);
+    this->startWithUpstream();
+    std::optional<HttpOutcome> stream;
+    this->startRequest(this->settings.callerAddress, routeHeaders, stream, "/stream/x");
+    this->runUntil([this] { return this->openRequests.size() == 1; });
+    this->openRequests[0]->beginStream(
+        200, {{"X-Hemlockflow-Attempt-Id", "a"}, {"X-Hemlockflow-Response-Signature", "signed"}});
+    this->openRequests[0]->write("id: 1\ndata: a\n\n");
+    std::optional<HttpOutcome> call;
+    this->startRequest(this->settings.callerAddress, routeHeaders, call);
+    this->runUntil([this] { return this->openRequests.size() == 2; });
+    this->terminate();
+    this->runUntil([&call] { return call.has_value(); });
+    CHECK(call->status == 504);
+    this->openRequests[0]->endStream();
+    while (!stream && !this->loop.stopped())
+        this->loop.run_one();
+    REQUIRE(stream);
+    CHECK(stream->isComplete());
+    CHECK(stream->body == "id: 1\ndata: a\n\n");
+}
+
 TEST_CASE_METHOD(RelayProcessFixture, "RelayProcess: SIGTERM comes twice during a call: the call gets its answer")
 {
     this->startWithUpstream();
