--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -232,3 +232,33 @@
     CHECK(this->server->buffers().usedBytes() == 0);
     CHECK(this->server->buffers().refusalCount() == 0);
 }
+
+// Guards against answers to callers that do not read, which would take more memory together than a VM has.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: many callers do not read their answers: what is kept is bounded")
+{
+    constexpr std::size_t callerCount = 40;
+    constexpr std::size_t answerBytes = std::size_t{4} * 1024 * 1024;
+    constexpr std::size_t maxBytes = std::size_t{40} * 1024 * 1024;
+    std::size_t handled = 0;
+    std::size_t peak = 0;
+    this->startServer([&](const HttpRequest &, const HttpResponderPtr &responder) {
+        responder->reply(200, {}, std::string(answerBytes, 'x'));
+        ++handled;
+        peak = std::max(peak, this->server->buffers().usedBytes());
+    });
+    std::vector<tcp::socket> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        tcp::socket &caller = callers.emplace_back(this->loop);
+        caller.open(tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(4096));
+        caller.connect(this->connection.remote_endpoint());
+        asio::write(caller, asio::buffer(plainRequest));
+    }
+    this->runUntil([&handled] { return handled == callerCount; });
+    CHECK(peak < maxBytes);
+    CHECK(this->server->buffers().refusalCount() > 0);
+    // Their memory is free again when they have left.
+    callers.clear();
+    this->runUntil([this] { return this->server->buffers().usedBytes() == 0; });
+    CHECK(this->server->openResponses() == 0);
+}
