--- a/tests/unit/shutdownprogresstest.cpp
+++ b/tests/unit/shutdownprogresstest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace hemlock;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -19,9 +20,9 @@
         return this->progress.mayExit(openCalls, this->at(ms));
     }
 
-    bool acceptsAt(int ms, int timeLimitMs, bool isResumable = false) const
+    bool acceptsAt(std::chrono::milliseconds time, std::chrono::milliseconds timeLimit, bool isResumable = false) const
     {
-        return this->progress.accepts(std::chrono::milliseconds(timeLimitMs), isResumable, this->at(ms));
+        return this->progress.accepts(timeLimit, isResumable, this->start + time);
     }
 
     std::chrono::steady_clock::time_point at(int ms) const
@@ -61,20 +62,20 @@
 // Guards against calls that are taken and cut by the exit, though their limits would let them run on.
 TEST_CASE_METHOD(ShutdownProgressFixture, "ShutdownProgress: request may take longer than is left: it is not accepted")
 {
-    CHECK(this->acceptsAt(0, 3000));
-    CHECK(this->acceptsAt(4400, 3000));
-    CHECK_FALSE(this->acceptsAt(4401, 3000));
-    CHECK_FALSE(this->acceptsAt(5400, 3000));
-    CHECK(this->acceptsAt(5400, 2000));
-    CHECK_FALSE(this->acceptsAt(0, 12000));
+    CHECK(this->acceptsAt(0ms, 3000ms));
+    CHECK(this->acceptsAt(4400ms, 3000ms));
+    CHECK_FALSE(this->acceptsAt(4401ms, 3000ms));
+    CHECK_FALSE(this->acceptsAt(5400ms, 3000ms));
+    CHECK(this->acceptsAt(5400ms, 2000ms));
+    CHECK_FALSE(this->acceptsAt(0ms, 12000ms));
 }
 
 TEST_CASE_METHOD(ShutdownProgressFixture,
                  "ShutdownProgress: stream can be resumed at another VM: it is accepted until others get the requests")
 {
-    CHECK(this->acceptsAt(2400, 12000, true));
-    CHECK_FALSE(this->acceptsAt(2500, 12000, true));
-    CHECK(this->acceptsAt(2500, 4000, true));
+    CHECK(this->acceptsAt(2400ms, 12000ms, true));
+    CHECK_FALSE(this->acceptsAt(2500ms, 12000ms, true));
+    CHECK(this->acceptsAt(2500ms, 4000ms, true));
 }
 
 TEST_CASE_METHOD(ShutdownProgressFixture, "ShutdownProgress: calls stay open: they end before the process exits")
