--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -266,9 +266,12 @@
         const std::int64_t first = this->usage.windowAt(wallTime - this->settings.initialLookback);
         this->nextWindow = std::min(first, this->oldestSavedWindow.value_or(first));
     }
-    const std::int64_t window = *this->nextWindow;
-    if (wallTime < this->usage.windowEnd(window) + this->settings.peerCountDelay)
-        return;
+    if (wallTime >= this->usage.windowEnd(*this->nextWindow) + this->settings.peerCountDelay)
+        this->recordWindow(*this->nextWindow);
+}
+
+void DutyRunner::recordWindow(std::int64_t window)
+{
     // A write that was given up may still be executed, so that a repeated one has the same counts.
     const std::int64_t token = this->role.fencingToken();
     const bool isRepeated =
@@ -289,25 +292,32 @@
     txn.isOrderIndependent = true;
     this->isReporting = true;
     this->role.commit(std::move(txn),
-                      [this, window, windowCounts, removedWindows, alive = std::weak_ptr<bool>(this->alive)](
+                      [this, windowCounts, removedWindows, alive = std::weak_ptr<bool>(this->alive)](
                           LeaderRole::CommitResult result) {
-                          if (alive.expired())
-                              return;
-                          this->isReporting = false;
-                          if (result == LeaderRole::CommitResult::Committed) {
-                              this->recordedCounts = windowCounts;
-                              this->nextWindow = window + 1;
-                              this->unsentWindows.insert(window);
-                              for (const std::int64_t removed : removedWindows)
-                                  this->storedRecords.erase(removed);
-                              this->storedRecords[window] = this->recordKey(window);
-                          } else if (result == LeaderRole::CommitResult::Unknown) {
-                              // The counts may be in the store already: only what is read from there may be sent.
-                              this->areRecordsLoaded = false;
-                          }
+                          if (!alive.expired())
+                              this->windowRecorded(windowCounts, removedWindows, result);
                       });
 }
 
+void DutyRunner::windowRecorded(const std::map<std::int64_t, UsageCounts> &windowCounts,
+                                const std::vector<std::int64_t> &removedWindows,
+                                LeaderRole::CommitResult result)
+{
+    this->isReporting = false;
+    // The counts may be in the store already: only what is read from there may be sent.
+    if (result == LeaderRole::CommitResult::Unknown)
+        this->areRecordsLoaded = false;
+    if (result != LeaderRole::CommitResult::Committed)
+        return;
+    const std::int64_t window = windowCounts.begin()->first;
+    this->recordedCounts = windowCounts;
+    this->nextWindow = window + 1;
+    this->unsentWindows.insert(window);
+    for (const std::int64_t removed : removedWindows)
+        this->storedRecords.erase(removed);
+    this->storedRecords[window] = this->recordKey(window);
+}
+
 void DutyRunner::saveCounts(TimePoint time, WallTime wallTime)
 {
     if (this->isSaving || time < this->nextSave)
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -97,6 +97,11 @@
     /// Skips the windows that a holder whose record was lost may have reported.
     void skipReportableWindows();
     void reportNextWindow(WallTime wallTime);
+    /// Writes the counts of a window to the store, from where they are reported.
+    void recordWindow(std::int64_t window);
+    void windowRecorded(const std::map<std::int64_t, UsageCounts> &windowCounts,
+                        const std::vector<std::int64_t> &removedWindows,
+                        LeaderRole::CommitResult result);
     void sendReport(std::int64_t window);
     void sendNextOrder(TimePoint now);
 
