Send nothing more to an upstream that says in an answer that it leaves

Callers' requests went on to an upstream that had said in each of its answers that it leaves, for as long as the store was silent or read late (DRAIN). The field of the answer was not read; an upstream left by its entry in the store only.

platform/ decodes the field. RelayCall reads it from the head of each answer that belongs to its attempt, whatever its status and its end. UpstreamLimits becomes UpstreamNotices, which keeps limits and departures with who told them and when, and what peers are told. A departure belongs to an incarnation, so that entries, late answers and old messages do not take it back in any order. RelayScheduler lists such an upstream as leaving.

--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -177,7 +177,7 @@
         update.usage = this->shared.usage.ownCounts();
     }
     update.quarantine = this->suspectUpdates.nextMessage(SuspectUpdates::Audience::Neighbours, time);
-    update.upstreamLimits = this->shared.scheduler.limits().encode(false, time);
+    update.upstreamNotices = this->shared.scheduler.notices().encode(false, time);
     this->link.send(encode("vm", update), receivers);
 }
 
@@ -223,7 +223,7 @@
             addLoads(update.loads, reported.loads);
     }
     update.quarantine = this->suspectUpdates.nextMessage(SuspectUpdates::Audience::OtherZones, time);
-    update.upstreamLimits = this->shared.scheduler.limits().encode(true, time);
+    update.upstreamNotices = this->shared.scheduler.notices().encode(true, time);
     const std::string datagram = encode("zone", update);
     ++this->nextReceiver;
     for (const auto &[zone, addresses] : this->shared.registry.addressesByZone(time)) {
@@ -302,7 +302,7 @@
     for (const CachedParts &cached : update.cachedParts)
         this->shared.scheduler.addPeerCachedParts(cached);
     this->suspectUpdates.applyMessage(update.quarantine, SuspectUpdates::Audience::Neighbours, time);
-    this->shared.scheduler.limits().apply(update.upstreamLimits, UpstreamLimits::Source::Zone, time);
+    this->shared.scheduler.applyPeerNotices(update.upstreamNotices, UpstreamNotices::Source::Zone, time);
 }
 
 void PeerExchange::applyZoneUpdate(const ZoneUpdate &update,
@@ -330,7 +330,7 @@
     zone.lastDemand = mergedDemand;
     this->loads[update.zone] = {update.loads, time};
     this->suspectUpdates.applyMessage(update.quarantine, SuspectUpdates::Audience::OtherZones, time);
-    this->shared.scheduler.limits().apply(update.upstreamLimits, UpstreamLimits::Source::OtherZone, time);
+    this->shared.scheduler.applyPeerNotices(update.upstreamNotices, UpstreamNotices::Source::OtherZone, time);
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/peerupdate.cpp
+++ b/src/libhemlock/relay/peerupdate.cpp
@@ -46,6 +46,12 @@
     return windows;
 }
 
+/// The notices of one kind in a message, or none.
+nlohmann::json noticesOf(const nlohmann::json &message, const char *kind)
+{
+    return message.is_object() ? message.value(kind, nlohmann::json::object()) : nlohmann::json::object();
+}
+
 } // namespace
 
 void to_json(nlohmann::json &json, const PeerUpdate &update)
@@ -70,7 +76,8 @@
             {"usage", encodeUsage(update.usage)},
             {"cached", std::move(cached)},
             {"quarantine", update.quarantine},
-            {"limits", update.upstreamLimits}};
+            {"limits", noticesOf(update.upstreamNotices, "limits")},
+            {"leaving", noticesOf(update.upstreamNotices, "leaving")}};
 }
 
 void from_json(const nlohmann::json &json, PeerUpdate &update)
@@ -93,7 +100,7 @@
         update.cachedParts.push_back(std::move(cached));
     }
     update.quarantine = json.at("quarantine");
-    update.upstreamLimits = json.value("limits", nlohmann::json::object());
+    update.upstreamNotices = {{"limits", noticesOf(json, "limits")}, {"leaving", noticesOf(json, "leaving")}};
 }
 
 void to_json(nlohmann::json &json, const ZoneUpdate &update)
@@ -106,7 +113,8 @@
             {"loads", encodeLoads(update.loads)},
             {"demand", update.demand},
             {"quarantine", update.quarantine},
-            {"limits", update.upstreamLimits}};
+            {"limits", noticesOf(update.upstreamNotices, "limits")},
+            {"leaving", noticesOf(update.upstreamNotices, "leaving")}};
 }
 
 void from_json(const nlohmann::json &json, ZoneUpdate &update)
@@ -119,7 +127,7 @@
     update.loads = decodeLoads(json.at("loads"));
     json.at("demand").get_to(update.demand);
     update.quarantine = json.at("quarantine");
-    update.upstreamLimits = json.value("limits", nlohmann::json::object());
+    update.upstreamNotices = {{"limits", noticesOf(json, "limits")}, {"leaving", noticesOf(json, "leaving")}};
 }
 
 void to_json(nlohmann::json &json, const UsageUpdate &update)
--- a/src/libhemlock/relay/peerupdate.h
+++ b/src/libhemlock/relay/peerupdate.h
@@ -38,7 +38,7 @@
     std::map<std::int64_t, UsageCounts> usage; ///< By index of the wall clock window.
     std::vector<CachedParts> cachedParts; ///< Sent to upstreams since the last message but one.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
-    nlohmann::json upstreamLimits; ///< As by UpstreamLimits::encode(); empty from earlier versions.
+    nlohmann::json upstreamNotices; ///< As by UpstreamNotices::encode(); earlier versions lack some kinds.
 };
 
 /// Sums over all entry VMs of an availability zone, as seen by one of them. The size does not grow with the number of
@@ -53,7 +53,7 @@
     PeerLoads loads;
     std::map<std::string, double> demand; ///< Prompt tokens since the sender's start, by service.
     nlohmann::json quarantine; ///< As by Quarantine::delta().
-    nlohmann::json upstreamLimits; ///< As by UpstreamLimits::encode(); empty from earlier versions.
+    nlohmann::json upstreamNotices; ///< As by UpstreamNotices::encode(); earlier versions lack some kinds.
 };
 
 /// Usage counts that an entry VM of a large fleet sends to the duty holder only.
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -361,7 +361,7 @@
     this->isMismatched = this->answer.attemptId != this->request.attemptId;
     if (this->isMismatched)
         return this->abortAttempt("the answer belongs to another request");
-    this->recordRateLimit();
+    this->recordNotice();
     const bool isSuccessful = headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
     // An answer of another type does not continue a stream.
     this->isStreaming =
@@ -370,15 +370,15 @@
         this->context.scheduler.answerBegan(this->id, this->context.now());
 }
 
-void RelayCall::recordRateLimit()
+void RelayCall::recordNotice()
 {
-    UpstreamLimits &limits = this->context.scheduler.limits();
-    if (this->answer.rateLimit)
-        limits.recordAnswer(this->upstream.id, *this->answer.rateLimit, this->context.now());
-    else if (this->answer.namesRateLimit)
-        logEvent(LogLevel::Warning, "invalid-upstream-limit", {{"upstream", this->upstream.id}});
-    else if (this->status < 300 && this->answer.isSigned)
-        limits.recordAnswer(this->upstream.id, 0.0, this->context.now());
+    UpstreamNotice notice;
+    notice.limit = this->answer.rateLimit;
+    if (!this->answer.namesRateLimit && this->status < 300 && this->answer.isSigned)
+        notice.limit = 0.0;
+    notice.isLeaving = this->answer.isUpstreamLeaving;
+    notice.invalidFields = this->answer.invalidNotices;
+    this->context.scheduler.recordNotice(this->upstream, notice, this->context.now());
 }
 
 void RelayCall::abortAttempt(const std::string &error)
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -47,7 +47,7 @@
     void sendAttempt(const Upstream &upstream, const RouteDecision &decision);
     void headArrived(int status, const HttpHeaders &headers);
     void bytesArrived(std::string_view bytes);
-    void recordRateLimit();
+    void recordNotice();
     void abortAttempt(const std::string &error);
     void attemptDone(const HttpOutcome &outcome);
     void logFailedAttempt(const HttpOutcome &outcome, CrashEvidence evidence) const;
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -185,7 +185,7 @@
     , tickTimer(loop)
     , drainTimer(loop)
 {
-    this->scheduler.limits().setFleet(this->settings.node, [this] { return this->registry.nodes(this->now()); });
+    this->scheduler.notices().setFleet(this->settings.node, [this] { return this->registry.nodes(this->now()); });
     this->quarantine.setSuspicionHook([](const std::string &subject, bool isStrong, std::size_t crashes) {
         logEvent(LogLevel::Warning, "quarantine", {{"subject", subject}, {"strong", isStrong}, {"crashes", crashes}});
     });
@@ -480,6 +480,12 @@
     this->metrics.setTotal("hemlock_answers_broken_off_total",
                            "Answers that this process broke off, too long or not final.",
                            this->context.http.brokenOffAnswers());
+    const UpstreamNotices::Counts &notices = this->scheduler.notices().counts();
+    this->metrics.setTotal(
+        "hemlock_upstreams_leaving_total", "Upstreams that said that they leave, here or at a peer.", notices.leaving);
+    this->metrics.setTotal("hemlock_invalid_upstream_notices_total",
+                           "Notices in answers of upstreams whose value was ignored or bounded.",
+                           notices.invalid);
     this->metrics.setTotal("hemlock_buffer_refusals_total",
                            "Requests and responses of callers that found no room in the buffers.",
                            this->callerServer.buffers().refusalCount());
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -29,20 +29,26 @@
 {
 }
 
-void RelayScheduler::applyUpstreams(const std::vector<Upstream> &upstreams, TimePoint now)
+void RelayScheduler::applyUpstreams(const std::vector<Upstream> &listed, TimePoint now)
 {
+    std::vector<Upstream> upstreams = listed;
+    for (Upstream &upstream : upstreams) {
+        if (upstream.state != UpstreamState::Gone && this->upstreamNotices.isLeaving(upstream))
+            upstream.state = UpstreamState::Leaving;
+    }
+    this->upstreamNotices.prune(upstreams, now);
     std::unordered_map<std::string, std::string> knownIncarnations;
     for (const auto &[id, upstream] : this->pool.all())
         knownIncarnations[id] = upstream.incarnation;
     for (const Upstream &removedUpstream : this->pool.apply(upstreams, now).removed) {
         this->modelRouter.removeUpstream(removedUpstream.id);
-        this->upstreamLimits.remove(removedUpstream.id);
+        this->upstreamNotices.remove(removedUpstream.id);
     }
     for (const Upstream &upstream : upstreams) {
         const auto known = knownIncarnations.find(upstream.id);
         if (known != knownIncarnations.end() && known->second != upstream.incarnation) {
             this->modelRouter.removeUpstream(upstream.id);
-            this->upstreamLimits.remove(upstream.id);
+            this->upstreamNotices.remove(upstream.id);
         }
     }
     this->tick(now);
@@ -136,9 +142,29 @@
     return this->pool;
 }
 
-UpstreamLimits &RelayScheduler::limits()
+UpstreamNotices &RelayScheduler::notices()
+{
+    return this->upstreamNotices;
+}
+
+void RelayScheduler::recordNotice(const Upstream &upstream, const UpstreamNotice &notice, TimePoint now)
 {
-    return this->upstreamLimits;
+    if (this->upstreamNotices.record(upstream, notice, now))
+        this->applyDepartures(now);
+}
+
+void RelayScheduler::applyPeerNotices(const nlohmann::json &message, UpstreamNotices::Source source, TimePoint now)
+{
+    if (this->upstreamNotices.apply(message, source, now))
+        this->applyDepartures(now);
+}
+
+void RelayScheduler::applyDepartures(TimePoint now)
+{
+    std::vector<Upstream> known;
+    for (const auto &[id, upstream] : this->pool.all())
+        known.push_back(upstream);
+    this->applyUpstreams(known, now);
 }
 
 std::size_t RelayScheduler::waitingCount(const std::string &service) const
@@ -217,7 +243,7 @@
     std::set<std::string> excluded = this->fullUpstreams(ticket, now);
     excluded.insert(ticket.excluded.begin(), ticket.excluded.end());
     // Also those that failed recently, which are chosen when no healthy one is left.
-    excluded.merge(this->upstreamLimits.exhausted(now));
+    excluded.merge(this->upstreamNotices.exhausted(now));
     if (ticket.isTrial)
         this->excludeLoaded(ticket.service, excluded, now);
     const bool isModel = this->modelServices.contains(ticket.service);
@@ -247,7 +273,7 @@
         this->cachedParts.push_back({upstream->id, ticket.parts});
     }
     this->pool.attemptStarted(upstream->id);
-    this->upstreamLimits.requestStarted(upstream->id, now);
+    this->upstreamNotices.requestStarted(upstream->id, now);
     this->demandedByService[ticket.service] += started.pendingTokens;
     if (isModel && ticket.promptTokens > 0.0) {
         double &share = this->uncachedShareByService.try_emplace(ticket.service, 1.0).first->second;
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fairqueue.h"
-#include "relay/upstreamlimits.h"
+#include "relay/upstreamnotices.h"
 #include "router.h"
 #include "upstreampool.h"
 #include "verdict.h"
@@ -68,8 +68,8 @@
 
     RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings = {});
 
-    /// Replaces the known upstreams.
-    void applyUpstreams(const std::vector<Upstream> &upstreams, TimePoint now);
+    /// Replaces the known upstreams. One that has said that it leaves does, whatever its listed state.
+    void applyUpstreams(const std::vector<Upstream> &listed, TimePoint now);
 
     /// Sets the services whose upstreams run a language model and compute prompts.
     void setModelServices(std::set<std::string> services);
@@ -94,7 +94,13 @@
 
     UpstreamPool &upstreams();
 
-    UpstreamLimits &limits();
+    UpstreamNotices &notices();
+
+    /// Records what the head of an answer says of @p upstream, as known when the request was sent.
+    void recordNotice(const Upstream &upstream, const UpstreamNotice &notice, TimePoint now);
+
+    /// Applies a message of another entry VM, as by UpstreamNotices::encode().
+    void applyPeerNotices(const nlohmann::json &message, UpstreamNotices::Source source, TimePoint now);
 
     /// Number of queued requests of a service.
     std::size_t waitingCount(const std::string &service) const;
@@ -133,6 +139,8 @@
 
     using Ranks = std::map<int, FairQueue>;
 
+    /// Takes upstreams that have said so for leaving.
+    void applyDepartures(TimePoint now);
     std::set<std::string> fullUpstreams(const RelayTicket &ticket, TimePoint now);
     /// Excludes all healthy upstreams of a service but the one with the least load of those not yet excluded.
     void excludeLoaded(const std::string &service, std::set<std::string> &excluded, TimePoint now);
@@ -146,7 +154,7 @@
     RandomEngine random;
     RelaySchedulerSettings settings;
     UpstreamPool pool;
-    UpstreamLimits upstreamLimits;
+    UpstreamNotices upstreamNotices;
     Router modelRouter;
     Router plainRouter;
     std::set<std::string> modelServices;
--- a/tests/unit/peerexchangetest.cpp
+++ b/tests/unit/peerexchangetest.cpp
@@ -254,3 +254,16 @@
         CHECK(vm->quarantine.permissionFor("model/bad", std::chrono::steady_clock::now())
               == Quarantine::Permission::Refused);
 }
+
+TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange: one VM hears that an upstream leaves: no VM uses it any more")
+{
+    this->startFleet(GENERATE(2, 5));
+    const auto upstream = this->vms[0]->scheduler.upstreams().find("m1");
+    REQUIRE(upstream);
+    UpstreamNotice notice;
+    notice.isLeaving = true;
+    this->vms[0]->scheduler.recordNotice(*upstream, notice, std::chrono::steady_clock::now());
+    this->runFor(std::chrono::milliseconds(1000));
+    for (const auto &vm : this->vms)
+        CHECK(vm->scheduler.upstreams().isLeaving("m1"));
+}
--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -84,6 +84,26 @@
     CHECK_FALSE(platform::decodeRelayAnswer({}).namesRateLimit);
 }
 
+TEST_CASE("decodeRelayAnswer: upstream says that it leaves: other values than the agreed ones are reported")
+{
+    const auto answerWith = [](const std::string &value) {
+        return platform::decodeRelayAnswer({{"Server-Leaving", value}});
+    };
+    CHECK(answerWith("1").isUpstreamLeaving);
+    CHECK(answerWith(" 1 ").invalidNotices.empty());
+    CHECK_FALSE(answerWith("0").isUpstreamLeaving);
+    CHECK(answerWith("0").invalidNotices.empty());
+    for (const char *invalid :
+         {"", "-1", "2", "true", "1,1", "99999999999999999999", "Sat, 05 Dec 2026 10:00:00 GMT"}) {
+        CAPTURE(invalid);
+        CHECK_FALSE(answerWith(invalid).isUpstreamLeaving);
+        CHECK(answerWith(invalid).invalidNotices == std::vector<std::string>{"leaving"});
+    }
+    CHECK_FALSE(platform::decodeRelayAnswer({}).isUpstreamLeaving);
+    CHECK(platform::decodeRelayAnswer({}).invalidNotices.empty());
+    CHECK(platform::decodeRelayAnswer({{"Server-Limit", "x"}}).invalidNotices == std::vector<std::string>{"limit"});
+}
+
 TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: valid settings: are mapped to the relay settings")
 {
     const auto parsed = platform::parsePlatformSettings(settings());
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -755,3 +755,73 @@
     CHECK_FALSE(result.outcome.isComplete());
     CHECK(result.bytes == "id: 1\ndata: a\n\n");
 }
+
+// The head alone counts: refusals, streams and answers that break off after it say so as well.
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: upstream says in an answer of any kind that it leaves: later requests go elsewhere")
+{
+    using Reply = std::function<void(HttpHeaders headers, const HttpResponderPtr &responder)>;
+    const auto reply = GENERATE(
+        as<Reply>(),
+        [](const HttpHeaders &headers, const HttpResponderPtr &responder) { responder->reply(200, headers, "whole"); },
+        [](const HttpHeaders &headers, const HttpResponderPtr &responder) { responder->reply(404, headers, "none"); },
+        [](HttpHeaders headers, const HttpResponderPtr &responder) {
+            headers.add("X-Hemlockflow-Not-Executed", "1");
+            responder->reply(503, headers, "");
+        },
+        [](const HttpHeaders &headers, const HttpResponderPtr &responder) {
+            responder->beginStream(200, headers);
+            responder->write("id: 1\ndata: a\n\n");
+            responder->abort();
+        });
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::Stream), 2, true);
+    this->first.handler = [&reply](const HttpRequest &request, const HttpResponderPtr &responder) {
+        HttpHeaders headers = answerHeaders(request);
+        headers.add("Server-Leaving", "1");
+        reply(headers, responder);
+    };
+    this->second.handler = [](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->reply(200, answerHeaders(request), "id: 1\ndata: a\n\n");
+    };
+    for (int i = 0; i < 60 && this->first.requests.empty(); ++i)
+        this->call(this->request());
+    REQUIRE(this->first.requests.size() == 1);
+    this->second.requests.clear();
+    for (int i = 0; i < 20; ++i)
+        CHECK(this->call(this->request()).outcome.status == 200);
+    CHECK(this->first.requests.size() == 1);
+    CHECK(this->second.requests.size() == 20);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: answer to another request says that its upstream leaves: is not believed")
+{
+    this->setHandlers([](const HttpRequest &, const HttpResponderPtr &responder) {
+        responder->reply(200, {{"X-Hemlockflow-Attempt-Id", "other"}, {"Server-Leaving", "1"}}, "whole");
+    });
+    this->call(this->request());
+    CHECK(this->sentCount() == 2);
+    CHECK_FALSE(this->scheduler.upstreams().isLeaving("upstream-1"));
+    CHECK_FALSE(this->scheduler.upstreams().isLeaving("upstream-2"));
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: upstream says in the head of a stream that it leaves: the stream goes on")
+{
+    this->configure(CallKind::Stream, 2, true);
+    this->setHandlers([this](const HttpRequest &request, const HttpResponderPtr &responder) {
+        HttpHeaders headers = answerHeaders(request);
+        headers.add("Server-Leaving", "1");
+        responder->beginStream(200, headers);
+        responder->write("id: 1\ndata: a\n\n");
+        auto rest = std::make_shared<asio::steady_timer>(this->loop, std::chrono::milliseconds(20));
+        rest->async_wait([rest, responder](const asio::error_code &) {
+            responder->write("id: 2\ndata: b\n\n");
+            responder->endStream();
+        });
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.isComplete());
+    CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(this->sentCount() == 1);
+}
--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayscheduler.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace hemlock;
 
@@ -51,7 +52,36 @@
         this->scheduler.submit(ticket, std::move(hooks), this->now);
     }
 
+    void nameLimit(const Upstream &upstream, double limit)
+    {
+        UpstreamNotice notice;
+        notice.limit = limit;
+        this->scheduler.recordNotice(upstream, notice, this->now);
+    }
+
+    void sayLeaving(const Upstream &upstream)
+    {
+        UpstreamNotice notice;
+        notice.isLeaving = true;
+        this->scheduler.recordNotice(upstream, notice, this->now);
+    }
+
+    /// Whether requests for the model are sent to an upstream.
+    bool isUsed(const std::string &upstream)
+    {
+        bool isChosen = false;
+        for (int i = 0; i < 40; ++i) {
+            const std::string id = "use-" + std::to_string(++this->useCount);
+            this->submit(this->ticket(id, "model", 10.0));
+            isChosen = isChosen || this->chosenUpstreams[id] == upstream;
+            this->scheduler.answerBegan(id, this->now);
+            this->scheduler.requestEnded(id, false, this->now);
+        }
+        return isChosen;
+    }
+
     RelayScheduler scheduler{{"zone-a"}, RandomEngine(3)};
+    int useCount = 0;
     std::vector<Upstream> upstreams;
     std::vector<std::string> started;
     std::map<std::string, std::string> chosenUpstreams;
@@ -220,7 +250,7 @@
 // Load: an upstream in need beside a sound one; requests wait for no longer than the sound one is full.
 TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: upstream names a limit: others get the requests beyond it")
 {
-    this->scheduler.limits().recordAnswer("m1", 1.0, this->now);
+    this->nameLimit(this->upstreams[0], 1.0);
     for (int i = 0; i < 20; ++i) {
         this->now += std::chrono::milliseconds(100);
         const std::string id = "r" + std::to_string(i);
@@ -238,7 +268,7 @@
 TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: only upstream names a limit: requests wait for their turn")
 {
     this->scheduler.applyUpstreams({this->upstreams[0]}, this->now);
-    this->scheduler.limits().recordAnswer("m1", 2.0, this->now);
+    this->nameLimit(this->upstreams[0], 2.0);
     for (const char *id : {"a", "b"})
         this->submit(this->ticket(id, "model"));
     CHECK(this->started.empty());
@@ -252,8 +282,73 @@
 
 TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: upstream with a limit restarts: the limit is forgotten")
 {
-    this->scheduler.limits().recordAnswer("m1", 1.0, this->now);
+    this->nameLimit(this->upstreams[0], 1.0);
+    this->upstreams[0].incarnation = "2";
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK(this->scheduler.notices().limitOf("m1") == 0.0);
+}
+
+// Covers a store that is silent, reads late, or returns an older copy: entries do not bring the upstream back.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: upstream says that it leaves: gets no further request until it starts anew")
+{
+    this->upstreams[0].incarnation = "1";
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK(this->isUsed("m1"));
+    this->sayLeaving(this->upstreams[0]);
+    CHECK_FALSE(this->isUsed("m1"));
+    CHECK(this->scheduler.upstreams().isLeaving("m1"));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK_FALSE(this->isUsed("m1"));
+    this->scheduler.applyUpstreams({this->upstreams[1]}, this->now);
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK_FALSE(this->isUsed("m1"));
+    const Upstream former = this->upstreams[0];
+    this->upstreams[0].incarnation = "2";
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK(this->isUsed("m1"));
+    this->sayLeaving(former);
+    CHECK(this->isUsed("m1"));
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: other VM heard that an upstream leaves: neither order with its entry brings it back")
+{
+    const bool isEntryFirst = GENERATE(true, false);
+    CAPTURE(isEntryFirst);
+    const nlohmann::json message = {{"limits", nlohmann::json::object()}, {"leaving", {{"m1", {"2", 100}}}}};
+    const auto applyMessage = [this, &message] {
+        this->scheduler.applyPeerNotices(message, UpstreamNotices::Source::Zone, this->now);
+    };
+    this->upstreams[0].incarnation = "1";
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
     this->upstreams[0].incarnation = "2";
+    if (isEntryFirst) {
+        this->scheduler.applyUpstreams(this->upstreams, this->now);
+        CHECK(this->isUsed("m1"));
+        applyMessage();
+    } else {
+        applyMessage();
+        CHECK(this->isUsed("m1"));
+        this->scheduler.applyUpstreams(this->upstreams, this->now);
+    }
+    CHECK_FALSE(this->isUsed("m1"));
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: upstream says that it leaves: waiting requests go elsewhere, running ones end there")
+{
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->upstreams[2].incarnation = "1";
     this->scheduler.applyUpstreams(this->upstreams, this->now);
-    CHECK(this->scheduler.limits().limitOf("m1") == 0.0);
+    for (const char *id : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"})
+        this->submit(this->ticket(id, "plain"));
+    REQUIRE(this->started.size() == 6);
+    this->sayLeaving(this->upstreams[2]);
+    const RequestIds running = this->started;
+    for (const std::string &id : running)
+        this->scheduler.requestEnded(id, false, this->now);
+    CHECK(this->started.size() > running.size());
+    for (std::size_t i = running.size(); i < this->started.size(); ++i)
+        CHECK(this->chosenUpstreams.at(this->started[i]) == "p2");
 }
