Log and count retries that are not allowed

A retry that was not allowed left no line, and the line of an allowed one had no balance, so that a budget that every start fills again looked like one that was split over too few VMs.

retry-refused names what stood against the retry (kind, attempts, time, quarantine or budget), and it and retry have the service and the balance. hemlock_retries_total and hemlock_retries_refused_total count both. No decision changes.

Test: unit "Metrics: retries are allowed and refused*".

--- a/src/libhemlock/metrics.cpp
+++ b/src/libhemlock/metrics.cpp
@@ -112,6 +112,8 @@
 {
 public:
     std::map<std::pair<Verdict, int>, std::uint64_t> requests;
+    std::map<std::string, std::uint64_t> refusedRetries; ///< By what stood against them.
+    std::uint64_t retries = 0;
     std::uint64_t tokens = 0;
     std::uint64_t recomputedTokens = 0;
     std::size_t queueLength = 0;
@@ -149,6 +151,16 @@
     series.recomputedTokens += sample.recomputedTokens;
 }
 
+void Metrics::addRetry(const MetricLabels &labels)
+{
+    ++this->series(labels).retries;
+}
+
+void Metrics::addRefusedRetry(const MetricLabels &labels, const std::string &limit)
+{
+    ++this->series(labels).refusedRetries[limit];
+}
+
 void Metrics::addFirstTokenLatency(const MetricLabels &labels, std::chrono::nanoseconds latency)
 {
     this->series(labels).firstTokenLatency.add(latency);
@@ -203,6 +215,18 @@
     appendValues("hemlock_queue_length", "gauge", "Requests that wait for their turn.", [](const Series &series) {
         return std::uint64_t{series.queueLength};
     });
+    appendValues("hemlock_retries_total",
+                 "counter",
+                 "Attempts after the first of a request.",
+                 [](const Series &series) { return series.retries; });
+    appendMetadata(text, "hemlock_retries_refused_total", "counter", "Failed attempts that were not retried.");
+    for (const auto &[labels, series] : this->seriesByLabels) {
+        for (const auto &[limit, count] : series->refusedRetries)
+            appendSample(text,
+                         "hemlock_retries_refused_total",
+                         formatLabels(labels, ",limit=\"" + limit + "\""),
+                         std::to_string(count));
+    }
     const auto appendSummary = [&text](const std::string &name,
                                        const Distribution &times,
                                        const std::function<std::string(const std::string &extraLabels)> &labels) {
--- a/src/libhemlock/metrics.h
+++ b/src/libhemlock/metrics.h
@@ -44,6 +44,12 @@
 
     void addRequest(const MetricLabels &labels, const RequestSample &sample);
 
+    /// Counts a retry that was allowed.
+    void addRetry(const MetricLabels &labels);
+
+    /// Counts a failed attempt that was not retried. @p limit names what stood against the retry.
+    void addRefusedRetry(const MetricLabels &labels, const std::string &limit);
+
     /// Time from the arrival of a request to its first token.
     void addFirstTokenLatency(const MetricLabels &labels, std::chrono::nanoseconds latency);
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -562,18 +562,45 @@
     return this->route->kind == CallKind::Idempotent;
 }
 
+std::string_view RelayCall::takeRetry(TimePoint now)
+{
+    if (!this->isRetryable())
+        return "kind";
+    if (this->attempts >= this->route->maxAttempts)
+        return "attempts";
+    if (this->timeLeft() < minRemainingTime)
+        return "time";
+    if (this->quarantineError())
+        return "quarantine";
+    return this->context.retryBudget.tryRetry({}, this->service, now) ? "" : "budget";
+}
+
 bool RelayCall::scheduleRetry(const std::string &reason)
 {
     const auto now = this->context.now();
-    if (!this->isRetryable() || this->attempts >= this->route->maxAttempts || this->timeLeft() < minRemainingTime)
-        return false;
-    if (this->quarantineError())
-        return false;
-    if (!this->context.retryBudget.tryRetry({}, this->service, now))
+    const std::string limit(this->takeRetry(now));
+    const double balance = this->context.retryBudget.balance({}, this->service, now);
+    const MetricLabels labels{this->service, this->account ? this->account->name : std::string()};
+    if (!limit.empty()) {
+        this->context.metrics.addRefusedRetry(labels, limit);
+        logEvent(LogLevel::Info,
+                 "retry-refused",
+                 {{"request", this->request.attemptId},
+                  {"attempt", this->attempts},
+                  {"service", this->service},
+                  {"limit", limit},
+                  {"balance", balance},
+                  {"reason", reason}});
         return false;
+    }
+    this->context.metrics.addRetry(labels);
     logEvent(LogLevel::Info,
              "retry",
-             {{"request", this->request.attemptId}, {"attempt", this->attempts}, {"reason", reason}});
+             {{"request", this->request.attemptId},
+              {"attempt", this->attempts},
+              {"service", this->service},
+              {"balance", balance},
+              {"reason", reason}});
     this->events.discardPartialEvent();
     this->bufferedEvent.resize(0);
     this->enqueue();
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace hemlock {
 
@@ -61,6 +62,8 @@
     /// Whether the current answer has no length or chunks.
     bool endsWithConnection() const;
     bool isRetryable() const;
+    /// Charges the retry budget for another attempt. Returns what stands against the attempt, or an empty text.
+    std::string_view takeRetry(TimePoint now);
     bool scheduleRetry(const std::string &reason);
     void retryOrFail(const std::string &reason);
     void deadlineExpired();
--- a/src/libhemlock/retrybudget.cpp
+++ b/src/libhemlock/retrybudget.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-RetryBudget::Balance &RetryBudget::balance(Balances &balances, const std::string &name, TimePoint now) const
+RetryBudget::Balance &RetryBudget::balanceOf(Balances &balances, const std::string &name, TimePoint now) const
 {
     const auto [found, isNew] = balances.try_emplace(name, Balance{this->settings.maxRetries, now});
     Balance &balance = found->second;
@@ -30,7 +30,7 @@
 
 void RetryBudget::creditRequest(Balances &balances, const std::string &name, TimePoint now) const
 {
-    Balance &balance = this->balance(balances, name, now);
+    Balance &balance = this->balanceOf(balances, name, now);
     balance.retries = std::min(this->settings.maxRetries, balance.retries + this->settings.earnedPerRequest);
 }
 
@@ -51,8 +51,8 @@
 
 bool RetryBudget::tryRetry(const std::string &clientAccount, const std::string &upstream, TimePoint now)
 {
-    Balance &account = this->balance(this->accounts, clientAccount, now);
-    Balance &target = this->balance(this->upstreams, upstream, now);
+    Balance &account = this->balanceOf(this->accounts, clientAccount, now);
+    Balance &target = this->balanceOf(this->upstreams, upstream, now);
     if (account.retries < 1.0 || target.retries < 1.0)
         return false;
     account.retries -= 1.0;
@@ -65,10 +65,16 @@
     // The debt is bounded, since the replays after the loss of an availability zone would otherwise block the retries
     // of the account for minutes.
     for (Balance *balance :
-         {&this->balance(this->accounts, clientAccount, now), &this->balance(this->upstreams, upstream, now)})
+         {&this->balanceOf(this->accounts, clientAccount, now), &this->balanceOf(this->upstreams, upstream, now)})
         balance->retries = std::max(-this->settings.maxRetries, balance->retries - 1.0);
 }
 
+double RetryBudget::balance(const std::string &clientAccount, const std::string &upstream, TimePoint now)
+{
+    return std::min(this->balanceOf(this->accounts, clientAccount, now).retries,
+                    this->balanceOf(this->upstreams, upstream, now).retries);
+}
+
 std::size_t RetryBudget::size() const
 {
     return this->accounts.size() + this->upstreams.size();
--- a/src/libhemlock/retrybudget.h
+++ b/src/libhemlock/retrybudget.h
@@ -36,6 +36,9 @@
     /// at the expense of the retries of other requests.
     void chargeReplay(const std::string &clientAccount, const std::string &upstream, TimePoint now);
 
+    /// Retries that both budgets have left; negative after replays.
+    double balance(const std::string &clientAccount, const std::string &upstream, TimePoint now);
+
     /// Number of accounts and upstreams with a stored balance.
     std::size_t size() const;
 
@@ -50,7 +53,7 @@
     using Balances = std::unordered_map<std::string, Balance>;
 
     /// Balance of an account or upstream, brought up to date.
-    Balance &balance(Balances &balances, const std::string &name, TimePoint now) const;
+    Balance &balanceOf(Balances &balances, const std::string &name, TimePoint now) const;
     void creditRequest(Balances &balances, const std::string &name, TimePoint now) const;
     /// Removes full balances.
     void prune(Balances &balances, TimePoint now) const;
--- a/tests/unit/metricstest.cpp
+++ b/tests/unit/metricstest.cpp
@@ -48,6 +48,19 @@
     CHECK(this->value("hemlock_recomputed_tokens_total" + labelText) == "4");
 }
 
+TEST_CASE_METHOD(MetricsFixture, "Metrics: retries are allowed and refused: are counted by what stands against them")
+{
+    this->metrics.addRetry(this->labels);
+    this->metrics.addRetry(this->labels);
+    this->metrics.addRefusedRetry(this->labels, "budget");
+    this->metrics.addRefusedRetry(this->labels, "kind");
+    this->metrics.addRefusedRetry(this->labels, "budget");
+    const std::string start = R"(hemlock_retries_refused_total{service="model",client_account="account",limit=)";
+    CHECK(this->value("hemlock_retries_total" + labelText) == "2");
+    CHECK(this->value(start + R"("budget"})") == "2");
+    CHECK(this->value(start + R"("kind"})") == "1");
+}
+
 // Guards against quantiles with a wrong unit or probability.
 TEST_CASE_METHOD(MetricsFixture, "Metrics: times from 1 to 1000 ms: quantiles are close to the exact values")
 {
