Grant saved-up retries once in a retry window, whatever restarts

Cause: each process began with a full balance and forgot what its predecessor had spent, so k restarts of all VMs within a window permitted (k + 1) times the savings. Of the same class, found by the model: VMs that have not read the registry save up as one of six, however many they are; VMs whose records lapse while they still run give their share away; a retry that waits in a queue has been paid for, and as many are saved up again before it is sent.

Change: - After a restart (bootstrap false) new balances are empty. One window after the start they are raised, by what the highest balance since the start was short of the maximum.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hemlock {
 
@@ -253,8 +254,9 @@
 
 void RelayCall::refuseUnsent(const RequestError &error)
 {
+    this->returnRetry();
     if (this->hasStreamBegun || this->verdict != Verdict::NotRun)
-        this->retryOrFail(error.message);
+        this->fail(error.message);
     else
         this->refuse(error);
 }
@@ -282,6 +284,8 @@
     this->eventWrites = 0;
     if (this->attempts == 1)
         this->context.retryBudget.recordRequest({}, this->service, this->context.now());
+    if (std::exchange(this->holdsRetry, false))
+        this->context.retryBudget.commitRetry({}, this->service, this->context.now());
 
     RelayAttempt attempt;
     attempt.upstreamId = chosen.id;
@@ -572,7 +576,8 @@
         return "time";
     if (this->quarantineError())
         return "quarantine";
-    return this->context.retryBudget.tryRetry({}, this->service, now) ? "" : "budget";
+    this->holdsRetry = this->context.retryBudget.reserveRetry({}, this->service, now);
+    return this->holdsRetry ? "" : "budget";
 }
 
 bool RelayCall::scheduleRetry(const std::string &reason)
@@ -607,12 +612,23 @@
     return true;
 }
 
+void RelayCall::returnRetry()
+{
+    if (std::exchange(this->holdsRetry, false))
+        this->context.retryBudget.returnRetry({}, this->service, this->context.now());
+}
+
 void RelayCall::retryOrFail(const std::string &reason)
 {
     if (this->isFinished)
         return;
     if (!this->isAttemptActive && this->scheduleRetry(reason))
         return;
+    this->fail(reason);
+}
+
+void RelayCall::fail(const std::string &reason)
+{
     if (this->hasStreamBegun) {
         this->responder->abort();
         return this->finish(0, reason);
@@ -673,6 +689,7 @@
     this->events.discardPartialEvent();
     this->bufferedEvent.resize(0);
     this->timer.cancel();
+    this->returnRetry();
     const auto selfReference = this->shared_from_this();
     // The rate limit counts requests that ran; a caller that retries after a refusal must not be charged twice.
     if (this->verdict == Verdict::NotRun && !this->isAttemptActive && this->quotaUnits > 0.0)
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -62,10 +62,13 @@
     /// Whether the current answer has no length or chunks.
     bool endsWithConnection() const;
     bool isRetryable() const;
-    /// Charges the retry budget for another attempt. Returns what stands against the attempt, or an empty text.
+    /// Reserves another attempt in the retry budget. Returns what stands against the attempt, or an empty text.
     std::string_view takeRetry(TimePoint now);
     bool scheduleRetry(const std::string &reason);
+    /// Returns the reserved retry, if any.
+    void returnRetry();
     void retryOrFail(const std::string &reason);
+    void fail(const std::string &reason);
     void deadlineExpired();
     void endUnanswered(const std::string &reason);
     void callerDisconnected();
@@ -98,6 +101,7 @@
     HttpClient::CallId attemptCall = 0;
     bool isAttemptActive = false;
     bool isQueued = false;
+    bool holdsRetry = false; ///< A retry is reserved in the budget and not sent yet.
     bool isFinished = false;
     bool isUsageCounted = false; ///< Whether the usage ledger contains this request.
     double quotaUnits = 0.0; ///< Units charged to the account's rate limit.
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -112,6 +112,7 @@
     , scheduler(this->settings.zone, RandomEngine(this->random()))
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
+    , retryCapacity({this->settings.totalRetryCapacity, this->settings.expectedVms}, this->now())
     , quarantine(quarantineSettings(this->settings.node))
     , suspectRecords(this->kv,
                      std::string(ownKeyPrefix) + "suspects/",
@@ -206,6 +207,8 @@
 void RelayProcess::start()
 {
     this->awaitSignal();
+    if (!this->settings.startsWithRetries)
+        this->retries.deferInitialBalance(this->now() + this->settings.retryWindow);
     this->firstClaimTime =
         this->now() + std::chrono::milliseconds(std::llround(this->randomFraction() * maxClaimDelay.count()));
     this->store.start();
@@ -512,7 +515,7 @@
     this->store.tick();
     this->scheduler.tick(now);
     this->suspectRecords.tick();
-    this->retries.setMaxRetries(this->retryCapacityPerVm(now));
+    this->updateRetryCapacity(now);
     if (!this->shutdown.hasBegun())
         this->registry.tick(now, this->randomFraction());
     this->planUpstreams();
@@ -542,10 +545,12 @@
     return isRegistryRead ? known : std::max(known, this->settings.expectedVms - 1);
 }
 
-double RelayProcess::retryCapacityPerVm(TimePoint now) const
+void RelayProcess::updateRetryCapacity(TimePoint now)
 {
-    const std::size_t vms = std::max(this->settings.expectedVms, this->registry.count(now) + 1);
-    return std::max(1.0, this->settings.totalRetryCapacity / static_cast<double>(vms));
+    std::optional<std::size_t> vms;
+    if (this->store.ownKeys().revision() != 0)
+        vms = this->registry.count(now) + 1;
+    this->retries.setMaxRetries(this->retryCapacity.perVm(vms, now));
 }
 
 void RelayProcess::planUpstreams()
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -10,6 +10,7 @@
 #include "relay/peerexchange.h"
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
+#include "relay/retrycapacity.h"
 #include "relay/shutdownprogress.h"
 #include "relay/storeera.h"
 #include "relay/storesubscriptions.h"
@@ -49,6 +50,8 @@
     QuotaSettings quota;
     RetryBudgetSettings retries; ///< Of one entry VM; maxRetries follows from totalRetryCapacity.
     double totalRetryCapacity = 30.0; ///< Retries that all entry VMs together may save up.
+    std::chrono::milliseconds retryWindow{10000}; ///< Retries count against their limit for this long.
+    bool startsWithRetries = true; ///< False after a restart, since retries may have been sent shortly before it.
     std::size_t expectedVms = 6; ///< Entry VMs assumed to share a limit until more are known.
 };
 
@@ -96,7 +99,7 @@
     bool claimsDuties(TimePoint now) const;
     /// Number of other entry VMs; the expected one until their records were read.
     std::size_t peerCount(TimePoint now) const;
-    double retryCapacityPerVm(TimePoint now) const;
+    void updateRetryCapacity(TimePoint now);
     void planUpstreams();
     FleetPlanner::Supply upstreamSupply(const std::string &service);
 
@@ -115,6 +118,7 @@
     RelayScheduler scheduler;
     AccountQuota quota;
     RetryBudget retries;
+    RetryCapacity retryCapacity;
     Quarantine quarantine;
     SuspectRecords suspectRecords;
     UsageLedger usage;
--- a/src/libhemlock/retrybudget.h
+++ b/src/libhemlock/retrybudget.h
@@ -26,12 +26,26 @@
     /// Changes the maximum balance; higher balances are cut at their next use.
     void setMaxRetries(double maxRetries);
 
+    /// Makes new balances empty until @p time. A balance is then raised by as much as its highest value was below the
+    /// maximum, so that no interval of time that contains the raise permits more than a full balance would.
+    void deferInitialBalance(TimePoint time);
+
     /// Records the first attempt of a request, which adds to both budgets.
     void recordRequest(const std::string &clientAccount, const std::string &upstream, TimePoint now);
 
     /// Takes one retry from both budgets, or nothing if either is used up. Returns whether the retry is allowed.
     bool tryRetry(const std::string &clientAccount, const std::string &upstream, TimePoint now);
 
+    /// Like tryRetry() for a retry that is sent later. Until commitRetry() or returnRetry(), it counts towards the
+    /// maximum balance.
+    bool reserveRetry(const std::string &clientAccount, const std::string &upstream, TimePoint now);
+
+    /// A reserved retry is sent.
+    void commitRetry(const std::string &clientAccount, const std::string &upstream, TimePoint now);
+
+    /// A reserved retry is not sent and goes back to both budgets.
+    void returnRetry(const std::string &clientAccount, const std::string &upstream, TimePoint now);
+
     /// Takes one retry from both budgets even if that overdraws them: an answer that has begun is resumed in any case,
     /// at the expense of the retries of other requests.
     void chargeReplay(const std::string &clientAccount, const std::string &upstream, TimePoint now);
@@ -47,6 +61,9 @@
     struct Balance
     {
         double retries = 0.0;
+        double reserved = 0.0; ///< Retries that were taken and not sent yet.
+        double highest = 0.0; ///< Highest sum of both so far.
+        bool hasInitialBalance = false;
         TimePoint lastUpdate;
     };
 
@@ -54,11 +71,12 @@
 
     /// Balance of an account or upstream, brought up to date.
     Balance &balanceOf(Balances &balances, const std::string &name, TimePoint now) const;
-    void creditRequest(Balances &balances, const std::string &name, TimePoint now) const;
+    void add(Balance &balance, double retries) const;
     /// Removes full balances.
     void prune(Balances &balances, TimePoint now) const;
 
     RetryBudgetSettings settings;
+    TimePoint initialBalanceTime = TimePoint::min(); ///< New balances are empty before.
     Balances accounts;
     Balances upstreams;
     std::size_t requests = 0; ///< Number of recorded first attempts.
--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -96,6 +96,21 @@
     CHECK(parsed.relay.drainTime == std::chrono::seconds(8));
 }
 
+// Guards against restarted processes that retry as if nothing had been spent before.
+TEST_CASE_METHOD(PlatformAdapterFixture,
+                 "parsePlatformSettings: first start or a restart: only the first one begins with saved-up retries")
+{
+    json json = settings();
+    CHECK(platform::parsePlatformSettings(json).relay.startsWithRetries);
+    CHECK(platform::parsePlatformSettings(json).relay.retryWindow == std::chrono::seconds(10));
+    json["bounds"]["retry-window-s"] = 12.5;
+    json["bootstrap"] = false;
+    CHECK_FALSE(platform::parsePlatformSettings(json).relay.startsWithRetries);
+    CHECK(platform::parsePlatformSettings(json).relay.retryWindow == std::chrono::milliseconds(12500));
+    json.erase("bootstrap");
+    CHECK_FALSE(platform::parsePlatformSettings(json).relay.startsWithRetries);
+}
+
 TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: unknown field: is ignored")
 {
     json json = settings();
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -331,6 +331,20 @@
     CHECK(this->sentCount() == 2);
 }
 
+// Guards against retries that are paid for and never sent.
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: retry finds no other upstream until the deadline: it is not charged")
+{
+    this->routeTimeout = std::chrono::milliseconds(300);
+    this->configure(CallKind::Idempotent, 3);
+    this->retries = RetryBudget({.earnedPerRequest = 0.2, .earnedPerSecond = 0.0, .maxRetries = 10.0});
+    this->setHandlers([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->reply(500, answerHeaders(request), "failed");
+    });
+    CHECK(this->call(this->request()).outcome.status >= 500);
+    REQUIRE(this->sentCount() == 2);
+    CHECK(this->retries.balance({}, "service", std::chrono::steady_clock::now()) == Approx(9.0));
+}
+
 TEST_CASE_METHOD(RelayCallFixture, "RelayCall: answer has the identifier of another call: is not forwarded")
 {
     this->configure(CallKind::NonIdempotent, 1);
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -39,7 +39,12 @@
             streamRoute.name = "stream";
             streamRoute.pathPrefix = "/stream/";
             streamRoute.kind = CallKind::Stream;
-            config.routes = {route, streamRoute};
+            RelayRoute idempotentRoute = route;
+            idempotentRoute.name = "idempotent";
+            idempotentRoute.pathPrefix = "/idempotent/";
+            idempotentRoute.kind = CallKind::Idempotent;
+            idempotentRoute.maxAttempts = 2;
+            config.routes = {route, streamRoute, idempotentRoute};
             return config;
         };
         this->transport.decodeUpstream = [this](const std::string &id, const std::string &) {
@@ -66,9 +71,11 @@
                     entry.value = this->configVersion;
                     if (entry.key.starts_with(prefix))
                         page.range.entries.push_back(entry);
-                    entry.key = "servers/upstream-1";
-                    if (!this->upstreamAddress.empty() && entry.key.starts_with(prefix))
-                        page.range.entries.push_back(entry);
+                    for (const char *key : {"servers/upstream-1", "servers/upstream-2"}) {
+                        entry.key = key;
+                        if (!this->upstreamAddress.empty() && entry.key.starts_with(prefix))
+                            page.range.entries.push_back(entry);
+                    }
                 }
                 asio::post(this->loop, [done, page] { done(page); });
             };
@@ -117,6 +124,7 @@
         settings.upstreamUpdateDeadline = this->updateDeadline;
         settings.configUpdateDeadline = this->updateDeadline;
         settings.drainTime = this->drainTime;
+        settings.startsWithRetries = this->isFirstStart;
         this->settings = settings;
         this->process = std::make_unique<RelayProcess>(this->loop, settings, this->http, this->kv, this->transport);
         this->process->start();
@@ -206,6 +214,7 @@
     std::chrono::milliseconds routeTimeout{3000};
     std::chrono::milliseconds drainTime{8000};
     std::chrono::milliseconds updateDeadline{2000};
+    bool isFirstStart = true; ///< Of the whole system.
     std::string configVersion = "5";
     std::int64_t revision = 10;
     std::int64_t era = 0; ///< Of the store.
@@ -416,3 +425,26 @@
         longestGap = std::max(longestGap, times[i] - times[i - 1]);
     CHECK(longestGap + UpstreamDirectorySettings().outageGracePeriod + readAndTickTime < contactTime);
 }
+
+// Guards against a full retry budget after each start: what was spent before it still counts.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: first request after a start fails: is retried only in the first start of the system")
+{
+    this->isFirstStart = GENERATE(true, false);
+    this->startWithUpstream();
+    std::optional<HttpOutcome> result;
+    this->startRequest(this->settings.callerAddress, routeHeaders, result, "/idempotent/x");
+    std::size_t answered = 0;
+    this->runUntil([this, &result, &answered] {
+        while (answered < this->openRequests.size())
+            this->openRequests[answered++]->reply(500, {{"X-Hemlockflow-Attempt-Id", "a"}}, "failed");
+        return result.has_value();
+    });
+    CHECK(result->status == 500);
+    CHECK(this->openRequests.size() == (this->isFirstStart ? 2 : 1));
+    std::optional<HttpOutcome> metrics;
+    this->startRequest(this->settings.controlAddress, {}, metrics, "/metrics");
+    this->runUntil([&metrics] { return metrics.has_value(); });
+    const std::string refused = "hemlock_retries_refused_total{service=\"service\",client_account=\"\",limit=";
+    CHECK((metrics->body.find(refused + "\"budget\"} 1") != std::string::npos) == !this->isFirstStart);
+}
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -79,3 +79,46 @@
     this->budget.setMaxRetries(3.0);
     CHECK(this->useAllRetries("account", "upstream") == 3);
 }
+
+TEST_CASE_METHOD(RetryBudgetFixture, "RetryBudget: initial balance is deferred: only earned retries are allowed before")
+{
+    this->budget.deferInitialBalance(this->now + std::chrono::hours(1));
+    CHECK(this->useAllRetries("account", "upstream") == 0);
+    for (int i = 0; i < 8; ++i)
+        this->budget.recordRequest("account", "upstream", this->now);
+    CHECK(this->useAllRetries("account", "upstream") == 4);
+    this->now += std::chrono::hours(1);
+    CHECK(this->useAllRetries("account", "upstream") == 10);
+}
+
+// Guards against an initial balance that is granted on top of what was earned and spent just before.
+TEST_CASE("RetryBudget: deferred initial balance is due: adds only what was never saved up")
+{
+    RetryBudget budget{{.earnedPerRequest = 1.0, .earnedPerSecond = 0.0, .maxRetries = 10.0}};
+    RetryBudget::TimePoint now{std::chrono::hours(1)};
+    budget.deferInitialBalance(now + std::chrono::seconds(10));
+    for (int i = 0; i < 6; ++i)
+        budget.recordRequest("account", "upstream", now);
+    for (int i = 0; i < 6; ++i)
+        CHECK(budget.tryRetry("account", "upstream", now));
+    now += std::chrono::seconds(10);
+    CHECK(budget.balance("account", "upstream", now) == Approx(4.0));
+    CHECK(budget.balance("account", "other upstream", now) == Approx(4.0));
+}
+
+// Guards against retries that wait while as many are saved up again.
+TEST_CASE("RetryBudget: retries are reserved: they count towards the maximum until they are sent")
+{
+    RetryBudget budget{{.earnedPerRequest = 1.0, .earnedPerSecond = 0.0, .maxRetries = 3.0}};
+    const RetryBudget::TimePoint now{std::chrono::hours(1)};
+    CHECK(budget.reserveRetry("account", "upstream", now));
+    CHECK(budget.reserveRetry("account", "upstream", now));
+    for (int i = 0; i < 5; ++i)
+        budget.recordRequest("account", "upstream", now);
+    CHECK(budget.balance("account", "upstream", now) == Approx(1.0));
+    budget.commitRetry("account", "upstream", now);
+    budget.recordRequest("account", "upstream", now);
+    CHECK(budget.balance("account", "upstream", now) == Approx(2.0));
+    budget.returnRetry("account", "upstream", now);
+    CHECK(budget.balance("account", "upstream", now) == Approx(3.0));
+}
