--- a/tests/failure/relaysoak.cpp
+++ b/tests/failure/relaysoak.cpp
@@ -1,5 +1,7 @@
 #include "relaysoak.h"
 
+#include "soakbounds.h"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -12,9 +14,6 @@
 
 namespace {
 
-// Bounds of the deployment, as in the settings of the processes.
-constexpr std::chrono::milliseconds contactTime{3000};
-constexpr std::chrono::milliseconds drainBound{2000};
 constexpr std::chrono::milliseconds configBound{2000};
 constexpr std::chrono::milliseconds graceTime{8000};
 constexpr std::chrono::milliseconds lossSlack{200};
@@ -28,7 +27,6 @@
 constexpr std::chrono::milliseconds ownDelayLimit{100};
 
 constexpr std::chrono::milliseconds readinessInterval{250};
-constexpr std::chrono::milliseconds restartDelay{300};
 constexpr std::chrono::milliseconds callDeadline{5000};
 
 /// Time without faults at the end, in which everything has to recover.
@@ -47,17 +45,8 @@
 constexpr double limitTolerance = 1.5;
 constexpr double limitSlack = 5.0;
 
-/// A process that starts reads the store within this time.
-constexpr std::chrono::milliseconds copyMargin{1500};
-
 constexpr std::size_t streamUpstreams = 4;
 constexpr std::size_t plainUpstreams = 4;
-const std::string streamService = "model";
-const std::string plainService = "app";
-
-const std::map<std::string, std::string> permanentKeys = {{"key-of-north", "north"}, {"key-of-south", "south"}};
-constexpr auto rotatingAccount = "south";
-
 constexpr auto sharedPart = "5a5a:800";
 constexpr auto taintedPartId = "bad0bad0:400";
 constexpr auto deadlyName = "deadly";
@@ -440,258 +429,6 @@
     });
 }
 
-void RelaySoak::injectFault()
-{
-    const auto vm = static_cast<std::size_t>(this->below(static_cast<int>(this->vms.size())));
-    const auto index = static_cast<std::size_t>(this->below(static_cast<int>(this->upstreams.size())));
-    SoakUpstream &upstream = *this->upstreams[index];
-    constexpr int plannedCases = 8; ///< The first ones are planned work.
-    constexpr int allCases = 21;
-    switch (this->below(this->isPlannedOnly ? plannedCases : allCases)) {
-    case 0:
-    case 1:
-        return this->terminateVm(vm);
-    case 2:
-        // Before a process has reached its main function, nothing in it can handle the signal.
-        if (this->vms[vm].process && (this->vms[vm].isReady || this->vms[vm].terminated)) {
-            this->vms[vm].process->signal(SIGHUP);
-            this->count("reload");
-        }
-        return;
-    case 3:
-    case 4:
-        return this->retireUpstream(index, this->chance(50));
-    case 5:
-    case 6:
-    case 7:
-        return this->rotateKey();
-    case 8:
-        this->disturbVm(vm, {});
-        return this->killVm(vm);
-    case 9:
-    case 10:
-        return this->pauseVm(vm);
-    case 11:
-    case 12:
-        return this->cutStore(vm);
-    case 13:
-        return this->chance(50) ? this->failStore() : this->restoreStore();
-    case 14:
-    case 15:
-        return this->disturbConnections(upstream);
-    case 16:
-    case 17:
-    case 18:
-        this->count("answers repeated");
-        // Connections may carry their copies much later.
-        this->disturbUpstream(upstream, std::chrono::hours(1));
-        return upstream.proxy().repeatAnswers();
-    case 19:
-        return this->nameLimit(upstream);
-    default:
-        return this->crashUpstream(upstream);
-    }
-}
-
-void RelaySoak::disturbVm(std::size_t index, std::chrono::milliseconds time)
-{
-    Vm &vm = this->vms[index];
-    vm.disturbedUntil = std::max(vm.disturbedUntil, std::chrono::steady_clock::now() + time);
-    for (const auto &[id, call] : this->calls) {
-        if (!call->ended && call->vm == index)
-            call->isDisturbed = true;
-    }
-}
-
-void RelaySoak::disturbUpstream(SoakUpstream &upstream, std::chrono::milliseconds time)
-{
-    upstream.disturbedUntil = std::max(upstream.disturbedUntil, std::chrono::steady_clock::now() + time);
-    for (const auto &[id, call] : this->calls) {
-        if (!call->ended && call->upstream == &upstream)
-            call->isDisturbed = true;
-    }
-}
-
-void RelaySoak::terminateVm(std::size_t index)
-{
-    Vm &vm = this->vms[index];
-    if (!vm.process || vm.terminated)
-        return;
-    this->count("SIGTERM");
-    vm.terminated = std::chrono::steady_clock::now();
-    vm.isReady = false;
-    vm.process->signal(SIGTERM);
-}
-
-void RelaySoak::killVm(std::size_t index)
-{
-    Vm &vm = this->vms[index];
-    if (!vm.process)
-        return;
-    this->count("SIGKILL");
-    vm.process->kill();
-    vm.process = nullptr;
-    vm.isReady = false;
-    vm.isPaused = false;
-    this->at(std::chrono::steady_clock::now() + restartDelay, [this, index] { this->startVm(index); });
-}
-
-void RelaySoak::pauseVm(std::size_t index)
-{
-    Vm &vm = this->vms[index];
-    if (!vm.process || vm.isPaused)
-        return;
-    this->count("pause");
-    const std::chrono::milliseconds time(200 + this->below(4000));
-    this->disturbVm(index, time);
-    vm.process->signal(SIGSTOP);
-    vm.isPaused = true;
-    this->at(std::chrono::steady_clock::now() + time, [this, index, process = vm.process] {
-        Vm &paused = this->vms[index];
-        if (paused.process != process)
-            return;
-        paused.process->signal(SIGCONT);
-        paused.isPaused = false;
-        paused.resumed = std::chrono::steady_clock::now();
-    });
-}
-
-void RelaySoak::cutStore(std::size_t index)
-{
-    this->count("store cut off");
-    constexpr FaultProxy::Mode modes[] = {FaultProxy::Mode::SilentToServer,
-                                          FaultProxy::Mode::SilentToClient,
-                                          FaultProxy::Mode::Refusing,
-                                          FaultProxy::Mode::Delayed};
-    FaultProxy &proxy = *this->vms[index].storeProxy;
-    const std::chrono::milliseconds time(300 + this->below(3000));
-    this->disturbVm(index, time);
-    proxy.setMode(modes[this->below(4)], std::chrono::milliseconds(50 + this->below(200)));
-    if (this->chance(30))
-        proxy.resetConnections();
-    this->at(std::chrono::steady_clock::now() + time, [&proxy] { proxy.setMode(FaultProxy::Mode::Pass); });
-}
-
-void RelaySoak::failStore()
-{
-    this->count("store failure");
-    const std::chrono::milliseconds time(300 + this->below(2500));
-    const Time end = std::chrono::steady_clock::now() + time;
-    this->storeDisturbedUntil = std::max(this->storeDisturbedUntil, end);
-    constexpr SoakStore::Fault faults[] = {
-        SoakStore::Fault::Refuses, SoakStore::Fault::Silent, SoakStore::Fault::LosesAnswers};
-    if (this->chance(25))
-        return this->store.compact();
-    this->store.setFault(faults[this->below(3)]);
-    this->at(end, [this] { this->store.setFault(SoakStore::Fault::None); });
-}
-
-void RelaySoak::restoreStore()
-{
-    this->count("store restored");
-    const Time back = std::chrono::steady_clock::now() + std::chrono::milliseconds(200 + this->below(2000));
-    const Time complete = back + std::chrono::milliseconds(this->below(1500));
-    this->storeDisturbedUntil = std::max(this->storeDisturbedUntil, complete);
-    this->copyTimes.emplace_back(back - copyMargin, complete + copyMargin);
-    this->store.setFault(SoakStore::Fault::Refuses);
-    this->at(back, [this, age = std::chrono::milliseconds(500 + this->below(10000))] {
-        this->store.restore(age);
-        this->store.setFault(SoakStore::Fault::None);
-    });
-    this->at(complete, [this] { this->store.writeAgain(); });
-}
-
-void RelaySoak::disturbConnections(SoakUpstream &upstream)
-{
-    this->count("connection fault");
-    FaultProxy &proxy = upstream.proxy();
-    const std::chrono::milliseconds time(200 + this->below(1500));
-    switch (this->below(4)) {
-    case 0:
-        this->disturbUpstream(upstream, {});
-        return proxy.resetConnections();
-    case 1:
-        this->disturbUpstream(upstream, time);
-        proxy.setMode(FaultProxy::Mode::Delayed, std::chrono::milliseconds(20 + this->below(200)));
-        break;
-    default:
-        // Connections that fell silent stay so, and may be used much later.
-        this->disturbUpstream(upstream, std::chrono::hours(1));
-        proxy.setMode(this->chance(50) ? FaultProxy::Mode::SilentToServer : FaultProxy::Mode::SilentToClient);
-    }
-    this->at(std::chrono::steady_clock::now() + time, [&proxy] { proxy.setMode(FaultProxy::Mode::Pass); });
-}
-
-void RelaySoak::crashUpstream(SoakUpstream &upstream)
-{
-    this->count("upstream crash");
-    const std::chrono::milliseconds time(300 + this->below(2000));
-    this->disturbUpstream(upstream, time);
-    upstream.proxy().setMode(FaultProxy::Mode::Refusing);
-    upstream.proxy().resetConnections();
-    this->at(std::chrono::steady_clock::now() + time, [this, &upstream] {
-        upstream.proxy().setMode(FaultProxy::Mode::Pass);
-        if (this->leftUpstreams.contains(upstream.id))
-            return;
-        ++upstream.born;
-        this->store.put("servers/" + upstream.id, upstream.record("ready"));
-    });
-}
-
-void RelaySoak::retireUpstream(std::size_t index, bool announces)
-{
-    this->count(announces ? "upstream drained" : "upstream removed");
-    std::unique_ptr<SoakUpstream> leaving = std::move(this->upstreams[index]);
-    this->upstreams.erase(this->upstreams.begin() + static_cast<std::ptrdiff_t>(index));
-    const std::string service = leaving->service;
-    const std::string key = "servers/" + leaving->id;
-    if (announces)
-        this->store.put(key, leaving->record("draining"));
-    else
-        this->store.remove(key);
-    const Time now = std::chrono::steady_clock::now();
-    this->leftUpstreams[leaving->id] = now;
-    const Time end = now + drainBound + std::chrono::milliseconds(200 + this->below(2000));
-    SoakUpstream &left = *leaving;
-    this->retired.push_back(std::move(leaving));
-    this->at(end, [this, &left, key] {
-        this->store.remove(key);
-        this->disturbUpstream(left, std::chrono::hours(1));
-        left.proxy().setMode(FaultProxy::Mode::Refusing);
-        left.proxy().resetConnections();
-    });
-    // Another upstream takes over the address of this one after a while.
-    this->at(now + std::chrono::milliseconds(300), [this, service] { this->addUpstream(service); });
-}
-
-void RelaySoak::rotateKey()
-{
-    this->count("key rotated");
-    const Time now = std::chrono::steady_clock::now();
-    for (auto &[key, entry] : this->keys) {
-        if (!permanentKeys.contains(key) && !entry.withdrawn)
-            entry.withdrawn = now;
-    }
-    this->rotatingKeys.push_back("rotating-" + std::to_string(this->configVersion));
-    this->keys[this->rotatingKeys.back()] = {rotatingAccount, now, {}};
-    this->writeConfig();
-}
-
-void RelaySoak::nameLimit(SoakUpstream &upstream)
-{
-    if (upstream.rateLimit > 0.0)
-        return;
-    this->count("limit named");
-    constexpr double limitsPerSecond[] = {0.5, 1.0, 2.5, 10.0};
-    upstream.rateLimit = limitsPerSecond[this->below(4)];
-    const Time now = std::chrono::steady_clock::now();
-    this->limits[upstream.id] = {now, {}, {}};
-    this->at(now + std::chrono::milliseconds(7000 + this->below(4000)), [this, &upstream] {
-        upstream.rateLimit = 0.0;
-        this->limits.erase(upstream.id);
-    });
-}
-
 void RelaySoak::requestArrived(SoakUpstream &upstream, const HttpRequest &request)
 {
     const auto call = this->calls.find(request.headers.value("X-Hemlockflow-Attempt-Id"));
