Let the soak fail services, repeat and spoil answers, and check retries and notices

The soak's upstreams now also send answers twice (before the next answer, after it, or while the connection is idle) and in the forms of oddAnswer(), say Server-Leaving, and turn requests away with Retry-After. Processes that start again get settings without "bootstrap". New checks: answers, their signatures and their status against what the upstreams sent for the attempt; retries per service in any 10 s; requests that reach an upstream which has said that it leaves or wants a pause.

--- a/tests/failure/faultproxy.cpp
+++ b/tests/failure/faultproxy.cpp
@@ -1,7 +1,11 @@
 #include "faultproxy.h"
 
+#include "oddanswer.h"
+
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace hemlock {
@@ -13,6 +17,8 @@
 /// Longer answers are not repeated.
 constexpr std::size_t maxRepeatedBytes = std::size_t{64} * 1024;
 
+constexpr std::chrono::milliseconds idleCopyDelay{30};
+
 tcp::endpoint parseEndpoint(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
@@ -38,6 +44,7 @@
         , server{tcp::socket(this->client.socket.get_executor()), {}, false}
         , timers{asio::steady_timer(this->client.socket.get_executor()),
                  asio::steady_timer(this->client.socket.get_executor())}
+        , copyTimer(this->client.socket.get_executor())
     {
     }
 
@@ -53,6 +60,7 @@
 
     void reset()
     {
+        this->copyTimer.cancel();
         for (End *end : {&this->client, &this->server}) {
             asio::error_code ignored;
             end->socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -60,9 +68,9 @@
         }
     }
 
-    void repeatAnswer()
+    void repeatAnswer(Copy when)
     {
-        this->repeatsAnswer = true;
+        this->copy = when;
     }
 
 private:
@@ -96,8 +104,10 @@
             return this->read(from, to);
         if (isFromClient)
             this->requestArrived();
-        else if (this->answer.size() < maxRepeatedBytes)
-            this->answer.append(from.bytes.data(), size);
+        else if (const auto odd = oddAnswer({from.bytes.data(), size}))
+            return this->writeLast(*odd);
+        else
+            this->answerArrived(size);
         if (mode != Mode::Delayed)
             return this->write(from, to, size);
         asio::steady_timer &timer = this->timers[isFromClient ? 0 : 1];
@@ -110,16 +120,53 @@
 
     void requestArrived()
     {
-        if (this->answer.empty())
+        if (this->answer.empty() || this->copy == Copy::Idle)
             return;
-        if (this->repeatsAnswer && this->answer.size() < maxRepeatedBytes) {
-            asio::error_code ignored;
-            asio::write(this->client.socket, asio::buffer(this->answer), ignored);
-            this->repeatsAnswer = false;
+        if (this->copy && this->answer.size() < maxRepeatedBytes) {
+            this->late = std::exchange(this->answer, {});
+            if (this->copy == Copy::BeforeNext)
+                this->writeCopy();
+            this->copy.reset();
         }
         this->answer.clear();
     }
 
+    void answerArrived(std::size_t size)
+    {
+        if (this->answer.size() < maxRepeatedBytes)
+            this->answer.append(this->server.bytes.data(), size);
+        if (this->copy != Copy::Idle)
+            return;
+        this->copyTimer.expires_after(idleCopyDelay);
+        this->copyTimer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+            if (error)
+                return;
+            self->copy.reset();
+            self->late = std::exchange(self->answer, {});
+            self->writeCopy();
+        });
+    }
+
+    void writeCopy()
+    {
+        asio::error_code ignored;
+        asio::write(this->client.socket, asio::buffer(std::exchange(this->late, {})), ignored);
+    }
+
+    void writeLast(const OddAnswer &odd)
+    {
+        const auto bytes = std::make_shared<std::string>(odd.bytes);
+        asio::async_write(this->client.socket,
+                          asio::buffer(*bytes),
+                          [self = this->shared_from_this(), bytes, isReset = odd.isReset](const asio::error_code &,
+                                                                                          std::size_t /*written*/) {
+                              if (isReset)
+                                  self->reset();
+                              else
+                                  self->close();
+                          });
+    }
+
     void write(End &from, End &to, std::size_t size)
     {
         asio::async_write(
@@ -128,12 +175,15 @@
             [self = this->shared_from_this(), &from, &to](const asio::error_code &error, std::size_t /*written*/) {
                 if (error)
                     return self->reset();
+                if (&from == &self->server && !self->late.empty())
+                    self->writeCopy();
                 self->read(from, to);
             });
     }
 
     void close()
     {
+        this->copyTimer.cancel();
         for (End *end : {&this->client, &this->server}) {
             asio::error_code ignored;
             end->socket.close(ignored);
@@ -145,7 +195,9 @@
     End server;
     asio::steady_timer timers[2]; ///< Of delayed bytes from the client and from the server.
     std::string answer; ///< Bytes from the server since the last bytes from the client.
-    bool repeatsAnswer = false;
+    std::string late; ///< Copy of an answer that follows the next bytes from the server.
+    std::optional<Copy> copy; ///< When the next answer is repeated.
+    asio::steady_timer copyTimer;
 };
 
 FaultProxy::FaultProxy(asio::io_context &loop, const std::string &target)
@@ -181,11 +233,11 @@
     this->state->connections.clear();
 }
 
-void FaultProxy::repeatAnswers()
+void FaultProxy::repeatAnswers(Copy copy)
 {
     for (const auto &weak : this->state->connections) {
         if (const auto connection = weak.lock())
-            connection->repeatAnswer();
+            connection->repeatAnswer(copy);
     }
 }
 
--- a/tests/failure/faultproxy.h
+++ b/tests/failure/faultproxy.h
@@ -8,7 +8,8 @@
 
 namespace hemlock {
 
-/// TCP proxy on loopback that disturbs the connections through it. It must be used on its Asio loop only.
+/// TCP proxy on loopback that disturbs the connections through it, and sends answers in the forms that they ask for in
+/// oddAnswerField. It must be used on its Asio loop only.
 class FaultProxy
 {
 public:
@@ -20,6 +21,13 @@
         Refusing, ///< New connections are reset.
     };
 
+    /// When the copy of an answer is sent.
+    enum class Copy {
+        BeforeNext, ///< When the next request arrives on the connection, before its own answer.
+        AfterNext, ///< Right after the first bytes of the answer to the next request.
+        Idle, ///< Some time after the answer, whether a request has arrived or not.
+    };
+
     /// @p target has the form "ADDRESS:PORT".
     FaultProxy(asio::io_context &loop, const std::string &target);
     ~FaultProxy();
@@ -35,8 +43,8 @@
     /// Resets all open connections.
     void resetConnections();
 
-    /// The next request on each connection that has carried an answer first gets a copy of that answer.
-    void repeatAnswers();
+    /// Sends the next answer on each open connection twice.
+    void repeatAnswers(Copy copy);
 
 private:
     class Connection;
--- a/tests/failure/relaysoak.cpp
+++ b/tests/failure/relaysoak.cpp
@@ -1,5 +1,6 @@
 #include "relaysoak.h"
 
+#include "oddanswer.h"
 #include "soakbounds.h"
 
 #include <algorithm>
@@ -51,6 +52,9 @@
 constexpr auto taintedPartId = "bad0bad0:400";
 constexpr auto deadlyName = "deadly";
 constexpr int soundParts = 4;
+/// The VMs share the limit of retries only if there are as many of them as they expect.
+constexpr std::size_t stormVms = 6;
+constexpr auto signatureField = "X-Hemlockflow-Response-Signature";
 
 std::string pathOf(const std::string &kind)
 {
@@ -81,8 +85,8 @@
             {"grace-s", std::chrono::duration_cast<std::chrono::seconds>(graceTime).count()},
             {"config-apply-ms", configBound.count()},
             {"lease-ms", 3000},
-            {"retry-ratio", 0.2},
-            {"retry-slack", 50},
+            {"retry-ratio", retryRatio},
+            {"retry-slack", static_cast<int>(retrySlack)},
             {"usage-window-s", 2}};
 }
 
@@ -96,9 +100,12 @@
             [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                 this->handleDuty(request, responder);
             })
-    , vms(this->settings.vms)
     , isPlannedOnly(this->settings.seed % 3 == 0)
+    , hasStorm(this->settings.seed % 5 == 2 || this->settings.seed % 5 == 4)
+    , retryWindows(retryRatio, retrySlack, retryWindow)
+    , notices(drainBound)
 {
+    this->vms.resize(this->hasStorm ? std::max(stormVms, this->settings.vms) : this->settings.vms);
     constexpr int faultPercents[] = {1, 2, 4, 8};
     this->faultPercent = faultPercents[this->settings.seed % 4];
     this->storeAddress = this->store.start();
@@ -111,42 +118,62 @@
         this->addUpstream(streamService);
     for (std::size_t i = 0; i < plainUpstreams; ++i)
         this->addUpstream(plainService);
-    std::vector<asio::ip::tcp::acceptor> reserved;
-    for (std::size_t i = 0; i < this->vms.size(); ++i) {
-        Vm &vm = this->vms[i];
-        vm.name = "vm-" + std::to_string(i + 1);
-        vm.zone = i % 2 == 0 ? "zone-a" : "zone-b";
-        vm.storeProxy = std::make_unique<FaultProxy>(this->http.loop(), this->storeAddress);
-        const std::string ip = vmAddress(i);
-        vm.callerAddress = freeAddress(ip, this->http.loop(), reserved);
-        vm.readinessAddress = freeAddress(ip, this->http.loop(), reserved);
-        const std::string peerAddress = freeAddress(ip, this->http.loop(), reserved);
-        vm.settings = {{"node-name", vm.name},
-                       {"zone", vm.zone},
-                       {"ip", ip},
-                       {"listen",
-                        {{"front", vm.callerAddress},
-                         {"ready", vm.readinessAddress},
-                         {"control", freeAddress(ip, this->http.loop(), reserved)}}},
-                       {"port-range", {std::stoi(peerAddress.substr(peerAddress.rfind(':') + 1))}},
-                       {"platform", {{"address", vm.storeProxy->address()}}},
-                       {"cloud", {{"address", this->cloudAddress}, {"duties", {"usage_report"}}}},
-                       {"bounds", decodedBounds()},
-                       {"bootstrap", false}};
-    }
-    reserved.clear();
+    for (std::size_t i = 0; i < this->vms.size(); ++i)
+        this->identifyVm(i);
+    for (Vm &vm : this->vms)
+        vm.settings["bootstrap"] = true;
     for (std::size_t i = 0; i < this->vms.size(); ++i)
         this->startVm(i);
+    // Restarted processes get other settings than those of the first start of the deployment.
+    for (Vm &vm : this->vms)
+        vm.settings["bootstrap"] = false;
 }
 
 RelaySoak::~RelaySoak() = default;
 
+bool RelaySoak::Call::isStream() const
+{
+    return this->kind == Kind::Stream || this->kind == Kind::ResumableStream;
+}
+
+std::string RelaySoak::Call::service() const
+{
+    return this->isStream() ? streamService : plainService;
+}
+
+void RelaySoak::identifyVm(std::size_t index)
+{
+    Vm &vm = this->vms[index];
+    const std::string ip = vmAddress(static_cast<std::size_t>(this->vmNumber));
+    vm.name = "vm-" + std::to_string(++this->vmNumber);
+    vm.zone = index % 2 == 0 ? "zone-a" : "zone-b";
+    if (!vm.storeProxy)
+        vm.storeProxy = std::make_unique<FaultProxy>(this->http.loop(), this->storeAddress);
+    std::vector<asio::ip::tcp::acceptor> reserved;
+    vm.callerAddress = freeAddress(ip, this->http.loop(), reserved);
+    vm.readinessAddress = freeAddress(ip, this->http.loop(), reserved);
+    const std::string peerAddress = freeAddress(ip, this->http.loop(), reserved);
+    vm.settings = {{"node-name", vm.name},
+                   {"zone", vm.zone},
+                   {"ip", ip},
+                   {"listen",
+                    {{"front", vm.callerAddress},
+                     {"ready", vm.readinessAddress},
+                     {"control", freeAddress(ip, this->http.loop(), reserved)}}},
+                   {"port-range", {std::stoi(peerAddress.substr(peerAddress.rfind(':') + 1))}},
+                   {"platform", {{"address", vm.storeProxy->address()}}},
+                   {"cloud", {{"address", this->cloudAddress}, {"duties", {"usage_report"}}}},
+                   {"bounds", decodedBounds()},
+                   {"bootstrap", false}};
+}
+
 void RelaySoak::startVm(std::size_t index)
 {
     Vm &vm = this->vms[index];
     vm.process =
         &this->processes.start("hemlock-relay", vm.name + "-" + std::to_string(++this->startNumber), vm.settings);
     vm.started = std::chrono::steady_clock::now();
+    this->notices.forgetVm(vm.name);
     vm.terminated.reset();
     vm.isReady = false;
     vm.isPaused = false;
@@ -164,17 +191,15 @@
         this->count("crash by a " + cause.name);
         this->crashUpstream(upstream);
     };
-    hooks.behavior = [this](const HttpRequest &request) {
-        using Behavior = SoakUpstream::Behavior;
-        if (request.body == deadlyName)
-            return this->settings.seed % 4 == 1 ? Behavior::CrashesAtOnce : Behavior::Crashes;
-        if (request.headers.value("X-Hemlockflow-Prompt-Prefix").find(taintedPartId) != std::string::npos)
-            return Behavior::Crashes;
-        constexpr Behavior unsound[] = {
-            Behavior::BreaksOff, Behavior::Stalls, Behavior::LosesAnswer, Behavior::Refuses, Behavior::Fails};
-        if (this->chance(25))
-            return Behavior::Slow;
-        return this->isSending && !this->isPlannedOnly && this->chance(6) ? unsound[this->below(5)] : Behavior::Sound;
+    hooks.behavior = [this, service](const HttpRequest &request) { return this->chooseBehavior(service, request); };
+    hooks.oddForm = [this](const std::string &attemptId) {
+        const int form = this->below(oddAnswerForms());
+        if (const auto call = this->calls.find(attemptId); call != this->calls.end())
+            call->second->oddForm = form;
+        return form;
+    };
+    hooks.answered = [this](SoakUpstream &upstream, const HttpRequest &request, int status) {
+        this->answerSent(upstream, request, status);
     };
     hooks.began = [this](const SoakUpstream &upstream, const HttpRequest &request, SoakUpstream::Behavior behavior) {
         this->requestBegan(const_cast<SoakUpstream &>(upstream), request, behavior);
@@ -190,6 +215,30 @@
     this->upstreams.push_back(std::move(upstream));
 }
 
+SoakUpstream::Behavior RelaySoak::chooseBehavior(const std::string &service, const HttpRequest &request)
+{
+    using Behavior = SoakUpstream::Behavior;
+    if (request.body == deadlyName)
+        return this->settings.seed % 4 == 1 ? Behavior::CrashesAtOnce : Behavior::Crashes;
+    if (request.headers.value("X-Hemlockflow-Prompt-Prefix").find(taintedPartId) != std::string::npos)
+        return Behavior::Crashes;
+    if (this->isFailing(service) && this->chance(85)) {
+        // Lost answers would look like crashes by their requests, which are then refused.
+        return this->chance(60) ? Behavior::Fails : Behavior::Refuses;
+    }
+    if (this->chance(25))
+        return Behavior::Slow;
+    constexpr Behavior unsound[] = {Behavior::BreaksOff,
+                                    Behavior::Stalls,
+                                    Behavior::LosesAnswer,
+                                    Behavior::Refuses,
+                                    Behavior::Fails,
+                                    Behavior::OddAnswer,
+                                    Behavior::OddAnswer,
+                                    Behavior::OddAnswer};
+    return this->isSending && !this->isPlannedOnly && this->chance(9) ? unsound[this->below(8)] : Behavior::Sound;
+}
+
 void RelaySoak::writeConfig()
 {
     const auto route = [](const std::string &name, const std::string &kind, const std::string &service, int attempts) {
@@ -203,6 +252,7 @@
                     {"max-attempts", attempts},
                     {"resumable", name == "stream/resumable"}};
     };
+    const int repeatableAttempts = this->hasStorm ? 4 : 2;
     json tenants = json::array();
     for (const std::string account : {"north", "south"}) {
         json accountKeys = json::array();
@@ -215,9 +265,9 @@
     const json config = {{"version", ++this->configVersion},
                          {"routes",
                           {route("booking", "non_idempotent", plainService, 1),
-                           route("lookup", "idempotent", plainService, 2),
+                           route("lookup", "idempotent", plainService, repeatableAttempts),
                            route("stream/once", "streaming", streamService, 1),
-                           route("stream/resumable", "streaming", streamService, 2)}},
+                           route("stream/resumable", "streaming", streamService, repeatableAttempts)}},
                          {"services", {{{"name", plainService}}, {{"name", streamService}}}},
                          {"tenants", tenants}};
     this->store.put("op/config", config.dump());
@@ -234,7 +284,10 @@
     this->runUntil(start + std::chrono::seconds(3), false);
     this->hasTaintedPart = !this->isPlannedOnly && this->settings.seed % 2 == 0;
     this->hasDeadlyRequest = !this->isPlannedOnly && this->settings.seed % 2 == 1;
-    this->runUntil(start + std::chrono::seconds(3) + this->settings.faultTime, true);
+    if (this->hasStorm)
+        this->planStorm(start + std::chrono::seconds(3));
+    this->faultEnd = start + std::chrono::seconds(3) + this->settings.faultTime;
+    this->runUntil(this->faultEnd, true);
     this->runUntil(std::chrono::steady_clock::now() + recoveryTime, false);
     const int answeredBefore = this->report.counts["answered"];
     const auto callsBefore = static_cast<int>(this->calls.size());
@@ -332,10 +385,13 @@
 
 void RelaySoak::sendCalls()
 {
+    constexpr int allPercent = 120;
+    constexpr int minPercent = 6;
+    const int callPercent = std::max(minPercent, allPercent / static_cast<int>(this->vms.size()));
     for (std::size_t i = 0; i < this->vms.size(); ++i) {
         const Vm &vm = this->vms[i];
         // Open connections are used until the process is gone; the balancer opens no new ones while it is not ready.
-        if (vm.process && (vm.isReady || vm.terminated) && this->chance(this->vms.size() > 10 ? 6 : 40))
+        if (vm.process && (vm.isReady || vm.terminated) && this->chance(callPercent))
             this->sendCall(i);
     }
 }
@@ -345,10 +401,10 @@
     const Vm &vm = this->vms[index];
     auto call = std::make_shared<Call>();
     call->id = "a" + std::to_string(this->settings.seed) + "-" + std::to_string(this->calls.size());
-    call->kind = static_cast<Kind>(this->below(4));
+    call->kind = this->chooseKind();
     call->vm = index;
     call->sent = std::chrono::steady_clock::now();
-    call->isDisturbed = vm.isPaused;
+    call->isDisturbed = vm.isPaused || this->isFailing(call->service());
     call->wasInTouch = this->isInTouch(vm, call->sent);
     call->key = this->chooseKey();
     std::string name = call->id;
@@ -359,6 +415,7 @@
     }
     call->account = this->keys.at(call->key).account;
     this->calls[call->id] = call;
+    this->retryWindows.addRequest(call->service(), call->sent);
 
     constexpr const char *names[] = {"booking", "lookup", "stream/once", "stream/resumable"};
     HttpCall exchange;
@@ -369,7 +426,7 @@
                         {"X-Hemlockflow-Deadline-Ms", std::to_string(callDeadline.count())},
                         {"X-Hemlockflow-Tenant", "forged"},
                         {"Api-Key", call->key}};
-    if (call->kind == Kind::Stream || call->kind == Kind::ResumableStream) {
+    if (call->isStream()) {
         call->isTainted = this->hasTaintedPart && this->chance(taintedPercent);
         const std::string part =
             call->isTainted ? taintedPartId : "c0de" + std::to_string(this->below(soundParts)) + ":400";
@@ -381,7 +438,11 @@
     exchange.body = call->sentBody;
     exchange.timeout = callDeadline + timeoutSlack;
     HttpCallHooks hooks;
-    hooks.head = [call](int status, const HttpHeaders & /*headers*/) { call->status = status; };
+    hooks.head = [this, call](int status, const HttpHeaders &headers) {
+        call->status = status;
+        call->headers = headers;
+        this->headArrived(*call);
+    };
     hooks.data = [call](std::string_view bytes) { call->body += bytes; };
     hooks.done = [this, call](const HttpOutcome &outcome) { this->callEnded(call, outcome); };
     call->exchange = this->http.client().start(std::move(exchange), std::move(hooks));
@@ -389,6 +450,14 @@
         this->at(call->sent + std::chrono::milliseconds(this->below(600)), [this, call] { this->cancelCall(call); });
 }
 
+RelaySoak::Kind RelaySoak::chooseKind()
+{
+    // Retries are in demand where answers are errors.
+    if (!this->failingServices.empty() && this->chance(60))
+        return this->isFailing(plainService) ? Kind::Lookup : Kind::ResumableStream;
+    return static_cast<Kind>(this->below(4));
+}
+
 void RelaySoak::makeDeadly(Call &call) const
 {
     constexpr int kinds = 4;
@@ -434,6 +503,14 @@
     const auto call = this->calls.find(request.headers.value("X-Hemlockflow-Attempt-Id"));
     if (call == this->calls.end())
         return;
+    if (++call->second->arrivals > 1)
+        this->retryWindows.addRetry(upstream.service, std::chrono::steady_clock::now());
+    if (request.headers.value("X-Hemlockflow-Expect-Instance") == upstream.id) {
+        const auto finding = this->notices.requestArrived(
+            this->vms[call->second->vm].name, upstream.id, call->second->sent, std::chrono::steady_clock::now());
+        if (finding)
+            this->violate(finding->rule, finding->text, call->second.get());
+    }
     if (call->second->isTainted)
         this->checkCrashingArrival(this->taintedPart, *call->second);
     if (call->second->isDeadly)
@@ -442,6 +519,29 @@
         this->checkLimit(upstream, call->second->vm);
 }
 
+void RelaySoak::answerSent(SoakUpstream &upstream, const HttpRequest &request, int status)
+{
+    const auto found = this->calls.find(request.headers.value("X-Hemlockflow-Attempt-Id"));
+    if (found == this->calls.end())
+        return;
+    Call &call = *found->second;
+    call.upstreamStatuses.insert(status);
+    call.leavingUpstream = upstream.isLeaving ? upstream.id : "";
+    const Time now = std::chrono::steady_clock::now();
+    if (status != 503 || upstream.pause().count() == 0 || upstream.cutUntil > now)
+        return;
+    this->count("turned away for a pause");
+    this->notices.turnedAway(this->vms[call.vm].name, upstream.id, now, upstream.pause());
+}
+
+void RelaySoak::headArrived(Call &call)
+{
+    if (call.leavingUpstream.empty() || !call.headers.has(signatureField))
+        return;
+    this->count("answers of leaving upstreams");
+    this->notices.leavingPassedOn(this->vms[call.vm].name, call.leavingUpstream, std::chrono::steady_clock::now());
+}
+
 void RelaySoak::checkLimit(const SoakUpstream &upstream, std::size_t index)
 {
     NamedLimit &limit = this->limits.at(upstream.id);
@@ -515,6 +615,7 @@
     call->ended = now;
     call->status = outcome.status;
     const bool isSuccess = outcome.status >= 200 && outcome.status < 300;
+    this->checkSignature(*call);
     if (isSuccess)
         this->checkAnswer(*call, outcome.isComplete());
     if (isSuccess && outcome.isComplete())
@@ -541,18 +642,38 @@
 
 void RelaySoak::checkAnswer(const Call &call, bool isComplete)
 {
-    std::string whole;
-    if (call.kind == Kind::Booking || call.kind == Kind::Lookup) {
-        whole = soakAnswer(call.id);
-    } else {
-        for (int number = 1; number <= soakStreamEvents; ++number)
-            whole += soakEvent(call.id, number);
-    }
+    const std::string whole = call.isStream() ? soakEvents(call.id, 1) : soakAnswer(call.id);
     const bool isWhole = call.body == whole;
     if (isComplete && call.runs == 0)
         this->violate("MIXED", "the request was answered and has not run", &call);
+    else if (!call.upstreamStatuses.contains(200))
+        this->violate("MIXED", "no upstream answered with success", &call);
     if (isComplete ? !isWhole : !whole.starts_with(call.body))
-        this->violate("MIXED", "the caller got: " + call.body, &call);
+        this->violate("MIXED",
+                      (isComplete ? "complete, not the whole body: " : "broken off, not its beginning: ") + call.body,
+                      &call);
+}
+
+void RelaySoak::checkSignature(const Call &call)
+{
+    const bool isSuccess = call.status >= 200 && call.status < 300;
+    const std::string signature = call.headers.value(signatureField);
+    if (signature.empty() ? isSuccess : signature != "signature of " + call.id)
+        this->violate("MIXED", "the signature of the answer is '" + signature + "'", &call);
+    if (!signature.empty() && !call.upstreamStatuses.contains(call.status))
+        this->violate("MIXED", "a signed answer has another status than those of the upstreams", &call);
+}
+
+void RelaySoak::checkRetries()
+{
+    for (const RetryWindows::Window &window : this->retryWindows.worstWindows()) {
+        this->report.counts["most retries in 10 s at " + window.service] = window.retries;
+        this->report.counts["retries allowed then at " + window.service] = static_cast<int>(window.allowed);
+        if (window.retries > window.allowed)
+            this->violate("BUDGET",
+                          window.service + " got " + std::to_string(window.retries) + " retries in 10 s, "
+                              + std::to_string(window.allowed) + " allowed");
+    }
 }
 
 void RelaySoak::checkUnauthorized(const Call &call)
@@ -598,6 +719,7 @@
         if (!call->ended)
             this->violate("CONFIG", "the call never ended", call.get());
     }
+    this->checkRetries();
     if (!this->taintedPart.crashes.empty())
         this->checkSoundStreams();
 }
@@ -613,8 +735,7 @@
     int sentAfter = 0;
     int ranAfter = 0;
     for (const auto &[id, call] : this->calls) {
-        const bool isStream = call->kind == Kind::Stream || call->kind == Kind::ResumableStream;
-        if (!isStream || !call->wasInTouch || call->isTainted || call->isDisturbed || call->cancelled)
+        if (!call->isStream() || !call->wasInTouch || call->isTainted || call->isDisturbed || call->cancelled)
             continue;
         const bool isBefore = call->sent < crashes.front();
         if (!isBefore && call->sent < known)
@@ -674,6 +795,7 @@
         line += " (call " + call->id + " at " + this->vms[call->vm].name + ", "
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())
             + " ms after it was sent" + ", runs " + std::to_string(call->runs)
+            + (call->oddForm >= 0 ? ", answer: " + oddAnswerName(call->oddForm) : "")
             + (call->upstream ? " at " + call->upstream->id : "") + ", status " + std::to_string(call->status) + ")";
     }
     this->report.violations.push_back(line);
--- a/tests/failure/relaysoak.h
+++ b/tests/failure/relaysoak.h
@@ -2,9 +2,11 @@
 
 #include "faultproxy.h"
 #include "processes.h"
+#include "retrywindows.h"
 #include "soakstore.h"
 #include "soakupstream.h"
 #include "testhttp.h"
+#include "upstreamnotices.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,8 +40,9 @@
 
 /// Runs hemlock-relay processes between callers, upstreams and a store of the test program while faults overlap:
 /// processes are stopped, killed, paused, reloaded and restarted, connections are delayed, reset and silenced by
-/// proxies, upstreams leave, crash and misbehave, API keys are withdrawn, and the store fails. Callers keep using their
-/// connections until a process is gone. All promises are checked by what callers, upstreams and the platform see.
+/// proxies, upstreams leave, crash, fail, ask for pauses and answer twice or with malformed heads, API keys are
+/// withdrawn, VMs are replaced, and the store fails. Callers keep using their connections until a process is gone. All
+/// promises are checked by what callers, upstreams and the platform see.
 class RelaySoak
 {
 public:
@@ -89,6 +92,8 @@
         HttpClient::CallId exchange = 0;
         int status = 0;
         std::string body;
+        HttpHeaders headers; ///< Of the answer that the caller got.
+        int arrivals = 0; ///< At upstreams, whether they ran it or not.
         int runs = 0;
         int openRuns = 0; ///< Runs whose upstream still works.
         bool isDisturbed = false; ///< A fault other than planned work may have harmed it.
@@ -98,6 +103,12 @@
         bool isDeadly = false; ///< A copy of the request that crashes upstreams.
         bool wasInTouch = false; ///< Whether its VM was in touch when it was sent.
         SoakUpstream *upstream = nullptr; ///< Of the latest run.
+        std::set<int> upstreamStatuses; ///< Of all answers that upstreams sent.
+        std::string leavingUpstream; ///< The upstream of the latest answer if it said that it leaves.
+        int oddForm = -1; ///< Form of the latest odd answer.
+
+        bool isStream() const;
+        std::string service() const;
     };
 
     struct ApiKey
@@ -127,9 +138,11 @@
     using Calls = std::map<std::string, std::shared_ptr<Call>>;
 
     // Set-up.
+    void identifyVm(std::size_t index);
     void startVm(std::size_t index);
     void addUpstream(const std::string &service);
     void writeConfig();
+    SoakUpstream::Behavior chooseBehavior(const std::string &service, const HttpRequest &request);
 
     // Progress.
     void runUntil(Time end, bool injectsFaults);
@@ -139,16 +152,24 @@
     void checkReadiness(std::size_t index);
     void sendCalls();
     void sendCall(std::size_t vm);
+    Kind chooseKind();
     void makeDeadly(Call &call) const;
     std::string chooseKey();
     void cancelCall(const std::shared_ptr<Call> &call);
 
     // Faults.
     void injectFault();
+    void injectOtherFault(int number, std::size_t vm, SoakUpstream &upstream);
+    void planStorm(Time start);
+    void restartAll();
+    bool isFailing(const std::string &service) const;
+    void failService(const std::string &service, std::chrono::milliseconds time);
     void disturbVm(std::size_t index, std::chrono::milliseconds time);
     void disturbUpstream(SoakUpstream &upstream, std::chrono::milliseconds time);
     void terminateVm(std::size_t index);
     void killVm(std::size_t index);
+    void killAll();
+    void replaceVm(std::size_t index);
     void pauseVm(std::size_t index);
     void cutStore(std::size_t index);
     void failStore();
@@ -156,16 +177,22 @@
     void disturbConnections(SoakUpstream &upstream);
     void crashUpstream(SoakUpstream &upstream);
     void retireUpstream(std::size_t index, bool announces);
+    void announceLeaving(SoakUpstream &upstream);
+    void askForPause(SoakUpstream &upstream);
     void rotateKey();
     void nameLimit(SoakUpstream &upstream);
 
     // Checks.
     void requestArrived(SoakUpstream &upstream, const HttpRequest &request);
+    void answerSent(SoakUpstream &upstream, const HttpRequest &request, int status);
+    void headArrived(Call &call);
     void checkLimit(const SoakUpstream &upstream, std::size_t vm);
     void checkCrashingArrival(CrashCause &cause, const Call &call);
     void requestBegan(SoakUpstream &upstream, const HttpRequest &request, SoakUpstream::Behavior behavior);
     void callEnded(const std::shared_ptr<Call> &call, const HttpOutcome &outcome);
     void checkAnswer(const Call &call, bool isComplete);
+    void checkSignature(const Call &call);
+    void checkRetries();
     void checkUnauthorized(const Call &call);
     void checkLost(const Call &call, const HttpOutcome &outcome);
     void checkRates();
@@ -208,7 +235,13 @@
     bool isPlannedOnly = false; ///< Stops, reloads, configurations and leaving upstreams only.
     bool hasTaintedPart = false; ///< From the first faults on, a part of some prompts crashes upstreams.
     bool hasDeadlyRequest = false; ///< From the first faults on, copies of one request crash upstreams.
+    bool hasStorm = false; ///< A service fails while all VMs restart.
     int faultPercent = 0; ///< Chance of a fault in each step.
+    Time faultEnd;
+    std::map<std::string, Time> failingServices; ///< Services whose answers are mostly errors, until when.
+    RetryWindows retryWindows;
+    UpstreamNotices notices;
+    int vmNumber = 0;
     std::map<std::int64_t, nlohmann::json> reportedWindows;
     std::int64_t highestToken = 0;
     std::map<std::int64_t, std::string> tokenHolders;
--- a/tests/failure/relaysoakfaults.cpp
+++ b/tests/failure/relaysoakfaults.cpp
@@ -12,9 +12,10 @@
     const auto vm = static_cast<std::size_t>(this->below(static_cast<int>(this->vms.size())));
     const auto index = static_cast<std::size_t>(this->below(static_cast<int>(this->upstreams.size())));
     SoakUpstream &upstream = *this->upstreams[index];
-    constexpr int plannedCases = 8; ///< The first ones are planned work.
-    constexpr int allCases = 21;
-    switch (this->below(this->isPlannedOnly ? plannedCases : allCases)) {
+    constexpr int plannedCases = 9; ///< The first ones are planned work.
+    constexpr int allCases = 26;
+    const int number = this->below(this->isPlannedOnly ? plannedCases : allCases);
+    switch (number) {
     case 0:
     case 1:
         return this->terminateVm(vm);
@@ -33,33 +34,94 @@
     case 7:
         return this->rotateKey();
     case 8:
+        return this->announceLeaving(upstream);
+    default:
+        return this->injectOtherFault(number - plannedCases, vm, upstream);
+    }
+}
+
+void RelaySoak::injectOtherFault(int number, std::size_t vm, SoakUpstream &upstream)
+{
+    switch (number) {
+    case 0:
         this->disturbVm(vm, {});
         return this->killVm(vm);
-    case 9:
-    case 10:
+    case 1:
+    case 2:
         return this->pauseVm(vm);
-    case 11:
-    case 12:
+    case 3:
+    case 4:
         return this->cutStore(vm);
-    case 13:
+    case 5:
         return this->chance(50) ? this->failStore() : this->restoreStore();
-    case 14:
-    case 15:
+    case 6:
+    case 7:
         return this->disturbConnections(upstream);
-    case 16:
-    case 17:
-    case 18:
+    case 8:
+    case 9:
+    case 10: {
         this->count("answers repeated");
         // Connections may carry their copies much later.
         this->disturbUpstream(upstream, std::chrono::hours(1));
-        return upstream.proxy().repeatAnswers();
-    case 19:
+        constexpr FaultProxy::Copy copies[] = {
+            FaultProxy::Copy::BeforeNext, FaultProxy::Copy::AfterNext, FaultProxy::Copy::Idle};
+        return upstream.proxy().repeatAnswers(copies[this->below(3)]);
+    }
+    case 11:
         return this->nameLimit(upstream);
-    default:
+    case 12:
         return this->crashUpstream(upstream);
+    case 13:
+    case 14:
+        return this->askForPause(upstream);
+    case 15:
+        return this->chance(50) ? this->killAll() : this->replaceVm(vm);
+    default:
+        return this->failService(upstream.service, std::chrono::milliseconds(1000 + this->below(4000)));
+    }
+}
+
+void RelaySoak::planStorm(Time start)
+{
+    Time next = start + std::chrono::milliseconds(this->below(1000));
+    this->at(next, [this] {
+        this->failService(this->chance(50) ? plainService : streamService,
+                          std::chrono::milliseconds(9000 + this->below(2000)));
+    });
+    next += std::chrono::milliseconds(1000);
+    for (int restarts = 2 + this->below(2); restarts > 0; --restarts) {
+        next += std::chrono::milliseconds(1000 + this->below(2500));
+        this->at(next, [this] { this->restartAll(); });
     }
 }
 
+void RelaySoak::restartAll()
+{
+    if (!this->isPlannedOnly && this->chance(70))
+        this->killAll();
+    else if (this->chance(50))
+        this->rotateKey();
+    for (std::size_t i = 0; i < this->vms.size(); ++i)
+        this->terminateVm(i);
+    if (!this->isPlannedOnly && this->chance(30))
+        this->replaceVm(static_cast<std::size_t>(this->below(static_cast<int>(this->vms.size()))));
+}
+
+bool RelaySoak::isFailing(const std::string &service) const
+{
+    return this->failingServices.contains(service);
+}
+
+void RelaySoak::failService(const std::string &service, std::chrono::milliseconds time)
+{
+    if (this->isFailing(service))
+        return;
+    this->count("service fails");
+    const Time end = std::min(this->faultEnd, std::chrono::steady_clock::now() + time);
+    this->failingServices[service] = end;
+    this->at(end, [this, service] { this->failingServices.erase(service); });
+}
+
 void RelaySoak::disturbVm(std::size_t index, std::chrono::milliseconds time)
 {
     Vm &vm = this->vms[index];
@@ -103,6 +165,25 @@
     this->at(std::chrono::steady_clock::now() + restartDelay, [this, index] { this->startVm(index); });
 }
 
+void RelaySoak::killAll()
+{
+    this->count("all VMs killed");
+    for (std::size_t i = 0; i < this->vms.size(); ++i) {
+        this->disturbVm(i, {});
+        this->killVm(i);
+    }
+}
+
+void RelaySoak::replaceVm(std::size_t index)
+{
+    if (!this->vms[index].process)
+        return;
+    this->count("VM replaced");
+    this->disturbVm(index, {});
+    this->killVm(index);
+    this->identifyVm(index);
+}
+
 void RelaySoak::pauseVm(std::size_t index)
 {
     Vm &vm = this->vms[index];
@@ -113,6 +194,7 @@
     this->disturbVm(index, time);
     vm.process->signal(SIGSTOP);
     vm.isPaused = true;
+    this->notices.forgetVm(vm.name);
     this->at(std::chrono::steady_clock::now() + time, [this, index, process = vm.process] {
         Vm &paused = this->vms[index];
         if (paused.process != process)
@@ -120,6 +202,7 @@
         paused.process->signal(SIGCONT);
         paused.isPaused = false;
         paused.resumed = std::chrono::steady_clock::now();
+        this->notices.forgetVm(paused.name);
     });
 }
 
@@ -173,17 +256,20 @@
     this->count("connection fault");
     FaultProxy &proxy = upstream.proxy();
     const std::chrono::milliseconds time(200 + this->below(1500));
+    this->notices.forgetTurnedAway(upstream.id);
     switch (this->below(4)) {
     case 0:
         this->disturbUpstream(upstream, {});
         return proxy.resetConnections();
     case 1:
         this->disturbUpstream(upstream, time);
+        upstream.cutUntil = std::max(upstream.cutUntil, std::chrono::steady_clock::now() + time);
         proxy.setMode(FaultProxy::Mode::Delayed, std::chrono::milliseconds(20 + this->below(200)));
         break;
     default:
         // Connections that fell silent stay so, and may be used much later.
         this->disturbUpstream(upstream, std::chrono::hours(1));
+        upstream.cutUntil = upstream.disturbedUntil;
         proxy.setMode(this->chance(50) ? FaultProxy::Mode::SilentToServer : FaultProxy::Mode::SilentToClient);
     }
     this->at(std::chrono::steady_clock::now() + time, [&proxy] { proxy.setMode(FaultProxy::Mode::Pass); });
@@ -194,6 +280,7 @@
     this->count("upstream crash");
     const std::chrono::milliseconds time(300 + this->below(2000));
     this->disturbUpstream(upstream, time);
+    this->notices.forgetTurnedAway(upstream.id);
     upstream.proxy().setMode(FaultProxy::Mode::Refusing);
     upstream.proxy().resetConnections();
     this->at(std::chrono::steady_clock::now() + time, [this, &upstream] {
@@ -212,6 +299,7 @@
     this->upstreams.erase(this->upstreams.begin() + static_cast<std::ptrdiff_t>(index));
     const std::string service = leaving->service;
     const std::string key = "servers/" + leaving->id;
+    leaving->isLeaving = leaving->isLeaving || announces;
     if (announces)
         this->store.put(key, leaving->record("draining"));
     else
@@ -231,6 +319,34 @@
     this->at(now + std::chrono::milliseconds(300), [this, service] { this->addUpstream(service); });
 }
 
+void RelaySoak::announceLeaving(SoakUpstream &upstream)
+{
+    const bool isAnyLeaving =
+        std::any_of(this->upstreams.begin(), this->upstreams.end(), [&upstream](const auto &other) {
+            return other->isLeaving && other->service == upstream.service;
+        });
+    if (isAnyLeaving)
+        return;
+    this->count("upstream says that it leaves");
+    upstream.isLeaving = true;
+    const std::chrono::milliseconds time(3000 + this->below(3000));
+    this->at(std::chrono::steady_clock::now() + time, [this, &upstream] {
+        const auto found = std::find_if(this->upstreams.begin(), this->upstreams.end(), [&upstream](const auto &other) {
+            return other.get() == &upstream;
+        });
+        if (found != this->upstreams.end())
+            this->retireUpstream(static_cast<std::size_t>(found - this->upstreams.begin()), this->chance(50));
+    });
+}
+
+void RelaySoak::askForPause(SoakUpstream &upstream)
+{
+    if (upstream.pause().count() > 0)
+        return;
+    this->count("upstream asks for a pause");
+    upstream.pausedUntil = std::chrono::steady_clock::now() + std::chrono::milliseconds(1000 + this->below(3000));
+}
+
 void RelaySoak::rotateKey()
 {
     this->count("key rotated");
