Correct the record of a refused prompt part that was cleared before it was read

Cause: one VM writes the record of a refused part, another clears the part in its memory before it has read that record, and so has nothing to correct; when the record arrives, its subject isn't looked at again. The record stays, and is what new processes read. In the log the VMs that cleared the part, at 13.62 and 13.70 s, read the record at 13.76 and 13.80 s and wrote none; all VMs were killed at 14.9 s.

Subjects of records that arrive are looked at as if they had changed. Failed before: unit "SuspectRecords: record is read after its subject was cleared*" (1 of 2 assertions), passes after.

--- a/src/libhemlock/relay/suspectrecords.cpp
+++ b/src/libhemlock/relay/suspectrecords.cpp
@@ -156,6 +156,9 @@
         this->apply(content);
         // The watch does not tell the revision; the next write learns it when its comparison fails.
         this->records[key] = {0, content.at("refused").get<bool>(), value};
+        // The subject may have been cleared here before its record was known.
+        for (const nlohmann::json &entry : content.at("entries"))
+            this->changedSubjects.insert(entry.at("fingerprint").get<std::string>());
     } catch (const nlohmann::json::exception &error) {
         logEvent(LogLevel::Warning, "suspect-record", {{"key", key}, {"error", error.what()}});
     }
--- a/tests/unit/suspectrecordstest.cpp
+++ b/tests/unit/suspectrecordstest.cpp
@@ -164,6 +164,27 @@
     CHECK(this->permissionAt(started) == Permission::Allowed);
 }
 
+// Guards against sound parts that are refused once more when all VMs restart.
+TEST_CASE_METHOD(SuspectRecordsFixture, "SuspectRecords: record is read after its subject was cleared: it is corrected")
+{
+    this->crashTwice(this->first);
+    this->second.quarantine.applyDelta(this->first.quarantine.delta(0, this->now), this->now);
+    this->first.records.tick();
+    this->store.runAll();
+    this->now += 1s;
+    this->second.quarantine.recordSuccess(bad, this->now, this->now);
+    this->second.records.tick();
+    REQUIRE(this->permissionAt(this->second) == Permission::Allowed);
+    this->watch();
+    // The first write learns the revision of the record.
+    this->settle();
+    this->settle();
+    SuspectVm started(this->store, "vm-4", this->now);
+    this->vms.push_back(&started);
+    this->watch();
+    CHECK(this->permissionAt(started) == Permission::Allowed);
+}
+
 TEST_CASE_METHOD(SuspectRecordsFixture, "SuspectRecords: store is away: no trial is granted, and the next one is later")
 {
     this->crashTwice(this->first);
