--- a/tests/failure/relaysoakfaults.cpp
+++ b/tests/failure/relaysoakfaults.cpp
@@ -288,6 +288,8 @@
         if (this->leftUpstreams.contains(upstream.id))
             return;
         ++upstream.born;
+        upstream.isLeaving = false;
+        this->notices.forgetUpstream(upstream.id);
         this->store.put("servers/" + upstream.id, upstream.record("ready"));
     });
 }
--- a/tests/failure/upstreamnotices.cpp
+++ b/tests/failure/upstreamnotices.cpp
@@ -43,6 +43,12 @@
     std::erase_if(this->pauses, isOfVm);
 }
 
+void UpstreamNotices::forgetUpstream(const std::string &upstream)
+{
+    std::erase_if(this->leaving, [&upstream](const auto &entry) { return entry.first.second == upstream; });
+    this->forgetTurnedAway(upstream);
+}
+
 void UpstreamNotices::forgetTurnedAway(const std::string &upstream)
 {
     std::erase_if(this->pauses, [&upstream](const auto &entry) { return entry.first.second == upstream; });
--- a/tests/failure/upstreamnotices.h
+++ b/tests/failure/upstreamnotices.h
@@ -34,6 +34,9 @@
     /// A VM restarted or was frozen, and may have forgotten everything.
     void forgetVm(const std::string &vm);
 
+    /// An upstream started again and has said nothing yet.
+    void forgetUpstream(const std::string &upstream);
+
     /// Connections to an upstream lose bytes, so that its answers may not have arrived.
     void forgetTurnedAway(const std::string &upstream);
 
--- a/tests/failure/upstreamnoticestest.cpp
+++ b/tests/failure/upstreamnoticestest.cpp
@@ -35,6 +35,9 @@
     CHECK(ruleOf("vm-2", 2001, 2600) == "");
     notices.forgetVm("vm-1");
     CHECK(ruleOf("vm-1", 2001, 2600) == "");
+    notices.leavingPassedOn("vm-1", "u1", at(0));
+    notices.forgetUpstream("u1");
+    CHECK(ruleOf("vm-1", 2001, 2600) == "");
 }
 
 TEST_CASE_METHOD(UpstreamNoticesFixture,
