Keep to the pause that an upstream wants when it turns a request away

The time was not read; such a 503 was a failed attempt like any other.

platform/ decodes the time (fractions allowed; more than 10 min is bounded, anything else that is no time is ignored; both are logged and counted). UpstreamNotices keeps the end of the pause, counted from the arrival of the answer by the time since boot. The scheduler leaves the upstream out for requests of every kind. If no other is left, a request is refused at once, with the time until the first one is back, and without a retry from the budget. After the end, requests return one each 50 ms for a second. Peers are not told (docs/design.md 9.11).

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -378,6 +378,11 @@
         notice.limit = 0.0;
     notice.isLeaving = this->answer.isUpstreamLeaving;
     notice.invalidFields = this->answer.invalidNotices;
+    if (this->status == 503) {
+        notice.pause = this->answer.pause;
+        if (this->answer.isPauseInvalid)
+            notice.invalidFields.emplace_back("pause");
+    }
     this->context.scheduler.recordNotice(this->upstream, notice, this->context.now());
 }
 
@@ -569,6 +574,8 @@
         return false;
     if (this->quarantineError())
         return false;
+    if (this->context.scheduler.pauseLeft(this->service, this->triedUpstreams, now))
+        return false;
     if (!this->context.retryBudget.tryRetry({}, this->service, now))
         return false;
     logEvent(LogLevel::Info,
@@ -590,8 +597,10 @@
         this->responder->abort();
         return this->finish(0, reason);
     }
-    if (this->verdict == Verdict::NotRun)
-        return this->refuse({Verdict::NotRun, 503, "not-run", reason, std::chrono::seconds(1)});
+    if (this->verdict == Verdict::NotRun) {
+        const auto pauseLeft = this->context.scheduler.pauseLeft(this->service, {}, this->context.now());
+        return this->refuse({Verdict::NotRun, 503, "not-run", reason, pauseLeft.value_or(std::chrono::seconds(1))});
+    }
     this->refuse({this->verdict, 502, "upstream-failed", reason, {}});
 }
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -483,6 +483,8 @@
     const UpstreamNotices::Counts &notices = this->scheduler.notices().counts();
     this->metrics.setTotal(
         "hemlock_upstreams_leaving_total", "Upstreams that said that they leave, here or at a peer.", notices.leaving);
+    this->metrics.setTotal(
+        "hemlock_upstream_pauses_total", "Times for which an upstream wanted no request of this VM.", notices.pauses);
     this->metrics.setTotal("hemlock_invalid_upstream_notices_total",
                            "Notices in answers of upstreams whose value was ignored or bounded.",
                            notices.invalid);
--- a/src/libhemlock/relay/relayrequest.h
+++ b/src/libhemlock/relay/relayrequest.h
@@ -58,6 +58,9 @@
     bool namesRateLimit = false; ///< The answer has a rate limit, valid or not.
     /// Requests per second that the upstream takes from all entry VMs together; unset if it names none or no valid one.
     std::optional<double> rateLimit;
+    /// Time for which the upstream wants no request of this VM; meant only if it turned the request away.
+    std::optional<std::chrono::milliseconds> pause;
+    bool isPauseInvalid = false; ///< The answer has a value for the pause that is not used as it stands.
     bool isUpstreamLeaving = false; ///< The upstream says that it is about to leave.
     /// Names of what the upstream says of itself with a value that is not used as it stands.
     std::vector<std::string> invalidNotices;
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -72,7 +72,7 @@
     this->waitingById[id] = {std::move(ticket), std::move(hooks)};
     FairQueue &queue = this->queues[service].try_emplace(rank).first->second;
     for (const QueueRefusal &refusal : queue.push(queued, now))
-        this->refuse(refusal.request.requestId, refusal.code, refusal.message);
+        this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
     this->dispatch(service, now);
 }
 
@@ -133,7 +133,7 @@
     for (const std::string &id : expired) {
         const RelayTicket &ticket = this->waitingById.at(id).ticket;
         this->queues[ticket.service][ticket.rank].cancel(id);
-        this->refuse(id, "overload", "no upstream can start the request in time");
+        this->refuse(id, "overload", "no upstream can start the request in time", now);
     }
 }
 
@@ -167,6 +167,26 @@
     this->applyUpstreams(known, now);
 }
 
+std::optional<std::chrono::seconds>
+RelayScheduler::pauseLeft(const std::string &service, const std::set<std::string> &excluded, TimePoint now) const
+{
+    TimePoint first = TimePoint::max();
+    bool isAnyPaused = false;
+    for (const auto &[id, upstream] : this->pool.all()) {
+        const bool isUsable = upstream.state == UpstreamState::Serving || upstream.state == UpstreamState::Suspected;
+        if (upstream.service != service || !isUsable)
+            continue;
+        const auto end = this->upstreamNotices.pauseEnd(id, now);
+        if (!end && !excluded.contains(id))
+            return std::nullopt;
+        isAnyPaused = isAnyPaused || end;
+        first = std::min(first, end.value_or(now));
+    }
+    if (!isAnyPaused)
+        return std::nullopt;
+    return std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(first - now));
+}
+
 std::size_t RelayScheduler::waitingCount(const std::string &service) const
 {
     const auto ranks = this->queues.find(service);
@@ -243,7 +263,7 @@
     std::set<std::string> excluded = this->fullUpstreams(ticket, now);
     excluded.insert(ticket.excluded.begin(), ticket.excluded.end());
     // Also those that failed recently, which are chosen when no healthy one is left.
-    excluded.merge(this->upstreamNotices.exhausted(now));
+    excluded.merge(this->upstreamNotices.unavailable(now));
     if (ticket.isTrial)
         this->excludeLoaded(ticket.service, excluded, now);
     const bool isModel = this->modelServices.contains(ticket.service);
@@ -300,6 +320,10 @@
             }
             if (!this->tryStart(waiting->second, *queued, now)) {
                 queue.finished(*queued);
+                if (this->pauseLeft(service, waiting->second.ticket.excluded, now)) {
+                    refused.push_back({*queued, "upstreams-paused", "no upstream takes requests for now"});
+                    continue;
+                }
                 unplaced.push_back(*std::move(queued));
                 break;
             }
@@ -307,14 +331,14 @@
         for (QueuedRequest &queued : unplaced)
             queue.push(std::move(queued), now);
         for (const QueueRefusal &refusal : refused)
-            this->refuse(refusal.request.requestId, refusal.code, refusal.message);
+            this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
         // A less urgent request must not take the upstream that a more urgent one waits for.
         if (!unplaced.empty())
             return;
     }
 }
 
-void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message)
+void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now)
 {
     const auto found = this->waitingById.find(id);
     if (found == this->waitingById.end())
@@ -329,7 +353,8 @@
     error.status = 503;
     error.code = code;
     error.message = message;
-    error.retryAfter = this->retryAfter(waiting.ticket.service);
+    error.retryAfter = this->pauseLeft(waiting.ticket.service, waiting.ticket.excluded, now)
+                           .value_or(this->retryAfter(waiting.ticket.service));
     waiting.hooks.refuse(error);
 }
 
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -102,6 +102,11 @@
     /// Applies a message of another entry VM, as by UpstreamNotices::encode().
     void applyPeerNotices(const nlohmann::json &message, UpstreamNotices::Source source, TimePoint now);
 
+    /// Time until the first upstream of a service may get a request again, if all that serve pause or are among
+    /// @p excluded and at least one pauses. An excluded one that does not pause may get another request at once.
+    std::optional<std::chrono::seconds>
+    pauseLeft(const std::string &service, const std::set<std::string> &excluded, TimePoint now) const;
+
     /// Number of queued requests of a service.
     std::size_t waitingCount(const std::string &service) const;
 
@@ -147,7 +152,7 @@
     bool isFull(const UpstreamView &view, const RelayTicket &ticket) const;
     bool tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now);
     void dispatch(const std::string &service, TimePoint now);
-    void refuse(const std::string &id, const std::string &code, const std::string &message);
+    void refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now);
     std::chrono::seconds retryAfter(const std::string &service) const;
 
     AvailabilityZone zone;
--- a/src/libhemlock/relay/upstreamnotices.cpp
+++ b/src/libhemlock/relay/upstreamnotices.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -76,9 +77,25 @@
         limit.lastRefill = now;
         this->setLimit(upstream.id, limit);
     }
+    if (notice.pause)
+        this->setPause(upstream.id, *notice.pause, now);
     return notice.isLeaving && this->setLeaving({upstream.id, upstream.incarnation}, origin);
 }
 
+void UpstreamNotices::setPause(const std::string &upstream, std::chrono::milliseconds pause, Time now)
+{
+    if (pause.count() == 0)
+        return;
+    Pause &known = this->pauses[upstream];
+    // Answers to requests that were sent before the pause began may name an earlier end.
+    if (now + pause <= known.end)
+        return;
+    if (known.end <= now)
+        ++this->totals.pauses;
+    known = {now + pause, {}};
+    logEvent(LogLevel::Info, "upstream-pause", {{"upstream", upstream}, {"ms", pause.count()}});
+}
+
 bool UpstreamNotices::setLeaving(const Incarnation &incarnation, const Origin &origin)
 {
     const auto [entry, isNew] = this->departures.try_emplace(incarnation, origin);
@@ -140,9 +157,21 @@
     return this->departures.contains({upstream.id, upstream.incarnation});
 }
 
-std::set<std::string> UpstreamNotices::exhausted(Time now)
+std::optional<UpstreamNotices::Time> UpstreamNotices::pauseEnd(const std::string &upstream, Time now) const
+{
+    const auto pause = this->pauses.find(upstream);
+    return pause == this->pauses.end() || now >= pause->second.end ? std::nullopt : std::optional(pause->second.end);
+}
+
+std::set<std::string> UpstreamNotices::unavailable(Time now)
 {
     std::set<std::string> upstreams;
+    std::erase_if(this->pauses,
+                  [this, now](const auto &pause) { return now >= pause.second.end + this->settings.returnDuration; });
+    for (const auto &[upstream, pause] : this->pauses) {
+        if (now < pause.end || now < pause.lastSent + this->settings.returnInterval)
+            upstreams.insert(upstream);
+    }
     this->updateOwnRates(now);
     for (auto &[upstream, limit] : this->limits) {
         if (limit.perSecond == 0.0)
@@ -170,6 +199,8 @@
 
 void UpstreamNotices::requestStarted(const std::string &upstream, Time now)
 {
+    if (const auto pause = this->pauses.find(upstream); pause != this->pauses.end())
+        pause->second.lastSent = now;
     const auto found = this->limits.find(upstream);
     if (found == this->limits.end() || found->second.perSecond == 0.0)
         return;
--- a/src/libhemlock/relay/upstreamnotices.h
+++ b/src/libhemlock/relay/upstreamnotices.h
@@ -24,6 +24,7 @@
     /// tell.
     std::optional<double> limit;
     bool isLeaving = false;
+    std::optional<std::chrono::milliseconds> pause; ///< It turned the request away and wants none for this long.
     std::vector<std::string> invalidFields; ///< Names of the notices whose value is not used as it stands.
 };
 
@@ -38,9 +39,13 @@
     std::chrono::milliseconds holderInterval{500};
     /// How long it is remembered that an upstream leaves which is no longer listed; copies of the store are younger.
     std::chrono::minutes leavingMemory{10};
+    /// After a pause, a VM sends at most one request in each interval, for as long as the return takes.
+    std::chrono::milliseconds returnInterval{50};
+    std::chrono::milliseconds returnDuration{1000};
 };
 
-/// Notices that upstreams give of themselves in their answers: a limit of requests per second, and that they leave.
+/// Notices that upstreams give of themselves in their answers: a limit of requests per second, that they leave, and
+/// that they want nothing for a time.
 ///
 /// Each notice has the time at which its answer arrived, and is told to other entry VMs with its age.
 ///
@@ -49,7 +54,8 @@
 /// send nothing to this upstream. A limit stays in force until an answer comes without one, or the upstream restarts or
 /// leaves.
 ///
-/// That an upstream leaves belongs to its incarnation and is never taken back.
+/// That an upstream leaves belongs to its incarnation and is never taken back. A pause concerns only the VM that was
+/// answered; it ends with its time, not with a restart of the upstream.
 class UpstreamNotices
 {
 public:
@@ -65,6 +71,7 @@
     struct Counts
     {
         std::uint64_t leaving = 0; ///< Incarnations of upstreams that leave, by answers or messages.
+        std::uint64_t pauses = 0; ///< Pauses that began.
         std::uint64_t invalid = 0; ///< Fields of answers whose value is not used as it stands.
     };
 
@@ -88,8 +95,11 @@
     /// Whether this incarnation of an upstream has said that it leaves.
     bool isLeaving(const Upstream &upstream) const;
 
-    /// Upstreams that may not get a request of this VM now because of their limits.
-    std::set<std::string> exhausted(Time now);
+    /// End of the pause of an upstream; unset if it is not paused now.
+    std::optional<Time> pauseEnd(const std::string &upstream, Time now) const;
+
+    /// Upstreams that may not get a request of this VM now because of a limit or a pause.
+    std::set<std::string> unavailable(Time now);
 
     /// Records that a request is sent to an upstream.
     void requestStarted(const std::string &upstream, Time now);
@@ -127,9 +137,16 @@
         Time lastRefill;
     };
 
+    struct Pause
+    {
+        Time end{};
+        Time lastSent{}; ///< When a request was sent after the end.
+    };
+
     using Incarnation = std::pair<std::string, std::string>; ///< Identifier of an upstream and its incarnation.
 
     void setLimit(const std::string &upstream, const Limit &changed);
+    void setPause(const std::string &upstream, std::chrono::milliseconds pause, Time now);
     bool setLeaving(const Incarnation &incarnation, const Origin &origin);
     bool isSent(const Origin &origin, bool includesNeighbours, Time now) const;
     void updateOwnRates(Time now);
@@ -141,6 +158,7 @@
     std::function<std::set<std::string>()> otherNodes;
     std::map<std::string, Limit> limits; ///< By upstream.
     std::map<Incarnation, Origin> departures;
+    std::map<std::string, Pause> pauses; ///< By upstream; also those that returns follow.
     Counts totals;
 };
 
--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -104,6 +104,29 @@
     CHECK(platform::decodeRelayAnswer({{"Server-Limit", "x"}}).invalidNotices == std::vector<std::string>{"limit"});
 }
 
+TEST_CASE("decodeRelayAnswer: upstream wants a pause: seconds are decoded, bounded or reported as invalid")
+{
+    const auto answerWith = [](const std::string &value) {
+        return platform::decodeRelayAnswer({{"Retry-After", value}});
+    };
+    CHECK(answerWith("3").pause == std::chrono::milliseconds(3000));
+    CHECK(answerWith(" 0.25 ").pause == std::chrono::milliseconds(250));
+    CHECK(answerWith("0").pause == std::chrono::milliseconds(0));
+    CHECK_FALSE(answerWith("600").isPauseInvalid);
+    for (const char *tooLong : {"601", "31536000", "99999999999999999999"}) {
+        CAPTURE(tooLong);
+        CHECK(answerWith(tooLong).pause == std::chrono::minutes(10));
+        CHECK(answerWith(tooLong).isPauseInvalid);
+    }
+    for (const char *invalid : {"", "-1", "nan", "inf", "1e9", "3 s", "1,5", "0x10", "Sat, 05 Dec 2026 10:00:00 GMT"}) {
+        CAPTURE(invalid);
+        CHECK_FALSE(answerWith(invalid).pause);
+        CHECK(answerWith(invalid).isPauseInvalid);
+    }
+    CHECK_FALSE(platform::decodeRelayAnswer({}).pause);
+    CHECK_FALSE(platform::decodeRelayAnswer({}).isPauseInvalid);
+}
+
 TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: valid settings: are mapped to the relay settings")
 {
     const auto parsed = platform::parsePlatformSettings(settings());
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -56,6 +56,17 @@
     responder->reply(503, headers, "");
 }
 
+/// Turns a request away and wants none for this many seconds.
+UpstreamHandler turnAway(const std::string &seconds)
+{
+    return [seconds](const HttpRequest &request, const HttpResponderPtr &responder) {
+        HttpHeaders headers = answerHeaders(request);
+        headers.add("X-Hemlockflow-Not-Executed", "1");
+        headers.add("Retry-After", seconds);
+        responder->reply(503, headers, "");
+    };
+}
+
 /// Result of a call and the bytes of its answer.
 struct CallerOutcome
 {
@@ -825,3 +836,80 @@
     CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CHECK(this->sentCount() == 1);
 }
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: upstream turns a request away for a time: others get the requests")
+{
+    this->configure(GENERATE(CallKind::NonIdempotent, CallKind::Idempotent), 2);
+    this->first.handler = turnAway("30");
+    for (int i = 0; i < 40; ++i)
+        CHECK(this->call(this->request()).outcome.status == 200);
+    CHECK(this->first.requests.size() == 1);
+}
+
+TEST_CASE_METHOD(RelayCallFixture,
+                 "RelayCall: only upstream turns a request away for a time: callers get the true time, nothing is sent")
+{
+    this->configure(CallKind::Idempotent, GENERATE(1, 3));
+    this->retries = RetryBudget({0.0, 0.0, 1.0});
+    this->scheduler.applyUpstreams({this->first.upstream}, std::chrono::steady_clock::now());
+    this->first.handler = turnAway("30");
+    for (int i = 0; i < 5; ++i) {
+        const auto refused = this->call(this->request()).outcome;
+        CHECK(refused.status == 503);
+        const int retryAfter = std::stoi(refused.headers.value("Retry-After"));
+        CHECK(retryAfter > 20);
+        CHECK(retryAfter <= 30);
+    }
+    CHECK(this->first.requests.size() == 1);
+    CHECK(this->retries.tryRetry({}, "service", std::chrono::steady_clock::now()));
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: answer that turns no request away has a retry time: nothing changes")
+{
+    const int status = GENERATE(200, 404, 429, 500);
+    CAPTURE(status);
+    this->configure(CallKind::NonIdempotent, 1);
+    this->scheduler.applyUpstreams({this->first.upstream}, std::chrono::steady_clock::now());
+    this->first.handler = [status](const HttpRequest &request, const HttpResponderPtr &responder) {
+        HttpHeaders headers = answerHeaders(request);
+        headers.add("Retry-After", "30");
+        responder->reply(status, headers, "whole");
+    };
+    for (int i = 0; i < 5; ++i)
+        this->call(this->request());
+    CHECK(this->first.requests.size() == 5);
+}
+
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: upstream turns a request away with an invalid time: nothing changes")
+{
+    const std::string seconds = GENERATE("", "-3", "soon", "Sat, 05 Dec 2026 10:00:00 GMT");
+    this->configure(CallKind::NonIdempotent, 1);
+    this->scheduler.applyUpstreams({this->first.upstream}, std::chrono::steady_clock::now());
+    this->first.handler = turnAway(seconds);
+    for (int i = 0; i < 5; ++i)
+        CHECK(this->call(this->request()).outcome.headers.value("Retry-After") == "1");
+    CHECK(this->first.requests.size() == 5);
+    CHECK(this->scheduler.notices().counts().invalid == 5);
+}
+
+// Guards against a resumed stream, or a retry, at an upstream that pauses.
+TEST_CASE_METHOD(RelayCallFixture, "RelayCall: stream breaks off while the other upstream pauses: nothing more is sent")
+{
+    this->configure(CallKind::Stream, 5, true);
+    this->retries = RetryBudget({0.0, 0.0, 1.0});
+    this->setHandlers(turnAway("30"));
+    this->scheduler.applyUpstreams({this->second.upstream}, std::chrono::steady_clock::now());
+    this->call(this->request());
+    this->scheduler.applyUpstreams({this->first.upstream, this->second.upstream}, std::chrono::steady_clock::now());
+    this->first.handler = [](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: a\n\n");
+        responder->abort();
+    };
+    const auto result = this->call(this->request());
+    CHECK_FALSE(result.outcome.isComplete());
+    CHECK(result.bytes == "id: 1\ndata: a\n\n");
+    CHECK(this->first.requests.size() == 1);
+    CHECK(this->second.requests.size() == 1);
+    CHECK(this->retries.tryRetry({}, "service", std::chrono::steady_clock::now()));
+}
--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -66,6 +66,13 @@
         this->scheduler.recordNotice(upstream, notice, this->now);
     }
 
+    void turnAway(const Upstream &upstream, std::chrono::milliseconds pause)
+    {
+        UpstreamNotice notice;
+        notice.pause = pause;
+        this->scheduler.recordNotice(upstream, notice, this->now);
+    }
+
     /// Whether requests for the model are sent to an upstream.
     bool isUsed(const std::string &upstream)
     {
@@ -352,3 +359,89 @@
     for (std::size_t i = running.size(); i < this->started.size(); ++i)
         CHECK(this->chosenUpstreams.at(this->started[i]) == "p2");
 }
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: upstream wants a pause: others get the requests until its end")
+{
+    this->turnAway(this->upstreams[0], std::chrono::milliseconds(3000));
+    CHECK_FALSE(this->isUsed("m1"));
+    this->now += std::chrono::milliseconds(2999);
+    CHECK_FALSE(this->isUsed("m1"));
+    CHECK(this->refused.empty());
+    this->now += std::chrono::milliseconds(1);
+    CHECK(this->isUsed("m1"));
+}
+
+TEST_CASE_METHOD(
+    RelaySchedulerFixture,
+    "RelayScheduler: all upstreams want a pause: requests are refused at once, until the first one is back")
+{
+    this->turnAway(this->upstreams[0], std::chrono::milliseconds(3000));
+    this->turnAway(this->upstreams[1], std::chrono::milliseconds(7200));
+    this->submit(this->ticket("a", "model"));
+    REQUIRE(this->refused.contains("a"));
+    CHECK(this->refused["a"].verdict == Verdict::NotRun);
+    CHECK(this->refused["a"].status == 503);
+    CHECK(this->refused["a"].retryAfter == std::chrono::seconds(3));
+    this->now += std::chrono::milliseconds(1500);
+    this->submit(this->ticket("b", "model"));
+    CHECK(this->refused["b"].retryAfter == std::chrono::seconds(2));
+    this->submit(this->ticket("plain", "plain"));
+    CHECK(this->started == RequestIds{"plain"});
+    this->now += std::chrono::milliseconds(1500);
+    this->submit(this->ticket("c", "model"));
+    CHECK(this->chosenUpstreams["c"] == "m1");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: last upstream wants a pause: all that wait are refused")
+{
+    for (const char *id : {"a", "b", "c", "d", "e"})
+        this->submit(this->ticket(id, "plain"));
+    REQUIRE(this->started.size() == 3);
+    this->turnAway(this->upstreams[2], std::chrono::milliseconds(2000));
+    this->scheduler.requestEnded("a", false, this->now);
+    CHECK(this->started.size() == 3);
+    CHECK(this->refused["d"].retryAfter == std::chrono::seconds(2));
+    CHECK(this->refused["e"].retryAfter == std::chrono::seconds(2));
+    CHECK(this->scheduler.waitingCount("plain") == 0);
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: the others that do not pause are full: requests wait for them")
+{
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    this->turnAway(this->upstreams[2], std::chrono::milliseconds(2000));
+    for (const char *id : {"a", "b", "c", "d"})
+        this->submit(this->ticket(id, "plain"));
+    CHECK(this->started.size() == 3);
+    CHECK(this->refused.empty());
+    this->scheduler.requestEnded("a", false, this->now);
+    CHECK(this->chosenUpstreams["d"] == "p2");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: retried request or trial finds only upstreams that pause: is refused")
+{
+    this->turnAway(this->upstreams[0], std::chrono::milliseconds(3000));
+    RelayTicket again = this->ticket("again", "model");
+    again.excluded = {"m2"};
+    this->submit(again);
+    CHECK(this->refused["again"].retryAfter == std::chrono::seconds(1));
+    this->turnAway(this->upstreams[1], std::chrono::milliseconds(3000));
+    RelayTicket trial = this->ticket("trial", "model");
+    trial.isTrial = true;
+    this->submit(trial);
+    CHECK(this->refused["trial"].retryAfter == std::chrono::seconds(3));
+    CHECK(this->started.empty());
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: upstream that pauses is the one with the least load: a trial goes to another one")
+{
+    this->submit(this->ticket("first", "model", 1000.0));
+    const std::string loaded = this->chosenUpstreams.at("first");
+    this->turnAway(this->upstreams[loaded == "m1" ? 1 : 0], std::chrono::milliseconds(3000));
+    RelayTicket trial = this->ticket("trial", "model", 1000.0);
+    trial.isTrial = true;
+    this->submit(trial);
+    CHECK(this->chosenUpstreams.at("trial") == loaded);
+}
--- a/tests/unit/upstreamnoticestest.cpp
+++ b/tests/unit/upstreamnoticestest.cpp
@@ -61,6 +61,18 @@
         return this->vms[vm]->record(upstream(incarnation), notice, this->now);
     }
 
+    void turnAway(std::size_t vm, std::chrono::milliseconds pause)
+    {
+        UpstreamNotice notice;
+        notice.pause = pause;
+        this->vms[vm]->record(upstream("1"), notice, this->now);
+    }
+
+    bool isAvailable(std::size_t vm)
+    {
+        return !this->vms[vm]->unavailable(this->now).contains("u");
+    }
+
     bool isLeaving(std::size_t vm, const std::string &incarnation) const
     {
         return this->vms[vm]->isLeaving(upstream(incarnation));
@@ -71,7 +83,7 @@
         for (std::chrono::milliseconds passed{0}; passed < time; passed += step) {
             this->now += step;
             for (const auto &vm : this->vms) {
-                while (!vm->exhausted(this->now).contains("u") && vm->limitOf("u") > 0.0) {
+                while (!vm->unavailable(this->now).contains("u") && vm->limitOf("u") > 0.0) {
                     vm->requestStarted("u", this->now);
                     this->sent.push_back(this->now);
                 }
@@ -148,10 +160,10 @@
 {
     this->startFleet(1);
     this->nameLimit(1.0);
-    CHECK(this->vms[0]->exhausted(this->now).contains("u"));
+    CHECK(this->vms[0]->unavailable(this->now).contains("u"));
     this->now += std::chrono::seconds(1);
     this->nameLimit(0.0);
-    CHECK(this->vms[0]->exhausted(this->now).empty());
+    CHECK(this->vms[0]->unavailable(this->now).empty());
     CHECK(this->vms[0]->limitOf("u") == 0.0);
 }
 
@@ -274,3 +286,97 @@
     CHECK_FALSE(this->isLeaving(0, ""));
     CHECK(this->vms[0]->counts().invalid == 2);
 }
+
+TEST_CASE_METHOD(UpstreamNoticesFixture,
+                 "UpstreamNotices: upstream wants a pause: this VM keeps it to its end, whatever else comes")
+{
+    this->startFleet(2);
+    const auto start = this->now;
+    this->turnAway(0, std::chrono::milliseconds(3000));
+    this->now = start + std::chrono::milliseconds(500);
+    // Answers to earlier requests, a restart, and the end of the entry.
+    this->turnAway(0, std::chrono::milliseconds(1000));
+    this->nameLimitTo(*this->vms[0], 100.0);
+    this->vms[0]->remove("u");
+    this->vms[0]->prune({upstream("2")}, this->now);
+    CHECK(this->vms[0]->pauseEnd("u", this->now) == start + std::chrono::milliseconds(3000));
+    CHECK(this->vms[0]->counts().pauses == 1);
+    this->now = start + std::chrono::milliseconds(2999);
+    CHECK_FALSE(this->isAvailable(0));
+    CHECK(this->isAvailable(1));
+    this->now = start + std::chrono::milliseconds(3000);
+    CHECK(this->isAvailable(0));
+    CHECK_FALSE(this->vms[0]->pauseEnd("u", this->now));
+}
+
+TEST_CASE_METHOD(UpstreamNoticesFixture,
+                 "UpstreamNotices: upstream wants a longer pause meanwhile: the later end holds")
+{
+    this->startFleet(1);
+    const auto start = this->now;
+    this->turnAway(0, std::chrono::milliseconds(1000));
+    this->now += std::chrono::milliseconds(500);
+    this->turnAway(0, std::chrono::milliseconds(1000));
+    this->now = start + std::chrono::milliseconds(1499);
+    CHECK_FALSE(this->isAvailable(0));
+    this->now = start + std::chrono::milliseconds(1500);
+    CHECK(this->isAvailable(0));
+}
+
+TEST_CASE_METHOD(UpstreamNoticesFixture, "UpstreamNotices: pause ends: requests return one after the other")
+{
+    this->startFleet(1);
+    this->turnAway(0, std::chrono::milliseconds(1000));
+    this->now += std::chrono::milliseconds(1000);
+    const auto sendAll = [this](std::chrono::milliseconds time) {
+        std::size_t sentRequests = 0;
+        for (std::chrono::milliseconds passed{0}; passed < time; passed += step) {
+            // A hundred wait all the time.
+            for (int i = 0; i < 100 && this->isAvailable(0); ++i) {
+                this->vms[0]->requestStarted("u", this->now);
+                ++sentRequests;
+            }
+            this->now += step;
+        }
+        return sentRequests;
+    };
+    CHECK(sendAll(step) == 1);
+    CHECK(sendAll(std::chrono::milliseconds(990)) == 19);
+    CHECK(sendAll(step) == 100);
+}
+
+TEST_CASE_METHOD(UpstreamNoticesFixture, "UpstreamNotices: VM was frozen beyond the end of a pause: the pause is over")
+{
+    this->startFleet(1);
+    this->turnAway(0, std::chrono::milliseconds(3000));
+    this->now += std::chrono::minutes(1);
+    CHECK(this->isAvailable(0));
+    CHECK_FALSE(this->vms[0]->pauseEnd("u", this->now));
+}
+
+TEST_CASE_METHOD(UpstreamNoticesFixture, "UpstreamNotices: upstream wants a pause: peers are not told")
+{
+    this->startFleet(1);
+    const auto before = this->vms[0]->encode(true, this->now);
+    this->turnAway(0, std::chrono::milliseconds(3000));
+    CHECK(this->vms[0]->encode(true, this->now) == before);
+}
+
+TEST_CASE_METHOD(UpstreamNoticesFixture, "UpstreamNotices: pause ends beside a limit: both are kept")
+{
+    this->startFleet(1);
+    this->nameLimit(1.0);
+    this->turnAway(0, std::chrono::milliseconds(1000));
+    this->now += std::chrono::milliseconds(999);
+    CHECK_FALSE(this->isAvailable(0));
+    std::size_t sentRequests = 0;
+    for (int i = 0; i < 400; ++i) {
+        this->now += step;
+        if (this->isAvailable(0)) {
+            this->vms[0]->requestStarted("u", this->now);
+            ++sentRequests;
+        }
+    }
+    CHECK(sentRequests >= 3);
+    CHECK(sentRequests <= 5);
+}
