--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -382,6 +382,11 @@
         notice.limit = 0.0;
     notice.isLeaving = this->answer.isUpstreamLeaving;
     notice.invalidFields = this->answer.invalidNotices;
+    if (this->status == 503) {
+        notice.pause = this->answer.pause;
+        if (this->answer.isPauseInvalid)
+            notice.invalidFields.emplace_back("pause");
+    }
     this->context.scheduler.recordNotice(this->upstream, notice, this->context.now());
 }
 
@@ -576,6 +581,8 @@
         return "time";
     if (this->quarantineError())
         return "quarantine";
+    if (this->context.scheduler.pauseLeft(this->service, this->triedUpstreams, now))
+        return "pause";
     this->holdsRetry = this->context.retryBudget.reserveRetry({}, this->service, now);
     return this->holdsRetry ? "" : "budget";
 }
@@ -633,8 +640,10 @@
         this->responder->abort();
         return this->finish(0, reason);
     }
-    if (this->verdict == Verdict::NotRun)
-        return this->refuse({Verdict::NotRun, 503, "not-run", reason, std::chrono::seconds(1)});
+    if (this->verdict == Verdict::NotRun) {
+        const auto pauseLeft = this->context.scheduler.pauseLeft(this->service, {}, this->context.now());
+        return this->refuse({Verdict::NotRun, 503, "not-run", reason, pauseLeft.value_or(std::chrono::seconds(1))});
+    }
     this->refuse({this->verdict, 502, "upstream-failed", reason, {}});
 }
 
