End calls whose upstreams were all tried at once

An idempotent call whose only upstream broke off or failed was answered 504 when its time was over, and had taken a retry from the budget. The same for a refusal by the only upstream (503 at the end of the time) and for a resumable stream that broke off (its end came late).

Cause: a retry excludes the upstreams that were tried. It was paid for and queued even if no other upstream was known.

Change: UpstreamPool::hasUsable() is asked before the budget. Without another upstream the call ends at once, with the upstream's own error answer, 502, or 503 with Retry-After if it certainly did not run. RelayScheduler refuses a waiting retry when the last upstream that was not tried leaves. Full upstreams and those in their cooldown may still be waited for, and first attempts wait as before.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -576,6 +576,8 @@
         return "time";
     if (this->quarantineError())
         return "quarantine";
+    if (!this->context.scheduler.upstreams().hasUsable(this->service, this->triedUpstreams))
+        return "upstreams";
     this->holdsRetry = this->context.retryBudget.reserveRetry({}, this->service, now);
     return this->holdsRetry ? "" : "budget";
 }
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -123,6 +123,7 @@
 
 void RelayScheduler::tick(TimePoint now)
 {
+    this->refuseExhausted();
     for (const auto &[service, ranks] : this->queues)
         this->dispatch(service, now);
     std::vector<std::string> expired;
@@ -130,10 +131,31 @@
         if (now >= waiting.ticket.latestStart)
             expired.push_back(id);
     }
-    for (const std::string &id : expired) {
-        const RelayTicket &ticket = this->waitingById.at(id).ticket;
+    this->refuseQueued(expired, "overload", "no upstream can start the request in time");
+}
+
+void RelayScheduler::refuseExhausted()
+{
+    std::vector<std::string> exhausted;
+    for (const auto &[id, waiting] : this->waitingById) {
+        const RelayTicket &ticket = waiting.ticket;
+        if (!ticket.excluded.empty() && !this->pool.hasUsable(ticket.service, ticket.excluded))
+            exhausted.push_back(id);
+    }
+    this->refuseQueued(exhausted, "no-upstream", "no upstream is left that was not tried");
+}
+
+void RelayScheduler::refuseQueued(const std::vector<std::string> &ids,
+                                  const std::string &code,
+                                  const std::string &message)
+{
+    for (const std::string &id : ids) {
+        const auto waiting = this->waitingById.find(id);
+        if (waiting == this->waitingById.end())
+            continue;
+        const RelayTicket &ticket = waiting->second.ticket;
         this->queues[ticket.service][ticket.rank].cancel(id);
-        this->refuse(id, "overload", "no upstream can start the request in time");
+        this->refuse(id, code, message);
     }
 }
 
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -147,6 +147,9 @@
     bool isFull(const UpstreamView &view, const RelayTicket &ticket) const;
     bool tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now);
     void dispatch(const std::string &service, TimePoint now);
+    /// Refuses waiting requests whose earlier attempts went to all upstreams that are left.
+    void refuseExhausted();
+    void refuseQueued(const std::vector<std::string> &ids, const std::string &code, const std::string &message);
     void refuse(const std::string &id, const std::string &code, const std::string &message);
     std::chrono::seconds retryAfter(const std::string &service) const;
 
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -61,6 +61,11 @@
     return router.choose(query, this->candidates(query.service, excluded, now), random);
 }
 
+bool UpstreamPool::isUsable(const Upstream &upstream)
+{
+    return upstream.state == UpstreamState::Serving || upstream.state == UpstreamState::Suspected;
+}
+
 bool UpstreamPool::isCoolingDown(const std::string &id, Time now) const
 {
     const auto activity = this->activities.find(id);
@@ -114,9 +119,9 @@
         return healthy;
     for (const std::string &id : ids->second) {
         const Upstream &upstream = this->upstreams.at(id);
-        const bool isSuspected = upstream.state == UpstreamState::Suspected;
-        if ((upstream.state != UpstreamState::Serving && !isSuspected) || excluded.contains(id))
+        if (!isUsable(upstream) || excluded.contains(id))
             continue;
+        const bool isSuspected = upstream.state == UpstreamState::Suspected;
         (isSuspected || this->isCoolingDown(id, now) ? unhealthy : healthy).push_back(this->view(upstream));
     }
     return healthy.empty() ? unhealthy : healthy;
@@ -218,6 +223,14 @@
     return activity == this->activities.end() ? 0 : activity->second.inFlight;
 }
 
+bool UpstreamPool::hasUsable(const std::string &service, const std::set<std::string> &excluded) const
+{
+    const auto ids = this->idsByService.find(service);
+    return ids != this->idsByService.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](const auto &id) {
+               return isUsable(this->upstreams.at(id)) && !excluded.contains(id);
+           });
+}
+
 bool UpstreamPool::isLeaving(const std::string &id) const
 {
     const auto upstream = this->upstreams.find(id);
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -73,6 +73,10 @@
     /// Returns the number of requests of this process in progress at an upstream.
     int inFlightAt(const std::string &id) const;
 
+    /// Whether the service has an upstream that is serving or suspected, apart from the excluded ones. It may be full
+    /// or in its cooldown.
+    bool hasUsable(const std::string &service, const std::set<std::string> &excluded) const;
+
     /// Whether the upstream is leaving, gone or unknown.
     bool isLeaving(const std::string &id) const;
 
@@ -98,6 +102,7 @@
 
     /// Updates the routing data of an upstream that is in the healthy set; does not add it.
     void updateView(const Upstream &upstream);
+    static bool isUsable(const Upstream &upstream);
     bool isCoolingDown(const std::string &id, Time now) const;
     UpstreamView view(const Upstream &upstream) const;
     /// Adds the upstream to the healthy set or removes it, according to its state and cooldown.
--- a/tests/unit/relaycalltest.cpp
+++ b/tests/unit/relaycalltest.cpp
@@ -839,3 +839,102 @@
     CHECK(result.bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CHECK(this->sentCount() == 1);
 }
+
+namespace {
+
+/// An entry process that may retry once.
+class LastUpstreamFixture : public RelayCallFixture
+{
+protected:
+    LastUpstreamFixture()
+    {
+        this->retries = RetryBudget({.earnedPerRequest = 0.0, .earnedPerSecond = 0.0, .maxRetries = 1.0});
+    }
+
+    void removeSecond()
+    {
+        this->scheduler.applyUpstreams({this->first.upstream}, std::chrono::steady_clock::now());
+    }
+
+    /// Whether the retry is still allowed.
+    bool isRetryLeft()
+    {
+        return this->retries.tryRetry({}, "service", std::chrono::steady_clock::now());
+    }
+};
+
+} // namespace
+
+// Guards against callers that wait until their deadline for another upstream when there is none.
+TEST_CASE_METHOD(LastUpstreamFixture,
+                 "RelayCall: only upstream breaks off: the caller gets 502 before its deadline, and no retry is paid")
+{
+    this->removeSecond();
+    this->setHandlers([](const HttpRequest &, const HttpResponderPtr &responder) { responder->abort(); });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 502);
+    CHECK(this->sentCount() == 1);
+    CHECK(this->isRetryLeft());
+}
+
+TEST_CASE_METHOD(LastUpstreamFixture,
+                 "RelayCall: only upstream did not run the call: the caller gets 503 at once, and no retry is paid")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream), 2);
+    this->removeSecond();
+    this->setHandlers(answerNotExecuted);
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 503);
+    CHECK(result.outcome.headers.has("Retry-After"));
+    CHECK(result.bytes.find("\"not-run\"") != std::string::npos);
+    CHECK(this->sentCount() == 1);
+    CHECK(this->isRetryLeft());
+}
+
+TEST_CASE_METHOD(LastUpstreamFixture, "RelayCall: only upstream fails an idempotent call: its answer is forwarded")
+{
+    this->removeSecond();
+    this->setHandlers([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->reply(500, answerHeaders(request), "failed");
+    });
+    const auto result = this->call(this->request());
+    CHECK(result.outcome.status == 500);
+    CHECK(result.bytes == "failed");
+    CHECK(this->isRetryLeft());
+}
+
+TEST_CASE_METHOD(LastUpstreamFixture,
+                 "RelayCall: only upstream breaks a resumable stream off: it ends at once, and no retry is paid")
+{
+    this->configure(CallKind::Stream, 2, true);
+    this->removeSecond();
+    this->setHandlers([](const HttpRequest &request, const HttpResponderPtr &responder) {
+        responder->beginStream(200, answerHeaders(request));
+        responder->write("id: 1\ndata: a\n\n");
+        responder->abort();
+    });
+    const auto result = this->call(this->request());
+    CHECK_FALSE(result.outcome.isComplete());
+    CHECK(result.outcome.failure == HttpFailure::Broken);
+    CHECK(this->isRetryLeft());
+}
+
+TEST_CASE_METHOD(LastUpstreamFixture,
+                 "RelayCall: last other upstream leaves while a retry waits for it: the caller gets 502")
+{
+    constexpr double requestsOfPeers = 100.0;
+    const auto now = std::chrono::steady_clock::now();
+    this->scheduler.upstreams().peerLoadReported("upstream-2", requestsOfPeers, 0.0, now);
+    this->setHandlers([](const HttpRequest &, const HttpResponderPtr &responder) { responder->abort(); });
+    std::optional<HttpOutcome> result;
+    HttpCallHooks hooks;
+    hooks.done = [&result](const HttpOutcome &outcome) { result = outcome; };
+    this->callers.start(this->request(), std::move(hooks));
+    this->runUntil([this] { return this->failedConnections == 1; });
+    CHECK(this->scheduler.waitingCount("service") == 1);
+    CHECK_FALSE(result);
+    this->removeSecond();
+    this->runUntil([&result] { return result.has_value(); });
+    CHECK(result->status == 502);
+    CHECK(this->sentCount() == 1);
+}
--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -352,3 +352,56 @@
     for (std::size_t i = running.size(); i < this->started.size(); ++i)
         CHECK(this->chosenUpstreams.at(this->started[i]) == "p2");
 }
+
+// Guards against callers that wait until their deadline for an upstream that does not exist.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: last upstream that was not tried leaves: the waiting retry is refused at once")
+{
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    for (const char *id : {"a", "b", "c", "retry"}) {
+        RelayTicket ticket = this->ticket(id, "plain");
+        ticket.excluded = {"p1"};
+        this->submit(ticket);
+    }
+    REQUIRE(this->started == RequestIds{"a", "b", "c"});
+    this->upstreams.back().state = UpstreamState::Leaving;
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    REQUIRE(this->refused.contains("retry"));
+    CHECK(this->refused.at("retry").code == "no-upstream");
+    CHECK(this->refused.at("retry").retryAfter);
+    CHECK(this->scheduler.waitingCount("plain") == 0);
+    this->submit(this->ticket("first-attempt", "plain"));
+    CHECK(this->chosenUpstreams["first-attempt"] == "p1");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: only upstream that was not tried is full: the retry waits for it")
+{
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    for (const char *id : {"a", "b", "c", "retry"}) {
+        RelayTicket ticket = this->ticket(id, "plain");
+        ticket.excluded = {"p1"};
+        this->submit(ticket);
+    }
+    this->scheduler.upstreamFailed("p2", this->now);
+    this->scheduler.tick(this->now);
+    CHECK(this->refused.empty());
+    this->scheduler.requestEnded("a", false, this->now);
+    CHECK(this->chosenUpstreams["retry"] == "p2");
+}
+
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: no upstream serves: a first attempt waits for one until its latest start")
+{
+    for (Upstream &upstream : this->upstreams)
+        upstream.state = UpstreamState::Leaving;
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    this->submit(this->ticket("a", "plain"));
+    this->scheduler.tick(this->now);
+    CHECK(this->refused.empty());
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    CHECK(this->chosenUpstreams["a"] == "p2");
+}
