Give up requests that a leaving upstream has not received

The request had not been given up, so its connection was not reset, and the kernel delivered it.

Change: DepartureTimes measures for how long upstreams with requests in flight have been leaving or gone. After half of the update deadline, an attempt at them that has no head of an answer and whose bytes the upstream's kernel has not acknowledged is given up, which resets the connection and discards the bytes. It counts as possibly run, since the acknowledgement may have been lost, and is retried as its kind allows.

Failed before, on: "RelayProcess: upstream leaves and has not received a request*" (504 at the end of the call's time, 2 of 2 paths) and "RelayProcess: upstream leaves and has received a request*" (its second request was not given up). They pass after it.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -503,6 +503,12 @@
     });
 }
 
+std::optional<std::size_t> HttpClient::unacknowledgedBytes(CallId id) const
+{
+    const auto found = this->d->transfers.find(id);
+    return found == this->d->transfers.end() ? std::nullopt : unsentBytes(found->second->socket);
+}
+
 std::uint64_t HttpClient::brokenOffAnswers() const
 {
     return this->d->brokenOffAnswers;
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -97,6 +97,10 @@
     /// Aborts an exchange and closes its connection. Of its hooks, only closed is called afterwards.
     void cancel(CallId id);
 
+    /// Bytes of a call's request that were written to the connection and that the peer has not acknowledged; nullopt
+    /// when the exchange has no connection or has ended.
+    std::optional<std::size_t> unacknowledgedBytes(CallId id) const;
+
     /// Number of answers that were broken off because they were too long or not final.
     std::uint64_t brokenOffAnswers() const;
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -652,6 +652,14 @@
         this->endUnanswered("the process is about to end");
 }
 
+void RelayCall::giveUpUnreceived(const std::set<std::string> &leavingUpstreams)
+{
+    if (!this->isAttemptActive || this->isAborted || this->status != 0 || !leavingUpstreams.contains(this->upstream.id))
+        return;
+    if (this->context.http.unacknowledgedBytes(this->attemptCall).value_or(0) > 0)
+        this->abortAttempt("the upstream leaves and has not received the request");
+}
+
 void RelayCall::endUnanswered(const std::string &reason)
 {
     if (this->isFinished)
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -36,6 +36,10 @@
     /// Answers the call before its time limit, since the process is about to exit. A stream that has begun goes on.
     void endEarly();
 
+    /// Gives the current attempt up if it went to one of the given upstreams, which are leaving, and the request has
+    /// not arrived there. It may still have run: the acknowledgement may have been lost.
+    void giveUpUnreceived(const std::set<std::string> &leavingUpstreams);
+
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -110,6 +110,7 @@
     , runId(makeUniqueId())
     , random(std::random_device()())
     , scheduler(this->settings.zone, RandomEngine(this->random()))
+    , departures(this->settings.upstreamUpdateDeadline / 2)
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
     , retryCapacity({this->settings.totalRetryCapacity, this->settings.expectedVms}, this->now())
@@ -520,6 +521,7 @@
         this->store.reloadUpstreams();
     this->store.tick();
     this->scheduler.tick(now);
+    this->giveUpUnreceivedRequests(now);
     this->suspectRecords.tick();
     this->updateRetryCapacity(now);
     if (!this->shutdown.hasBegun())
@@ -536,6 +538,15 @@
     });
 }
 
+void RelayProcess::giveUpUnreceivedRequests(TimePoint now)
+{
+    const auto overdue = this->departures.overdue(this->scheduler.upstreams(), now);
+    if (overdue.empty())
+        return;
+    for (const auto &call : this->calls)
+        call->giveUpUnreceived(overdue);
+}
+
 bool RelayProcess::claimsDuties(TimePoint now) const
 {
     if (this->store.ownKeys().revision() == 0 || now < this->firstClaimTime)
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -4,6 +4,7 @@
 #include "httpserver.h"
 #include "latewriteguard.h"
 #include "metrics.h"
+#include "relay/departuretimes.h"
 #include "relay/dutyrunner.h"
 #include "relay/fleetplanner.h"
 #include "relay/medianclock.h"
@@ -96,6 +97,8 @@
     void tick();
     void reportHealth(TimePoint now, std::chrono::nanoseconds lateness);
     void recordConnectionFailure(const Upstream &upstream);
+    /// Gives up requests that would reach upstreams after the update deadline, once a broken path works again.
+    void giveUpUnreceivedRequests(TimePoint now);
     bool claimsDuties(TimePoint now) const;
     /// Number of other entry VMs; the expected one until their records were read.
     std::size_t peerCount(TimePoint now) const;
@@ -116,6 +119,7 @@
     std::string runId; ///< Unique for each start of the process.
     RandomEngine random;
     RelayScheduler scheduler;
+    DepartureTimes departures;
     AccountQuota quota;
     RetryBudget retries;
     RetryCapacity retryCapacity;
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -456,3 +456,23 @@
     this->startLongCall();
     CHECK(this->readToEnd() == asio::error::connection_reset);
 }
+
+TEST_CASE_METHOD(UnreadRequestFixture, "HttpClient: request is not read: its bytes count as unacknowledged")
+{
+    const auto id = this->startLongCall();
+    CHECK(this->client.unacknowledgedBytes(id).value_or(0) > 0);
+    this->client.cancel(id);
+    this->readToEnd();
+    CHECK_FALSE(this->client.unacknowledgedBytes(id));
+}
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: request was received: no byte counts as unacknowledged")
+{
+    this->server.script = {Behaviour::NoAnswer};
+    std::optional<HttpOutcome> result;
+    const auto id = this->start(this->server.url(), result);
+    CHECK_FALSE(this->client.unacknowledgedBytes(id));
+    while (this->server.unansweredSockets.empty() || this->client.unacknowledgedBytes(id) != std::size_t{0})
+        this->loop.run_one_for(std::chrono::milliseconds(10));
+    CHECK_FALSE(result);
+}
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -53,7 +53,7 @@
             upstream.service = "service";
             upstream.address = this->upstreamAddress;
             upstream.zone = {"zone-a"};
-            upstream.state = UpstreamState::Serving;
+            upstream.state = this->upstreamState;
             upstream.slots = 4;
             return upstream;
         };
@@ -187,15 +187,17 @@
             this->loop.run_one();
     }
 
-    void deliverConfigChange(const std::string &version)
+    void deliverChanges(const std::vector<std::string> &keys, const std::string &value)
     {
         KvChanges changes;
         changes.status = KvStatus::Ok;
         changes.revision = ++this->revision;
-        KvEvent event;
-        event.entry.key = "config";
-        event.entry.value = version;
-        changes.events.push_back(event);
+        for (const std::string &key : keys) {
+            KvEvent event;
+            event.entry.key = key;
+            event.entry.value = value;
+            changes.events.push_back(event);
+        }
         std::exchange(this->changesDone, nullptr)(changes);
     }
 
@@ -209,6 +211,7 @@
     std::function<void(const KvChanges &)> changesDone;
     std::map<std::string, std::chrono::milliseconds> pollTimeouts; ///< Of the latest long polls, by prefix.
     std::unique_ptr<HttpServer> upstreamServer;
+    UpstreamState upstreamState = UpstreamState::Serving;
     std::string upstreamAddress; ///< Empty for no upstream and no route.
     std::vector<HttpResponderPtr> openRequests; ///< At the upstream.
     std::chrono::milliseconds routeTimeout{3000};
@@ -448,3 +451,100 @@
     const std::string refused = "hemlock_retries_refused_total{service=\"service\",client_account=\"\",limit=";
     CHECK((metrics->body.find(refused + "\"budget\"} 1") != std::string::npos) == !this->isFirstStart);
 }
+
+namespace {
+
+/// A process before an upstream that accepts connections and does not read from them, as behind a broken path.
+class UnreadingUpstreamFixture : public RelayProcessFixture
+{
+protected:
+    UnreadingUpstreamFixture()
+    {
+        this->updateDeadline = std::chrono::milliseconds(400);
+        this->acceptor.open(asio::ip::tcp::v4());
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        this->acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        this->acceptor.listen();
+        this->upstreamAddress = "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+        this->accept();
+        this->start();
+        while (this->readinessStatus() != 200)
+            continue;
+    }
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            this->peers.push_back(std::move(socket));
+            this->accept();
+        });
+    }
+
+    /// Starts a call with a body that exceeds what the upstream's kernel takes without a reader.
+    void startLongCall(const std::string &path, std::optional<HttpOutcome> &result)
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.url = endpointUrl(this->settings.callerAddress) + path;
+        call.headers = routeHeaders;
+        call.body = std::string(std::size_t{1024} * 1024, 'x');
+        this->client.start(call, {{}, {}, [&result](const HttpOutcome &outcome) { result = outcome; }});
+        this->runUntil([this, known = this->peers.size()] { return this->peers.size() > known; });
+    }
+
+    void announceLeaving()
+    {
+        this->upstreamState = UpstreamState::Leaving;
+        this->runUntil([this] { return this->changesDone != nullptr; });
+        this->deliverChanges({"servers/upstream-1", "servers/upstream-2"}, "leaving");
+    }
+
+    asio::ip::tcp::acceptor acceptor{this->loop};
+    std::vector<asio::ip::tcp::socket> peers; ///< Accepted connections.
+};
+
+} // namespace
+
+// Guards against requests that reach an upstream long after it said that it leaves, once a broken path works again.
+TEST_CASE_METHOD(UnreadingUpstreamFixture,
+                 "RelayProcess: upstream leaves and has not received a request: the request is discarded")
+{
+    std::optional<HttpOutcome> result;
+    this->startLongCall(GENERATE("/x", "/stream/x"), result);
+    this->announceLeaving();
+    this->runUntil([&result] { return result.has_value(); });
+    CHECK(result->status == 502);
+    CHECK(result->body.find("may-have-run") != std::string::npos);
+    asio::error_code error;
+    std::string bytes(std::size_t{64} * 1024, 0);
+    while (!error)
+        this->peers.at(0).read_some(asio::buffer(bytes), error);
+    CHECK(error == asio::error::connection_reset);
+}
+
+TEST_CASE_METHOD(UnreadingUpstreamFixture,
+                 "RelayProcess: upstream leaves and has received a request: its answer reaches the caller")
+{
+    std::optional<HttpOutcome> received;
+    this->startRequest(this->settings.callerAddress, routeHeaders, received);
+    this->runUntil([this] { return this->peers.size() == 1; });
+    std::string head;
+    bool isRead = false;
+    asio::async_read_until(this->peers[0],
+                           asio::dynamic_buffer(head),
+                           "\r\n\r\n",
+                           [&isRead](const asio::error_code &, std::size_t) { isRead = true; });
+    this->runUntil([&isRead] { return isRead; });
+    std::optional<HttpOutcome> unreceived;
+    this->startLongCall("/x", unreceived);
+    this->announceLeaving();
+    this->runUntil([&unreceived] { return unreceived.has_value(); });
+    CHECK_FALSE(received);
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Hemlockflow-Attempt-Id: a\r\n"
+                               "X-Hemlockflow-Response-Signature: signed\r\nContent-Length: 5\r\n\r\nwhole";
+    asio::write(this->peers[0], asio::buffer(answer));
+    this->runUntil([&received] { return received.has_value(); });
+    CHECK(received->body == "whole");
+}
