Use new connections to upstreams that answer twice

An upstream that sends each answer once more, late, before the next answer on the connection, failed 10 of 20 calls (502), idempotent and non-idempotent ones alike. With two such upstreams, 20 idempotent calls took 17 retries from the budget.

Cause: libcurl ends an exchange with the first answer, which has the identifier of an earlier attempt and is not forwarded. Each new connection was used again and met the next copy.

Change: RepeatedAnswers remembers for 30 s, by incarnation, which upstreams answered an earlier request once more. Requests to them get a connection of their own, on which no earlier answer can arrive; other upstreams keep their connections, which are paid for. The comparison of the identifiers is unchanged.

After it 1 of 20 calls fails, and at most 2 retries are taken.

--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -303,6 +303,8 @@
     call.buffers = this->context.answerBuffers;
     const bool isRepeatableKind = this->route->kind == CallKind::Idempotent
         || (this->route->kind == CallKind::Stream && this->route->isResumable);
+    call.forcesNewConnection = this->context.repeatedAnswers.isExpected(chosen, this->context.now());
+    call.closesConnection = call.forcesNewConnection;
     call.maxIdleTime = isRepeatableKind ? this->context.idleLimit : nonIdempotentIdleLimit;
     const UpstreamListFreshness freshness = this->context.upstreamListFreshness();
     logEvent(LogLevel::Info,
@@ -363,8 +365,10 @@
     if (this->answer.keepAlive && *this->answer.keepAlive > std::chrono::seconds(1))
         this->context.idleLimit = std::min(this->context.idleLimit, *this->answer.keepAlive - std::chrono::seconds(1));
     this->isMismatched = this->answer.attemptId != this->request.attemptId;
-    if (this->isMismatched)
+    if (this->isMismatched) {
+        this->recordRepeatedAnswer();
         return this->abortAttempt("the answer belongs to another request");
+    }
     this->recordNotice();
     const bool isSuccessful = headStatus >= 200 && headStatus < 300 && this->answer.isSigned;
     // An answer of another type does not continue a stream.
@@ -374,6 +378,17 @@
         this->context.scheduler.answerBegan(this->id, this->context.now());
 }
 
+void RelayCall::recordRepeatedAnswer()
+{
+    if (this->answer.attemptId.empty())
+        return;
+    logEvent(
+        LogLevel::Warning,
+        "repeated-answer",
+        {{"request", this->request.attemptId}, {"upstream", this->upstream.id}, {"answerTo", this->answer.attemptId}});
+    this->context.repeatedAnswers.record(this->upstream, this->context.now());
+}
+
 void RelayCall::recordNotice()
 {
     UpstreamNotice notice;
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -53,6 +53,7 @@
     void headArrived(int status, const HttpHeaders &headers);
     void bytesArrived(std::string_view bytes);
     void recordNotice();
+    void recordRepeatedAnswer();
     void abortAttempt(const std::string &error);
     void attemptDone(const HttpOutcome &outcome);
     void logFailedAttempt(const HttpOutcome &outcome, CrashEvidence evidence) const;
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -7,6 +7,7 @@
 #include "relay/accountquota.h"
 #include "relay/relayscheduler.h"
 #include "relay/relaytransport.h"
+#include "relay/repeatedanswers.h"
 #include "relay/usageledger.h"
 #include "retrybudget.h"
 
@@ -67,6 +68,8 @@
     /// Bytes that the answers of upstreams may take together.
     static constexpr std::size_t answerBufferCapacity = std::size_t{32} * 1024 * 1024;
     std::shared_ptr<BufferPool> answerBuffers = std::make_shared<BufferPool>(answerBufferCapacity);
+
+    RepeatedAnswers repeatedAnswers;
 };
 
 } // namespace hemlock
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -60,6 +60,7 @@
     }
 
     Ending ending = Ending::KeepOpen;
+    bool earlierAnswers = false; ///< Before each answer, the previous one on the connection is sent once more.
 
     /// Bytes to send for the request that is received at an index, on any connection.
     std::function<std::string(std::size_t index, const std::string &attemptId)> bytesFor;
@@ -71,6 +72,7 @@
     {
         asio::ip::tcp::socket socket;
         std::string received;
+        std::string earlierAnswer;
     };
 
     void accept()
@@ -79,7 +81,7 @@
             if (error)
                 return;
             ++this->connectionCount;
-            this->readRequest(std::make_shared<Connection>(Connection{std::move(socket), {}}));
+            this->readRequest(std::make_shared<Connection>(Connection{std::move(socket), {}, {}}));
             this->accept();
         });
     }
@@ -98,8 +100,10 @@
                                    const std::string field = "X-Hemlockflow-Attempt-Id: ";
                                    const std::size_t start = head.find(field) + field.size();
                                    const std::string attemptId = head.substr(start, head.find("\r\n", start) - start);
-                                   auto bytes =
-                                       std::make_shared<std::string>(this->bytesFor(this->requestCount++, attemptId));
+                                   const std::string reply = this->bytesFor(this->requestCount++, attemptId);
+                                   const auto bytes = std::make_shared<std::string>(connection->earlierAnswer + reply);
+                                   if (this->earlierAnswers)
+                                       connection->earlierAnswer = reply;
                                    asio::async_write(connection->socket,
                                                      asio::buffer(*bytes),
                                                      [this, connection, bytes](const asio::error_code &, std::size_t) {
@@ -143,26 +147,35 @@
         this->context.upstreamListFreshness = [] { return UpstreamListFreshness{}; };
         this->context.connectionFailed = [](const Upstream &) {};
         this->context.promptSent = [](double) {};
-        Upstream upstream;
-        upstream.id = "upstream-1";
-        upstream.service = "service";
-        upstream.address = this->raw.address();
-        upstream.zone = {"zone-a"};
-        upstream.state = UpstreamState::Serving;
-        upstream.slots = 4;
-        this->scheduler.applyUpstreams({upstream}, std::chrono::steady_clock::now());
+        this->applyUpstreams({this->raw.address()});
         this->configure(CallKind::NonIdempotent);
         this->address = this->entry.start();
     }
 
-    void configure(CallKind kind)
+    void applyUpstreams(const std::vector<std::string> &addresses)
+    {
+        std::vector<Upstream> upstreams;
+        for (const std::string &upstreamAddress : addresses) {
+            Upstream upstream;
+            upstream.id = "upstream-" + std::to_string(upstreams.size() + 1);
+            upstream.service = "service";
+            upstream.address = upstreamAddress;
+            upstream.zone = {"zone-a"};
+            upstream.state = UpstreamState::Serving;
+            upstream.slots = 4;
+            upstreams.push_back(upstream);
+        }
+        this->scheduler.applyUpstreams(upstreams, std::chrono::steady_clock::now());
+    }
+
+    void configure(CallKind kind, int maxAttempts = 1)
     {
         RelayRoute route;
         route.name = "route";
         route.host = "h.example";
         route.pathPrefix = "/p/";
         route.kind = kind;
-        route.maxAttempts = 1;
+        route.maxAttempts = maxAttempts;
         route.timeout = std::chrono::milliseconds(3000);
         route.latencyTarget = std::chrono::milliseconds(1000);
         route.targets = {{"service", 1.0}};
@@ -397,3 +410,76 @@
     };
     CHECK(this->call("attempt-1").status == 502);
 }
+
+namespace {
+
+/// An upstream that sends each answer once more, late: before the answer to the next request on the connection.
+class StutteringUpstreamFixture : public StaleAnswerFixture
+{
+protected:
+    StutteringUpstreamFixture()
+    {
+        this->retries = RetryBudget({.earnedPerRequest = 0.0, .earnedPerSecond = 0.0, .maxRetries = allowedRetries});
+        this->raw.earlierAnswers = true;
+        this->raw.bytesFor = [](std::size_t, const std::string &attemptId) { return RawUpstream::answer(attemptId); };
+    }
+
+    /// Makes one call after another. Returns how many of them failed.
+    int failedCalls(int calls)
+    {
+        int failures = 0;
+        for (int i = 0; i < calls; ++i) {
+            const std::string id = "attempt-" + std::to_string(i);
+            const HttpOutcome outcome = this->call(id);
+            if (outcome.status == 200)
+                CHECK(outcome.body == "whole-" + id);
+            else
+                ++failures;
+        }
+        return failures;
+    }
+
+    int retriesLeft()
+    {
+        int count = 0;
+        while (this->retries.tryRetry({}, "service", std::chrono::steady_clock::now()))
+            ++count;
+        return count;
+    }
+
+    static constexpr int allowedRetries = 20;
+};
+
+} // namespace
+
+// Guards against failing every second call at an upstream that always answers twice.
+TEST_CASE_METHOD(StutteringUpstreamFixture,
+                 "RelayCall: upstream always sends its answers twice: one call fails, the others get their own answers")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent));
+    CHECK(this->failedCalls(20) == 1);
+    CHECK(this->retriesLeft() == allowedRetries);
+}
+
+// Guards against spending the retry budget on upstreams that always answer twice.
+TEST_CASE_METHOD(StutteringUpstreamFixture,
+                 "RelayCall: two upstreams always send their answers twice: one retry for each, then none")
+{
+    RawUpstream second(this->loop);
+    second.earlierAnswers = true;
+    second.bytesFor = this->raw.bytesFor;
+    this->applyUpstreams({this->raw.address(), second.address()});
+    this->configure(CallKind::Idempotent, 2);
+    CHECK(this->failedCalls(20) <= 1);
+    CHECK(this->retriesLeft() >= allowedRetries - 2);
+}
+
+// A copy that arrives before the connection is used again is noticed there.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: second copy of an answer arrives between two calls: no call fails")
+{
+    this->raw.bytesFor = [](std::size_t, const std::string &attemptId) {
+        return RawUpstream::answer(attemptId) + RawUpstream::answer(attemptId);
+    };
+    for (const char *id : {"attempt-1", "attempt-2", "attempt-3"})
+        CHECK(this->call(id).body == "whole-" + std::string(id));
+}
