--- a/tests/unit/retryfleettest.cpp
+++ b/tests/unit/retryfleettest.cpp
@@ -184,13 +184,17 @@
                     ++this->requests.back();
                     continue;
                 }
-                const auto vm =
-                    std::next(this->vms.begin(), static_cast<std::ptrdiff_t>(this->random() % this->vms.size()));
+                const auto vm = this->randomVm();
                 this->send(vm->second);
             }
         }
     }
 
+    std::map<std::string, Vm>::iterator randomVm()
+    {
+        return std::next(this->vms.begin(), static_cast<std::ptrdiff_t>(this->random() % this->vms.size()));
+    }
+
     double draw()
     {
         return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
@@ -435,11 +439,11 @@
         if (this->vms.empty() || kind < 0.2) {
             this->restartAll();
         } else if (kind < 0.6) {
-            const std::string name = std::next(this->vms.begin(), this->random() % this->vms.size())->first;
+            const std::string name = this->randomVm()->first;
             this->kill(name);
             this->startVm(kind < 0.4 ? name : "vm-new-" + std::to_string(event), false);
         } else if (kind < 0.8) {
-            Vm &vm = std::next(this->vms.begin(), this->random() % this->vms.size())->second;
+            Vm &vm = this->randomVm()->second;
             vm.isFrozen = !vm.isFrozen;
         }
         this->run(std::chrono::milliseconds(this->random() % 4000));
