--- a/tests/failure/upstreamnotices.cpp
+++ b/tests/failure/noticecheck.cpp
@@ -1,4 +1,4 @@
-#include "upstreamnotices.h"
+#include "noticecheck.h"
 
 namespace hemlock {
 
@@ -17,45 +17,45 @@
 
 } // namespace
 
-UpstreamNotices::UpstreamNotices(std::chrono::milliseconds drainBound)
+NoticeCheck::NoticeCheck(std::chrono::milliseconds drainBound)
     : drainBound(drainBound)
 {
 }
 
-void UpstreamNotices::leavingPassedOn(const std::string &vm, const std::string &upstream, Time time)
+void NoticeCheck::leavingPassedOn(const std::string &vm, const std::string &upstream, Time time)
 {
     this->leaving.try_emplace({vm, upstream}, time);
 }
 
-void UpstreamNotices::turnedAway(const std::string &vm,
-                                 const std::string &upstream,
-                                 Time time,
-                                 std::chrono::milliseconds retryAfter)
+void NoticeCheck::turnedAway(const std::string &vm,
+                             const std::string &upstream,
+                             Time time,
+                             std::chrono::milliseconds retryAfter)
 {
     if (retryAfter > pauseNotice)
         this->pauses[{vm, upstream}].push_back({time + pauseNotice, time + retryAfter, 0});
 }
 
-void UpstreamNotices::forgetVm(const std::string &vm)
+void NoticeCheck::forgetVm(const std::string &vm)
 {
     const auto isOfVm = [&vm](const auto &entry) { return entry.first.first == vm; };
     std::erase_if(this->leaving, isOfVm);
     std::erase_if(this->pauses, isOfVm);
 }
 
-void UpstreamNotices::forgetUpstream(const std::string &upstream)
+void NoticeCheck::forgetUpstream(const std::string &upstream)
 {
     std::erase_if(this->leaving, [&upstream](const auto &entry) { return entry.first.second == upstream; });
     this->forgetTurnedAway(upstream);
 }
 
-void UpstreamNotices::forgetTurnedAway(const std::string &upstream)
+void NoticeCheck::forgetTurnedAway(const std::string &upstream)
 {
     std::erase_if(this->pauses, [&upstream](const auto &entry) { return entry.first.second == upstream; });
 }
 
-std::optional<UpstreamNotices::Finding>
-UpstreamNotices::requestArrived(const std::string &vm, const std::string &upstream, Time sent, Time time)
+std::optional<NoticeCheck::Finding>
+NoticeCheck::requestArrived(const std::string &vm, const std::string &upstream, Time sent, Time time)
 {
     if (const auto told = this->leaving.find({vm, upstream});
         told != this->leaving.end() && sent > told->second + this->drainBound)
--- a/tests/failure/upstreamnotices.h
+++ b/tests/failure/noticecheck.h
@@ -10,7 +10,7 @@
 namespace hemlock {
 
 /// Checks that VMs obey what upstreams say of themselves in answers: that they leave, or want no requests for a time.
-class UpstreamNotices
+class NoticeCheck
 {
 public:
     using Time = std::chrono::steady_clock::time_point;
@@ -22,7 +22,7 @@
     };
 
     /// A VM that has passed on an answer of a leaving upstream may use it for @p drainBound longer.
-    explicit UpstreamNotices(std::chrono::milliseconds drainBound);
+    explicit NoticeCheck(std::chrono::milliseconds drainBound);
 
     /// A VM passed on an answer in which an upstream says that it leaves.
     void leavingPassedOn(const std::string &vm, const std::string &upstream, Time time);
--- a/tests/failure/upstreamnoticestest.cpp
+++ b/tests/failure/noticechecktest.cpp
@@ -1,4 +1,4 @@
-#include "upstreamnotices.h"
+#include "noticecheck.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,10 +6,10 @@
 
 namespace {
 
-class UpstreamNoticesFixture
+class NoticeCheckFixture
 {
 public:
-    UpstreamNotices::Time at(int milliseconds) const
+    NoticeCheck::Time at(int milliseconds) const
     {
         return this->start + std::chrono::milliseconds(milliseconds);
     }
@@ -20,13 +20,13 @@
         return finding ? finding->rule : "";
     }
 
-    UpstreamNotices::Time start;
-    UpstreamNotices notices{std::chrono::milliseconds(2000)};
+    NoticeCheck::Time start;
+    NoticeCheck notices{std::chrono::milliseconds(2000)};
 };
 
 } // namespace
 
-TEST_CASE_METHOD(UpstreamNoticesFixture, "UpstreamNotices: upstream leaves: later requests of VMs that passed it on")
+TEST_CASE_METHOD(NoticeCheckFixture, "NoticeCheck: upstream leaves: later requests of VMs that passed it on")
 {
     notices.leavingPassedOn("vm-1", "u1", at(0));
     notices.leavingPassedOn("vm-1", "u1", at(1500));
@@ -40,8 +40,7 @@
     CHECK(ruleOf("vm-1", 2001, 2600) == "");
 }
 
-TEST_CASE_METHOD(UpstreamNoticesFixture,
-                 "UpstreamNotices: upstream asks for a pause: the third request is one too many")
+TEST_CASE_METHOD(NoticeCheckFixture, "NoticeCheck: upstream asks for a pause: the third request is one too many")
 {
     notices.turnedAway("vm-1", "u1", at(0), std::chrono::seconds(2));
     CHECK(ruleOf("vm-1", 0, 499) == "");
@@ -52,8 +51,7 @@
     CHECK(ruleOf("vm-1", 0, 2001) == "");
 }
 
-TEST_CASE_METHOD(UpstreamNoticesFixture,
-                 "UpstreamNotices: restart or lost bytes after a pause was asked for: no finding")
+TEST_CASE_METHOD(NoticeCheckFixture, "NoticeCheck: restart or lost bytes after a pause was asked for: no finding")
 {
     for (int i = 0; i < 2; ++i) {
         notices.turnedAway("vm-1", "u1", at(0), std::chrono::seconds(2));
--- a/tests/failure/relaysoak.h
+++ b/tests/failure/relaysoak.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "faultproxy.h"
+#include "noticecheck.h"
 #include "processes.h"
 #include "retrywindows.h"
 #include "soakstore.h"
 #include "soakupstream.h"
 #include "testhttp.h"
-#include "upstreamnotices.h"
 
 #include <nlohmann/json.hpp>
 
@@ -240,7 +240,7 @@
     Time faultEnd;
     std::map<std::string, Time> failingServices; ///< Services whose answers are mostly errors, until when.
     RetryWindows retryWindows;
-    UpstreamNotices notices;
+    NoticeCheck notices;
     int vmNumber = 0;
     std::map<std::int64_t, nlohmann::json> reportedWindows;
     std::int64_t highestToken = 0;
