Ping a store that does not answer without waiting for earlier pings

Cause: pings of the store were sent one after the other, 0.8 s after a failed one, so that the end of the cut was noticed 0.9 s late. Missing entries are kept for a grace period from then on, which ended too late.

Test: "StoreProbe: ping is lost in an outage*".

--- a/src/libhemlock/relay/storeprobe.cpp
+++ b/src/libhemlock/relay/storeprobe.cpp
@@ -21,7 +21,12 @@
 
 void StoreProbe::start()
 {
-    this->timer.expires_after(this->settings.interval);
+    this->scheduleNext();
+}
+
+void StoreProbe::scheduleNext()
+{
+    this->timer.expires_after(this->lastPingFailed ? this->settings.retryInterval : this->settings.interval);
     this->timer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
         if (!error && !alive.expired())
             this->sendPing();
@@ -32,19 +37,34 @@
 {
     if (!this->isNeeded()) {
         this->lastPingFailed = false;
-        return this->start();
+        return this->scheduleNext();
     }
-    this->kv.ping([this, alive = std::weak_ptr<bool>(this->alive)](KvStatus status, const std::string &error) {
+    // A ping that is lost in an outage would hide its end until the ping times out.
+    const bool isOverlapping = this->lastPingFailed;
+    if (isOverlapping)
+        this->scheduleNext();
+    const std::uint64_t ping = ++this->sentPings;
+    this->kv.ping([this, ping, isOverlapping, alive = std::weak_ptr<bool>(this->alive)](KvStatus status,
+                                                                                        const std::string &error) {
         if (alive.expired())
             return;
-        if (status != KvStatus::Ok) {
-            this->lastPingFailed = true;
-            this->onFailure(error);
-        } else if (std::exchange(this->lastPingFailed, false)) {
-            this->onRecovery();
-        }
-        this->start();
+        this->pingDone(ping, status, error);
+        if (!isOverlapping)
+            this->scheduleNext();
     });
 }
 
+void StoreProbe::pingDone(std::uint64_t ping, KvStatus status, const std::string &error)
+{
+    if (ping < this->latestAnswered)
+        return;
+    if (status != KvStatus::Ok) {
+        this->lastPingFailed = true;
+        return this->onFailure(error);
+    }
+    this->latestAnswered = ping;
+    if (std::exchange(this->lastPingFailed, false))
+        this->onRecovery();
+}
+
 } // namespace hemlock
--- a/tests/unit/storeprobetest.cpp
+++ b/tests/unit/storeprobetest.cpp
@@ -17,10 +17,14 @@
         KvAccess kv;
         kv.ping = [this](std::function<void(KvStatus, const std::string &)> done) {
             ++this->pingCount;
-            done(this->status, this->status == KvStatus::Ok ? "" : "silent");
+            if (this->isSilent)
+                this->unanswered.push_back(std::move(done));
+            else
+                done(this->status, this->status == KvStatus::Ok ? "" : "silent");
         };
         StoreProbeSettings settings;
         settings.interval = std::chrono::milliseconds(1);
+        settings.retryInterval = std::chrono::milliseconds(1);
         this->probe = std::make_unique<StoreProbe>(
             this->loop,
             kv,
@@ -33,6 +37,8 @@
 
     asio::io_context loop;
     KvStatus status = KvStatus::Ok;
+    bool isSilent = false; ///< Pings are neither answered nor given up.
+    std::vector<std::function<void(KvStatus, const std::string &)>> unanswered;
     bool isNeeded = true;
     int pingCount = 0;
     int recoveries = 0;
@@ -69,6 +75,34 @@
     CHECK(this->recoveries == 1);
 }
 
+// Guards against the end of an outage that is noticed only after a lost ping has timed out.
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: ping is lost in an outage: the next one reports the recovery")
+{
+    this->status = KvStatus::Unknown;
+    this->loop.run_one();
+    this->isSilent = true;
+    this->loop.run_one();
+    REQUIRE(this->unanswered.size() == 1);
+    this->isSilent = false;
+    this->status = KvStatus::Ok;
+    this->loop.run_one();
+    CHECK(this->recoveries == 1);
+    this->unanswered.front()(KvStatus::Unknown, "timeout");
+    CHECK(this->errors.size() == 1);
+    CHECK(this->recoveries == 1);
+}
+
+TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: store answers slowly without an outage: pings do not overlap")
+{
+    this->isSilent = true;
+    this->loop.run_one();
+    REQUIRE(this->unanswered.size() == 1);
+    CHECK(this->loop.poll() == 0);
+    this->unanswered.front()(KvStatus::Ok, "");
+    this->loop.run_one();
+    CHECK(this->pingCount == 2);
+}
+
 TEST_CASE_METHOD(StoreProbeFixture, "StoreProbe: this VM does not read the store: it is not pinged")
 {
     this->isNeeded = false;
