Refuse callers' requests whose framing is not sound with 400

Requests with blanks before the colon of a length or transfer coding, with two fields of transfer codings, or with gzip beside chunks reached the handler with a body whose end another reader sees elsewhere. Requests that RESTinio's parser refuses lost their connection without an answer.

Change: HttpServer answers both with 400 and the verdict not-run, and closes the connection.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <limits>
 #include <unordered_map>
 
@@ -83,6 +85,15 @@
         return request;
     }
 
+    /// Sends a response to a request that RESTinio does not understand; it then closes the connection.
+    void refuseMalformed()
+    {
+        asio::error_code ignored;
+        const auto caller = this->remote_endpoint(ignored);
+        logEvent(LogLevel::Warning, "request-malformed", {{"caller", caller.address().to_string()}});
+        this->writeRefusal(400, "malformed", {});
+    }
+
 private:
     bool account(std::size_t size)
     {
@@ -94,7 +105,7 @@
         return false;
     }
 
-    /// Sends a response to a request that is not read any further, unless another request's response is in progress.
+    /// Refuses a request that is not read any further.
     void refuseRequest(bool isTemporary)
     {
         asio::error_code ignored;
@@ -105,14 +116,21 @@
                   {"bytes", this->request->size()},
                   {"allBytes", this->buffers->pool->usedBytes()},
                   {"temporary", isTemporary}});
+        const std::string retryField =
+            isTemporary ? "Retry-After: " + std::string(retryAfterSeconds) + "\r\n" : std::string();
+        this->writeRefusal(isTemporary ? 503 : 413, "too-large", retryField);
+    }
+
+    /// Sends a response to a request that is not passed on, unless another request's response is in progress.
+    void writeRefusal(int status, std::string_view code, std::string_view fields)
+    {
         if (!this->answeredRequest.expired())
             return;
-        const std::string_view body = R"({"error":{"code":"too-large","verdict":"not-run"}})";
-        std::string response = isTemporary ? "HTTP/1.1 503 Error\r\n" : "HTTP/1.1 413 Error\r\n";
-        if (isTemporary)
-            response.append("Retry-After: ").append(retryAfterSeconds).append("\r\n");
-        response.append("Connection: close\r\nContent-Type: application/json\r\nContent-Length: ");
+        const std::string body = R"({"error":{"code":")" + std::string(code) + R"(","verdict":"not-run"}})";
+        std::string response = "HTTP/1.1 " + std::to_string(status) + " Error\r\n";
+        response.append(fields).append("Connection: close\r\nContent-Type: application/json\r\nContent-Length: ");
         response.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+        asio::error_code ignored;
         this->write_some(asio::buffer(response), ignored);
         this->shutdown(shutdown_send, ignored);
     }
@@ -122,6 +140,41 @@
     std::weak_ptr<BufferPool::Share> answeredRequest; ///< Expires when the latest request's response is complete.
 };
 
+/// Learns from RESTinio's log which requests it does not understand, as it has no other way to tell.
+class ParseErrorListener
+{
+public:
+    explicit ParseErrorListener(ServerBuffers &buffers)
+        : buffers(&buffers)
+    {
+    }
+
+    template <class MessageBuilder>
+    void trace(MessageBuilder &&) const
+    {
+    }
+
+    template <class MessageBuilder>
+    void info(MessageBuilder &&) const
+    {
+    }
+
+    template <class MessageBuilder>
+    void warn(MessageBuilder &&) const
+    {
+    }
+
+    template <class MessageBuilder>
+    void error(MessageBuilder &&buildMessage) const
+    {
+        if (this->buffers->readingSocket && buildMessage().find("parser error") != std::string::npos)
+            this->buffers->readingSocket->refuseMalformed();
+    }
+
+private:
+    ServerBuffers *buffers;
+};
+
 /// Maps each connection to its open responder, which is notified when the connection closes.
 class ConnectionTable
 {
@@ -172,7 +225,7 @@
 {
     using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = ConnectionListener;
-    using logger_t = restinio::null_logger_t;
+    using logger_t = ParseErrorListener;
     using stream_socket_t = MeteredSocket;
     static constexpr bool use_connection_count_limiter = true;
 };
@@ -232,6 +285,12 @@
         this->releaseRequest();
     }
 
+    /// Makes the response close its connection.
+    void closeAfterwards()
+    {
+        this->keepAlive = false;
+    }
+
     void beginStream(int status, const HttpHeaders &headers) override
     {
         if (!this->request)
@@ -412,6 +471,28 @@
     return converted;
 }
 
+/// Whether all recipients of a request agree where its body ends (RFC 9112, 5.1 and 6.1), as far as RESTinio's parser
+/// does not see to that.
+bool hasSoundFraming(const HttpRequest &request)
+{
+    int codings = 0;
+    for (const HttpHeader &field : request.headers) {
+        if (field.name.find_first_of(" \t") != std::string::npos)
+            return false;
+        const HttpHeaders single = {field};
+        if (!single.has("Transfer-Encoding"))
+            continue;
+        ++codings;
+        std::string coding = field.value;
+        std::transform(coding.begin(), coding.end(), coding.begin(), [](unsigned char character) {
+            return static_cast<char>(std::tolower(character));
+        });
+        if (codings > 1 || coding != "chunked")
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 class HttpServer::Private
@@ -431,7 +512,14 @@
         auto requestBytes = buffers.readingSocket ? buffers.readingSocket->takeRequest() : nullptr;
         auto responder = std::make_shared<Responder>(request, this->table, std::move(requestBytes), buffers.pool);
         this->table->add(request->connection_id(), responder);
-        this->handler(convertRequest(*request), std::move(responder));
+        HttpRequest converted = convertRequest(*request);
+        if (!hasSoundFraming(converted)) {
+            responder->closeAfterwards();
+            responder->reply(
+                400, {{"Content-Type", "application/json"}}, R"({"error":{"code":"malformed","verdict":"not-run"}})");
+            return restinio::request_accepted();
+        }
+        this->handler(std::move(converted), std::move(responder));
         return restinio::request_accepted();
     }
 };
@@ -452,7 +540,8 @@
     // With two pipelined requests, RESTinio keeps reading while a response is sent, which detects a disconnect.
     constexpr std::size_t pipelinedRequests = 2;
     restinio::server_settings_t<ServerTraits> settings;
-    settings.address(httpSettings.address)
+    settings.logger(asio::use_service<ServerBuffers>(this->d->loop))
+        .address(httpSettings.address)
         .port(httpSettings.port)
         .max_pipelined_requests(pipelinedRequests)
         .read_next_http_message_timelimit(httpSettings.readTimeout)
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -116,6 +116,49 @@
     CHECK(this->readToEnd().find("HTTP/1.1 500") == 0);
 }
 
+// Guards against a request within the body of another one, by a body whose end is not clear.
+TEST_CASE_METHOD(HttpServerFixture,
+                 "HttpServer: framing of the request is not sound: status 400, and no handler is called")
+{
+    const std::string length = "Content-Length: 4\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string fields = GENERATE_COPY(values<std::string>({"Content-Length: 40\r\n" + length,
+                                                                  length + "Content-Length: 40\r\n",
+                                                                  "Content-Length: 4, 40\r\n",
+                                                                  "Content-Length: 4x\r\n",
+                                                                  "Content-Length: +4\r\n",
+                                                                  "Content-Length: -4\r\n",
+                                                                  "Content-Length: 4 0\r\n",
+                                                                  "Content-Length: 0x4\r\n",
+                                                                  "Content-Length:\r\n",
+                                                                  "Content-Length: 99999999999999999999\r\n",
+                                                                  "Content-Length : 4\r\n",
+                                                                  length + chunked,
+                                                                  chunked + length,
+                                                                  chunked + chunked,
+                                                                  "Transfer-Encoding: gzip\r\n",
+                                                                  "Transfer-Encoding: identity\r\n",
+                                                                  "Transfer-Encoding: chunked, gzip\r\n",
+                                                                  "Transfer-Encoding: gzip, chunked\r\n",
+                                                                  "Transfer-Encoding: chunked, chunked\r\n",
+                                                                  "Transfer-Encoding: xchunked\r\n",
+                                                                  "Transfer-Encoding:\r\n",
+                                                                  "Transfer-Encoding : chunked\r\n",
+                                                                  "X-Field: a\rContent-Length: 4\r\n",
+                                                                  "X-Field\r\n",
+                                                                  ": 4\r\n"}));
+    INFO(fields);
+    int requests = 0;
+    this->startServer([&requests](const HttpRequest &, const HttpResponderPtr &responder) {
+        ++requests;
+        responder->reply(200, {}, "answer");
+    });
+    this->send("POST / HTTP/1.1\r\nHost: test\r\n" + fields + "\r\n4\r\nbody\r\n0\r\n\r\n");
+    this->connection.shutdown(tcp::socket::shutdown_send);
+    CHECK(this->readToEnd().starts_with("HTTP/1.1 400"));
+    CHECK(requests == 0);
+}
+
 namespace {
 
 /// Callers that each send a chunked body, chunk after chunk, without ending it.
