Show that an answer is whole before it counts as complete

Cause: HttpClient concluded completeness from the absence of an error of libcurl, whose reading of heads and chunks is lenient.

Change: AnswerFraming alone decides, from every line of the head and every byte of the body as sent, whether a whole, final answer has arrived (RFC 9112, 6.3). Anything else is broken and may have run, and its connection is not used again. attempt-failed tells the length and coding that the head named and the bytes that arrived.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "httpclient.h"
 
+#include "answerframing.h"
 #include "bufferpool.h"
 #include "logger.h"
 
@@ -17,13 +18,6 @@
 
 namespace {
 
-/// Statuses of final answers. Those below are interim, and 101 would change the protocol of the connection.
-constexpr int minFinalStatus = 200;
-constexpr int maxFinalStatus = 599;
-
-/// Limit for the header fields of an answer, with those of interim answers and of the trailer.
-constexpr std::size_t maxFieldBytes = std::size_t{64} * 1024;
-
 struct Transfer
 {
     Transfer(HttpClient::CallId id, HttpCall call, HttpCallHooks hooks)
@@ -42,10 +36,8 @@
     HttpOutcome outcome;
     int sendAttempts = 0;
     curl_socket_t socket = CURL_SOCKET_BAD;
-    bool isHeadComplete = false; ///< The head of the final answer has arrived; later fields belong to the trailer.
-    bool headReported = false;
+    AnswerFraming framing;
     bool cancelled = false;
-    std::size_t fieldBytes = 0;
     BufferPool::Share buffered; ///< Fields, and the body if there is no data hook.
     std::string rejection; ///< Why this client broke the answer off; empty if it did not.
 
@@ -56,13 +48,61 @@
         curl_slist_free_all(this->headerList);
     }
 
-    void reportHead()
+    /// Takes a line of the head. Returns false if the answer has to be broken off.
+    bool takeHeadLine(std::string_view line)
     {
-        if (this->headReported)
-            return;
-        this->headReported = true;
+        if (!this->buffer(line.size()))
+            return false;
+        // Other versions of libcurl may pass on the lines of a trailer, which addBody() takes.
+        if (this->framing.isHeadComplete())
+            return true;
+        if (!this->framing.addHeadLine(line)) {
+            this->rejection = this->framing.error();
+            return false;
+        }
+        if (!this->framing.isHeadComplete())
+            return true;
+        this->permitReuse();
         if (this->hooks.head && !this->cancelled)
-            this->hooks.head(this->outcome.status, this->outcome.headers);
+            this->hooks.head(this->framing.status(), this->framing.headers());
+        return true;
+    }
+
+    /// Takes bytes of the body as they were sent. Returns false if the answer has to be broken off.
+    bool takeBody(std::string_view bytes)
+    {
+        const bool isSound =
+            this->framing.addBody(bytes, [this](std::string_view content) { return this->takeContent(content); });
+        if (!isSound && !this->cancelled && this->rejection.empty())
+            this->rejection = this->framing.error();
+        this->permitReuse();
+        return isSound;
+    }
+
+    bool takeContent(std::string_view content)
+    {
+        if (this->cancelled)
+            return false;
+        if (this->hooks.data) {
+            this->hooks.data(content);
+            return !this->cancelled;
+        }
+        if (this->outcome.body.size() + content.size() > this->call.maxBodyBytes) {
+            this->rejection = "the body is longer than " + std::to_string(this->call.maxBodyBytes) + " bytes";
+            return false;
+        }
+        if (!this->buffer(content.size()))
+            return false;
+        this->outcome.body.append(content);
+        return true;
+    }
+
+    /// Lets libcurl keep the connection after a whole answer.
+    void permitReuse()
+    {
+        const bool isReusable =
+            this->framing.isComplete() && !this->framing.hasExcess() && !this->call.closesConnection;
+        curl_easy_setopt(this->easyHandle, CURLOPT_FORBID_REUSE, isReusable ? 0L : 1L);
     }
 
     /// Accounts for bytes that are kept. Returns false if the answer has to be broken off.
@@ -93,68 +133,16 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::string_view line(bytes, size * count);
-    transfer->fieldBytes += line.size();
-    if (transfer->fieldBytes > maxFieldBytes) {
-        transfer->rejection = "the header fields are longer than " + std::to_string(maxFieldBytes) + " bytes";
-        return 0;
-    }
-    if (!transfer->buffer(line.size()))
-        return 0;
-    // Fields of a trailer are not merged into the head (RFC 9110, 6.5.1), but libcurl keeps them until the end.
-    if (transfer->isHeadComplete)
-        return transfer->cancelled ? 0 : line.size();
-    if (line.substr(0, 5) == "HTTP/") {
-        transfer->outcome.headers = {};
-        long status = 0;
-        curl_easy_getinfo(transfer->easyHandle, CURLINFO_RESPONSE_CODE, &status);
-        transfer->outcome.status = static_cast<int>(status);
-        return line.size();
-    }
-    if (line == "\r\n" || line == "\n") {
-        // An interim response (1xx) is followed by another head.
-        if (transfer->outcome.status > maxFinalStatus) {
-            transfer->rejection =
-                "status " + std::to_string(transfer->outcome.status) + " is not that of a final answer";
-            return 0;
-        }
-        if (transfer->outcome.status >= minFinalStatus) {
-            transfer->isHeadComplete = true;
-            transfer->reportHead();
-        }
-        // A cancelled transfer must fail here: libcurl may read the whole response at once and would then keep the
-        // connection for reuse.
-        return transfer->cancelled ? 0 : line.size();
-    }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return line.size();
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
-        value.remove_prefix(1);
-    while (!value.empty() && (value.back() == '\r' || value.back() == '\n' || value.back() == ' '))
-        value.remove_suffix(1);
-    transfer->outcome.headers.add(std::string(line.substr(0, colon)), std::string(value));
-    return line.size();
+    // A cancelled transfer must fail here: libcurl may read the whole response at once and would then keep the
+    // connection for reuse.
+    return transfer->takeHeadLine(line) && !transfer->cancelled ? line.size() : 0;
 }
 
 std::size_t dataReceived(char *bytes, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::size_t length = size * count;
-    // libcurl passes on the body of an interim answer that ends the exchange.
-    if (transfer->cancelled || !transfer->isHeadComplete)
-        return 0;
-    if (transfer->hooks.data) {
-        transfer->hooks.data(std::string_view(bytes, length));
-    } else if (transfer->outcome.body.size() + length > transfer->call.maxBodyBytes) {
-        transfer->rejection = "the body is longer than " + std::to_string(transfer->call.maxBodyBytes) + " bytes";
-        return 0;
-    } else if (!transfer->buffer(length)) {
-        return 0;
-    } else {
-        transfer->outcome.body.append(bytes, length);
-    }
-    return transfer->cancelled ? 0 : length;
+    return !transfer->cancelled && transfer->takeBody(std::string_view(bytes, length)) ? length : 0;
 }
 
 /// Bytes in the socket's send queue, including those that the peer has not acknowledged.
@@ -369,10 +357,6 @@
             this->transfers.erase(found);
         }
         for (const auto &transfer : finished) {
-            if (transfer->cancelled)
-                continue;
-            if (transfer->outcome.isComplete())
-                transfer->reportHead();
             if (!transfer->cancelled)
                 transfer->hooks.done(transfer->outcome);
         }
@@ -380,15 +364,22 @@
 
     void setOutcome(Transfer &transfer, CURLcode code)
     {
-        // libcurl takes a head that ends with its connection for a complete answer.
-        const bool isFinalAnswer = transfer.isHeadComplete;
-        if (code == CURLE_OK && isFinalAnswer) {
+        AnswerFraming &framing = transfer.framing;
+        curl_off_t expectedBytes = -1;
+        curl_easy_getinfo(transfer.easyHandle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &expectedBytes);
+        // Without a length, libcurl reads until the peer ends the connection.
+        if (code == CURLE_OK && expectedBytes < 0)
+            framing.connectionEnded();
+        transfer.outcome.status = framing.status();
+        transfer.outcome.headers = framing.headers();
+        transfer.outcome.bodyEnd = framing.bodyEnd();
+        transfer.outcome.bodyBytes = framing.bodyBytes();
+        if (code == CURLE_OK && framing.isComplete()) {
             transfer.outcome.verdict = Verdict::Ran;
             return;
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
-        transfer.outcome.error =
-            isFinalAnswer || code != CURLE_OK ? curl_easy_strerror(code) : "no complete head of a final answer";
+        transfer.outcome.error = code == CURLE_OK ? framing.error() : curl_easy_strerror(code);
         if (!transfer.rejection.empty()) {
             transfer.outcome.error = transfer.rejection;
             transfer.outcome.body = {};
@@ -446,8 +437,10 @@
     curl_easy_setopt(easyHandle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     if (call.forcesNewConnection)
         curl_easy_setopt(easyHandle, CURLOPT_FRESH_CONNECT, 1L);
-    if (call.closesConnection)
-        curl_easy_setopt(easyHandle, CURLOPT_FORBID_REUSE, 1L);
+    // AnswerFraming decodes the body, since it has to see the chunks.
+    curl_easy_setopt(easyHandle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+    curl_easy_setopt(easyHandle, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+    curl_easy_setopt(easyHandle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(easyHandle, CURLOPT_PREREQFUNCTION, &beforeRequest);
     curl_easy_setopt(easyHandle, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easyHandle, CURLOPT_HEADERFUNCTION, &headerReceived);
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answerframing.h"
 #include "httpmessage.h"
 #include "verdict.h"
 
@@ -52,11 +53,14 @@
 /// Result of an exchange.
 struct HttpOutcome
 {
-    /// NotRun: no byte of the request was sent. Ran: a complete response arrived. MayHaveRun: anything else.
+    /// NotRun: no byte of the request was sent. Ran: a complete response arrived, as AnswerFraming has shown.
+    /// MayHaveRun: anything else.
     Verdict verdict = Verdict::NotRun;
     int status = 0; ///< HTTP status; 0 when no response head arrived.
     HttpHeaders headers;
     std::string body; ///< Empty when the call has a data hook.
+    BodyEnd bodyEnd = BodyEnd::Unknown; ///< Unknown if no complete head of a final answer arrived.
+    std::uint64_t bodyBytes = 0; ///< Bytes of the body that arrived.
     HttpFailure failure = HttpFailure::None;
     std::string error; ///< Error message; empty when a complete response arrived.
 
@@ -97,7 +101,7 @@
     /// Aborts an exchange and closes its connection. Of its hooks, only closed is called afterwards.
     void cancel(CallId id);
 
-    /// Number of answers that were broken off because they were too long or not final.
+    /// Number of answers that were broken off because they were too long or not sound.
     std::uint64_t brokenOffAnswers() const;
 
 private:
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaycall.h"
 
+#include "answerframing.h"
 #include "encoding.h"
 #include "logger.h"
 
@@ -512,7 +513,7 @@
     end.eventWrites = this->eventWrites;
     end.isSuccess = this->isSuccess(outcome);
     end.isStream = this->isStreaming;
-    end.endsWithConnection = this->endsWithConnection();
+    end.endsWithConnection = outcome.bodyEnd == BodyEnd::Connection;
     end.isAborted = this->isAborted;
     end.isUpstreamLeaving = this->context.scheduler.upstreams().isLeaving(this->upstream.id);
     const CrashEvidence evidence = crashEvidence(end);
@@ -531,20 +532,19 @@
               {"failure", failureName(outcome.failure)},
               {"error", outcome.error},
               {"answerStatus", outcome.status},
+              {"headComplete", outcome.bodyEnd != BodyEnd::Unknown},
+              {"contentLength", fieldValues(outcome.headers, "Content-Length")},
+              {"transferEncoding", fieldValues(outcome.headers, "Transfer-Encoding")},
+              {"bodyBytes", outcome.bodyBytes},
               {"eventWrites", this->eventWrites},
               {"evidence", crashEvidenceName(evidence)},
               {"fingerprint", this->fingerprint},
               {"parts", partList(this->request.parts)}});
 }
 
-bool RelayCall::endsWithConnection() const
-{
-    return !this->headers.has("Content-Length") && !this->headers.has("Transfer-Encoding");
-}
-
 void RelayCall::finishStream(const HttpOutcome &outcome)
 {
-    if (this->eventWrites == 0 && this->endsWithConnection())
+    if (this->eventWrites == 0 && outcome.bodyEnd == BodyEnd::Connection)
         return this->retryOrFail("the stream ended before its first event");
     if (this->events.hasPartialEvent())
         return this->retryOrFail("the stream ended within an event");
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -59,7 +59,6 @@
 
     bool isSuccess(const HttpOutcome &outcome) const;
     /// Whether the current answer has no length or chunks.
-    bool endsWithConnection() const;
     bool isRetryable() const;
     bool scheduleRetry(const std::string &reason);
     void retryOrFail(const std::string &reason);
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -1,4 +1,5 @@
 #include "httpclient.h"
+#include "answerforms.h"
 #include "bufferpool.h"
 
 #include <asio.hpp>
@@ -41,6 +42,7 @@
     EndlessTrailer,
     AnswerWithTrailer,
     RawAnswer,
+    OpenRawAnswer,
     NoAnswer,
 };
 
@@ -121,6 +123,10 @@
             asio::write(*socket, asio::buffer(this->rawAnswer));
             return socket->close();
         }
+        if (behaviour == Behaviour::OpenRawAnswer) {
+            asio::write(*socket, asio::buffer(this->rawAnswer));
+            return this->read(socket);
+        }
         if (behaviour == Behaviour::AnswerWithTrailer) {
             asio::write(*socket, asio::buffer(chunkedAnswer + "X-Late: 1\r\nHTTP/1.1 500: 1\r\n\r\n"));
             return this->read(socket);
@@ -390,6 +396,59 @@
     }
 }
 
+// Guards against a success with a part of the server's body.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: framing of the response is not sound: verdict is may-have-run")
+{
+    const AnswerForm form = GENERATE(from_range(unsoundAnswers()));
+    INFO(form.name);
+    this->server.rawAnswer = form.bytes();
+    this->server.script = {Behaviour::RawAnswer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(outcome.failure == HttpFailure::Broken);
+    CHECK_FALSE(outcome.error.empty());
+}
+
+// Guards against a response to another request, by bytes that are left on a connection.
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: framing of the response is not sound: the connection is not reused")
+{
+    const AnswerForm form = GENERATE(from_range(unsoundAnswers()));
+    INFO(form.name);
+    this->server.rawAnswer = form.bytes();
+    this->server.script = {Behaviour::OpenRawAnswer, Behaviour::Answer};
+    this->timeout = std::chrono::milliseconds(2000);
+    CHECK(this->post(this->server.url()).failure == HttpFailure::Broken);
+    CHECK(this->post(this->server.url()).body == "done");
+    CHECK(this->server.connections == 2);
+}
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: framing of the response is sound: its body is received")
+{
+    const AnswerForm form = GENERATE(from_range(soundAnswers()));
+    INFO(form.name);
+    this->server.rawAnswer = form.bytes();
+    this->server.script = {Behaviour::RawAnswer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.isComplete());
+    CHECK(outcome.status == 200);
+    CHECK(outcome.body == wholeAnswerBody());
+    CHECK(outcome.bodyBytes == wholeAnswerBytes);
+}
+
+TEST_CASE_METHOD(HttpClientFixture, "HttpClient: response has no body by its status: later bytes are not taken for one")
+{
+    const std::string head = GENERATE("HTTP/1.1 204 No Content\r\n\r\n",
+                                      "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+                                      "HTTP/1.1 304 Not Modified\r\nContent-Length: 800\r\n\r\n");
+    INFO(head);
+    this->server.rawAnswer = head + wholeAnswerBody();
+    this->server.script = {Behaviour::RawAnswer};
+    const HttpOutcome outcome = this->post(this->server.url());
+    CHECK(outcome.isComplete());
+    CHECK(outcome.body.empty());
+    CHECK(outcome.bodyBytes == 0);
+}
+
 namespace {
 
 /// A server that accepts a connection and reads from it only when the test says so, like one behind a broken link.
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -1,3 +1,4 @@
+#include "answerforms.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "relay/relaycall.h"
@@ -45,6 +46,12 @@
             + "X-Hemlockflow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
 
+    /// Returns the fields that make an answer the signed one to a request.
+    static std::string signedFields(const std::string &attemptId)
+    {
+        return "X-Hemlockflow-Attempt-Id: " + attemptId + "\r\nX-Hemlockflow-Response-Signature: signed\r\n";
+    }
+
     /// How a connection goes on after an answer.
     enum class Ending {
         KeepOpen,
@@ -397,3 +404,34 @@
     };
     CHECK(this->call("attempt-1").status == 502);
 }
+
+// Guards against a success with a part of the upstream's body.
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: framing of the answer is not sound: does not look complete")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent));
+    const AnswerForm form = GENERATE(from_range(unsoundAnswers()));
+    INFO(form.name);
+    this->raw.ending = RawUpstream::Ending::Close;
+    this->raw.bytesFor = [form](std::size_t, const std::string &attemptId) {
+        return form.bytes(RawUpstream::signedFields(attemptId));
+    };
+    const HttpOutcome outcome = this->call("attempt-1");
+    CHECK(outcome.isComplete());
+    CHECK(outcome.status == 502);
+    CHECK(outcome.body.find("may-have-run") != std::string::npos);
+}
+
+TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: framing of the answer is sound: is forwarded whole")
+{
+    this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent));
+    const AnswerForm form = GENERATE(from_range(soundAnswers()));
+    INFO(form.name);
+    this->raw.ending = RawUpstream::Ending::Close;
+    this->raw.bytesFor = [form](std::size_t, const std::string &attemptId) {
+        return form.bytes(RawUpstream::signedFields(attemptId));
+    };
+    const HttpOutcome outcome = this->call("attempt-1");
+    CHECK(outcome.isComplete());
+    CHECK(outcome.status == 200);
+    CHECK(outcome.body == wholeAnswerBody());
+}
