Count the time for discovering VMs from the first read of their records

Cause: the least share held until 3 s after the start of the process, not after the first read of the records.

Change: RetryCapacity counts from the first read, or the first one after a long absence.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -113,7 +113,7 @@
     , departures(this->settings.upstreamUpdateDeadline / 2)
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
-    , retryCapacity({this->settings.totalRetryCapacity, this->settings.expectedVms}, this->now())
+    , retryCapacity({this->settings.totalRetryCapacity, this->settings.expectedVms})
     , quarantine(quarantineSettings(this->settings.node))
     , suspectRecords(this->kv,
                      std::string(ownKeyPrefix) + "suspects/",
--- a/src/libhemlock/relay/retrycapacity.h
+++ b/src/libhemlock/relay/retrycapacity.h
@@ -15,15 +15,15 @@
 
 /// Share of the fleet's saved-up retries that one entry VM may hold.
 ///
-/// The shares of all VMs add up to the total even while VMs do not know all others: a VM that has just started keeps to
-/// the least share, and VMs that are known no longer count for a while, since they may still run.
+/// The shares of all VMs add up to the total even while VMs do not know all others: a VM that has just read
+/// the others' records for the first time keeps to the least share, and VMs that are known no longer count for a while,
+/// since they may still run.
 class RetryCapacity
 {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /// @p start is the start of this process.
-    RetryCapacity(RetryCapacitySettings settings, TimePoint start);
+    explicit RetryCapacity(RetryCapacitySettings settings);
 
     /// Returns the retries that this VM may save up. @p knownVms is the number of entry VMs, with this one; it is unset
     /// until their records were read.
@@ -37,7 +37,7 @@
     };
 
     RetryCapacitySettings settings;
-    TimePoint start;
+    TimePoint firstRead; ///< When the records of VMs were read first, or again after a long absence.
     std::deque<FleetSize> sizes; ///< Recent sizes of the fleet, each smaller than the ones before it.
 };
 
--- a/tests/unit/retryfleettest.cpp
+++ b/tests/unit/retryfleettest.cpp
@@ -86,8 +86,8 @@
         vm.budget = std::make_unique<RetryBudget>(settings.retries);
         if (!settings.startsWithRetries)
             vm.budget->deferInitialBalance(this->now + settings.retryWindow);
-        vm.capacity = std::make_unique<RetryCapacity>(
-            RetryCapacitySettings{settings.totalRetryCapacity, settings.expectedVms}, this->now);
+        vm.capacity =
+            std::make_unique<RetryCapacity>(RetryCapacitySettings{settings.totalRetryCapacity, settings.expectedVms});
         this->vms[name] = std::move(vm);
         Record &record = this->records[name];
         if (record.visibleUntil <= this->now)
