Do not take answers that this process rejects for crashes

Callers of a sound idempotent request got 503 "quarantined" after two upstreams had spoiled their answers to it (review, shown by a test).

Cause: an answer that HttpClient breaks off has the failure of a broken connection, which is evidence of a crash.

Change: HttpOutcome tells that the client broke the answer off, which is no evidence.

Without the change "RelayCall: lengths of all answers are not valid*" fails (1 of 1 assertion).

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -381,6 +381,7 @@
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error = code == CURLE_OK ? framing.error() : curl_easy_strerror(code);
         if (!transfer.rejection.empty()) {
+            transfer.outcome.isRejected = true;
             transfer.outcome.error = transfer.rejection;
             transfer.outcome.body = {};
             ++this->brokenOffAnswers;
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -62,6 +62,7 @@
     BodyEnd bodyEnd = BodyEnd::Unknown; ///< Unknown if no complete head of a final answer arrived.
     std::uint64_t bodyBytes = 0; ///< Bytes of the body that arrived.
     HttpFailure failure = HttpFailure::None;
+    bool isRejected = false; ///< This client broke the answer off, as it was too long or not sound.
     std::string error; ///< Error message; empty when a complete response arrived.
 
     bool isComplete() const
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -538,7 +538,7 @@
     end.isSuccess = this->isSuccess(outcome);
     end.isStream = this->isStreaming;
     end.endsWithConnection = outcome.bodyEnd == BodyEnd::Connection;
-    end.isAborted = this->isAborted;
+    end.isAborted = this->isAborted || outcome.isRejected;
     end.isUpstreamLeaving = this->context.scheduler.upstreams().isLeaving(this->upstream.id);
     const CrashEvidence evidence = crashEvidence(end);
     if (!outcome.isComplete() || evidence == CrashEvidence::BrokeAtAnswerStart)
--- a/src/libhemlock/relay/relaycall.h
+++ b/src/libhemlock/relay/relaycall.h
@@ -64,7 +64,6 @@
     void beginStream();
 
     bool isSuccess(const HttpOutcome &outcome) const;
-    /// Whether the current answer has no length or chunks.
     bool isRetryable() const;
     /// Reserves another attempt in the retry budget. Returns what stands against the attempt, or an empty text.
     std::string_view takeRetry(TimePoint now);
--- a/tests/unit/staleanswertest.cpp
+++ b/tests/unit/staleanswertest.cpp
@@ -507,6 +507,52 @@
     CHECK(outcome.body.find("may-have-run") != std::string::npos);
 }
 
+namespace {
+
+/// Two upstreams whose answers have no sound framing.
+class SpoilingUpstreamsFixture : public StaleAnswerFixture
+{
+protected:
+    SpoilingUpstreamsFixture()
+    {
+        this->applyUpstreams({this->raw.address(), this->second.address()});
+        this->configure(CallKind::Idempotent, 2);
+    }
+
+    /// Makes the same call several times, whose answers have these fields and a body. Returns the statuses.
+    std::vector<int> callStatuses(const std::string &fields)
+    {
+        for (RawUpstream *upstream : {&this->raw, &this->second}) {
+            upstream->ending = RawUpstream::Ending::Close;
+            upstream->bytesFor = [fields](std::size_t, const std::string &attemptId) {
+                return "HTTP/1.1 200 OK\r\n" + RawUpstream::signedFields(attemptId) + fields + "\r\nwhole";
+            };
+        }
+        std::vector<int> statuses;
+        for (const char *id : {"attempt-1", "attempt-2", "attempt-3"})
+            statuses.push_back(this->call(id).status);
+        return statuses;
+    }
+
+    RawUpstream second{this->loop};
+};
+
+} // namespace
+
+// Guards against refusing a sound request because upstreams spoil their answers to it.
+TEST_CASE_METHOD(SpoilingUpstreamsFixture,
+                 "RelayCall: lengths of all answers are not valid: the request is not quarantined")
+{
+    CHECK(this->callStatuses("Content-Length: 4x\r\n") == std::vector<int>{502, 502, 502});
+}
+
+// As above; libcurl reports a malformed chunk like a broken connection.
+TEST_CASE_METHOD(SpoilingUpstreamsFixture,
+                 "RelayCall: chunks of all answers are malformed: the request is not quarantined")
+{
+    CHECK(this->callStatuses("Transfer-Encoding: chunked\r\n") == std::vector<int>{502, 502, 502});
+}
+
 TEST_CASE_METHOD(StaleAnswerFixture, "RelayCall: framing of the answer is sound: is forwarded whole")
 {
     this->configure(GENERATE(CallKind::Idempotent, CallKind::NonIdempotent));
