Check lost requests in the soak also while a service fails

Calls to a service whose upstreams mostly answer with errors counted as disturbed, which left out the checks of lost requests, departures, timeouts and cancellations (review). Only the share of sound streams that run is left out now.

--- a/tests/failure/relaysoak.cpp
+++ b/tests/failure/relaysoak.cpp
@@ -404,7 +404,8 @@
     call->kind = this->chooseKind();
     call->vm = index;
     call->sent = std::chrono::steady_clock::now();
-    call->isDisturbed = vm.isPaused || this->isFailing(call->service());
+    call->isDisturbed = vm.isPaused;
+    call->isServiceFailing = this->isFailing(call->service());
     call->wasInTouch = this->isInTouch(vm, call->sent);
     call->key = this->chooseKey();
     std::string name = call->id;
@@ -735,7 +736,8 @@
     int sentAfter = 0;
     int ranAfter = 0;
     for (const auto &[id, call] : this->calls) {
-        if (!call->isStream() || !call->wasInTouch || call->isTainted || call->isDisturbed || call->cancelled)
+        if (!call->isStream() || !call->wasInTouch || call->isTainted || call->isDisturbed || call->isServiceFailing
+            || call->cancelled)
             continue;
         const bool isBefore = call->sent < crashes.front();
         if (!isBefore && call->sent < known)
--- a/tests/failure/relaysoak.h
+++ b/tests/failure/relaysoak.h
@@ -97,6 +97,7 @@
         int runs = 0;
         int openRuns = 0; ///< Runs whose upstream still works.
         bool isDisturbed = false; ///< A fault other than planned work may have harmed it.
+        bool isServiceFailing = false; ///< Most answers of its service were errors when it was sent.
         bool isRefused = false; ///< It was told that it has not run.
         std::string sentBody;
         bool isTainted = false; ///< Its prompt has the part that crashes upstreams.
