--- a/tests/unit/storeprobetest.cpp
+++ b/tests/unit/storeprobetest.cpp
@@ -98,6 +98,7 @@
     this->loop.run_one();
     REQUIRE(this->unanswered.size() == 1);
     CHECK(this->loop.poll() == 0);
+    this->loop.restart();
     this->unanswered.front()(KvStatus::Ok, "");
     this->loop.run_one();
     CHECK(this->pingCount == 2);
