--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -28,21 +28,6 @@
 
 constexpr std::chrono::milliseconds planInterval{500};
 
-/// A crashed upstream takes longer than this until it answers again; entry VMs notice the same crash within it.
-constexpr std::chrono::milliseconds minUpstreamRestartTime{2000};
-
-/// Long enough for crashes that were under way to be noticed, and for several requests of the fleet to arrive.
-constexpr std::chrono::seconds trialDelay{8};
-
-/// Short, since sound requests are refused until it is known which of two subjects crashes upstreams.
-constexpr std::chrono::milliseconds distinguishingTrialDelay{2000};
-
-/// The check of a refused subject compares its crashes with those of all others.
-constexpr std::size_t maxSuspects = 2000;
-
-/// Parts that are answered less often than this are hardly shared by requests that are in progress.
-constexpr std::chrono::seconds partProvenDuration{30};
-
 constexpr std::chrono::seconds healthInterval{2};
 
 /// Time after the start within which the peers of the availability zone become known; earlier ones are not relied on.
@@ -69,21 +54,6 @@
     return settings;
 }
 
-/// A prompt part that was answered shortly before is believed to crash upstreams after one more crash: shared parts
-/// stand beside the one that crashes them, and their next answer may come after the second crash.
-QuarantineSettings quarantineSettings(const std::string &node)
-{
-    QuarantineSettings settings;
-    settings.provenCrashLimit = settings.crashLimit + 1;
-    settings.provenDuration = partProvenDuration;
-    settings.minRestartTime = minUpstreamRestartTime;
-    settings.trialDelay = trialDelay;
-    settings.distinguishingTrialDelay = distinguishingTrialDelay;
-    settings.trialSeed = node;
-    settings.maxEntries = maxSuspects;
-    return settings;
-}
-
 DutySettings dutySettings(const RelaySettings &settings, const std::string &runId, const StoreEra &era)
 {
     DutySettings duties;
@@ -114,7 +84,7 @@
     , quota(this->settings.quota, RandomEngine(this->random()))
     , retries(this->settings.retries)
     , retryCapacity({this->settings.totalRetryCapacity, this->settings.expectedVms})
-    , quarantine(quarantineSettings(this->settings.node))
+    , quarantine(RequestSuspects::quarantineSettings(this->settings.node))
     , suspectRecords(this->kv,
                      std::string(ownKeyPrefix) + "suspects/",
                      this->quarantine,
--- a/src/libhemlock/relay/requestsuspects.cpp
+++ b/src/libhemlock/relay/requestsuspects.cpp
@@ -6,6 +6,39 @@
 
 namespace hemlock {
 
+namespace {
+
+/// A crashed upstream takes longer than this until it answers again; entry VMs notice the same crash within it.
+constexpr std::chrono::milliseconds minUpstreamRestartTime{2000};
+
+/// Long enough for crashes that were under way to be noticed, and for several requests of the fleet to arrive.
+constexpr std::chrono::seconds trialDelay{8};
+
+/// Short, since sound requests are refused until it is known which of two subjects crashes upstreams.
+constexpr std::chrono::milliseconds distinguishingTrialDelay{2000};
+
+/// The check of a refused subject compares its crashes with those of all others.
+constexpr std::size_t maxSuspects = 2000;
+
+/// Parts that are answered less often than this are hardly shared by requests that are in progress.
+constexpr std::chrono::seconds partProvenDuration{30};
+
+} // namespace
+
+QuarantineSettings RequestSuspects::quarantineSettings(const std::string &node)
+{
+    QuarantineSettings settings;
+    // Shared parts stand beside the one that crashes upstreams, and their next answer may come after the second crash.
+    settings.provenCrashLimit = settings.crashLimit + 1;
+    settings.provenDuration = partProvenDuration;
+    settings.minRestartTime = minUpstreamRestartTime;
+    settings.trialDelay = trialDelay;
+    settings.distinguishingTrialDelay = distinguishingTrialDelay;
+    settings.trialSeed = node;
+    settings.maxEntries = maxSuspects;
+    return settings;
+}
+
 RequestSuspects::RequestSuspects(Quarantine &quarantine)
     : quarantine(quarantine)
 {
--- a/src/libhemlock/relay/requestsuspects.h
+++ b/src/libhemlock/relay/requestsuspects.h
@@ -24,6 +24,9 @@
         std::chrono::seconds wait{1}; ///< Time after which the next trial is due; at least one second.
     };
 
+    /// Settings of a quarantine for the requests and prompt parts of an entry VM.
+    static QuarantineSettings quarantineSettings(const std::string &node);
+
     explicit RequestSuspects(Quarantine &quarantine);
 
     /// Sets the parts of the prompt for a service, and the fingerprint of the request as by requestFingerprint(). The
