Bound the memory and descriptors that callers without bounds take

Cause: a small header field takes many times its size once RESTinio has parsed it, heads and trailers were limited to 80 KiB each by http_parser only, and the number of connections did not follow from the descriptors of the VM.

Change: RequestScanner counts the bytes and fields of heads and trailers before the parser gets them; a head above max-header-bytes gets 431, one slower than header-timeout-ms 408. Fields count in the buffers with what they cost once parsed. ConnectionBudget chooses the least advanced incomplete request when memory or descriptors are used up.

--- a/src/libhemlock/bufferpool.cpp
+++ b/src/libhemlock/bufferpool.cpp
@@ -73,6 +73,11 @@
     return bytes <= this->capacity / 2;
 }
 
+void BufferPool::setCapacity(std::size_t bytes)
+{
+    this->capacity = bytes;
+}
+
 std::size_t BufferPool::usedBytes() const
 {
     return this->used;
--- a/src/libhemlock/bufferpool.h
+++ b/src/libhemlock/bufferpool.h
@@ -46,6 +46,9 @@
     /// Whether a share of @p bytes is allowed while there is no other one.
     bool fits(std::size_t bytes) const;
 
+    /// Changes the capacity. Shares that exist keep their bytes.
+    void setCapacity(std::size_t bytes);
+
     std::size_t usedBytes() const;
 
     /// Number of times that a share was not allowed to grow.
--- /dev/null
+++ b/src/libhemlock/connectionbudget.cpp
@@ -0,0 +1,58 @@
+#include "connectionbudget.h"
+
+#include <optional>
+#include <tuple>
+
+namespace hemlock {
+
+namespace {
+
+/// Memory of an open connection beside its request: RESTinio's buffer of 4 KiB, its parser, timer and tables, and small
+/// buffers of the kernel. Measured with 3,000 idle connections: 7 KiB each.
+constexpr std::size_t connectionBytes = std::size_t{10} * 1024;
+
+/// Ordinary requests are complete within this time.
+constexpr std::chrono::seconds arrivalTime{1};
+
+/// A caller that takes no byte of its response for so long does not read.
+constexpr std::chrono::seconds writeStallTime{10};
+
+} // namespace
+
+bool ConnectionBudget::isExceeded(std::size_t connections, std::size_t bufferedBytes) const
+{
+    return connections > this->maxConnections || bufferedBytes + connections * connectionBytes > this->maxBytes;
+}
+
+std::size_t ConnectionBudget::choose(const std::vector<ConnectionProgress> &connections, TimePoint now)
+{
+    using Stage = ConnectionProgress::Stage;
+    using Rank = std::tuple<int, std::size_t, TimePoint>;
+    std::size_t chosen = connections.size();
+    std::optional<Rank> least;
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        const ConnectionProgress &connection = connections[i];
+        Rank rank;
+        if (connection.stage == Stage::Reading)
+            rank = {now - connection.since < arrivalTime ? 1 : 0, connection.requestBytes, connection.since};
+        else if (connection.stage == Stage::Idle)
+            rank = {2, 0, connection.since};
+        else if (connection.writeStart != TimePoint() && now - connection.writeStart >= writeStallTime)
+            rank = {3, 0, connection.writeStart};
+        else
+            continue;
+        if (least && *least <= rank)
+            continue;
+        least = rank;
+        chosen = i;
+    }
+    return chosen;
+}
+
+bool ConnectionBudget::isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const
+{
+    return this->headTimeout.count() > 0 && connection.stage == ConnectionProgress::Stage::Reading
+        && connection.isInHead && now - connection.since > this->headTimeout;
+}
+
+} // namespace hemlock
--- /dev/null
+++ b/src/libhemlock/connectionbudget.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace hemlock {
+
+/// What is known of one connection of a caller.
+struct ConnectionProgress
+{
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    enum class Stage {
+        Reading, ///< Nothing, or an incomplete request, has arrived since the start of the connection.
+        Idle, ///< The last request was answered.
+        Running, ///< A complete request is not answered yet.
+    };
+
+    Stage stage = Stage::Reading;
+    bool isInHead = false; ///< Part of a head has arrived.
+    std::size_t requestBytes = 0; ///< Received bytes of the incomplete request.
+    TimePoint since; ///< Start of the connection, of the incomplete request, or of the idle time.
+    TimePoint writeStart; ///< Start of the write in progress; the epoch when there is none.
+};
+
+/// Chooses the connections that are closed when all of a process exceed their common limits.
+class ConnectionBudget
+{
+public:
+    using TimePoint = ConnectionProgress::TimePoint;
+
+    std::size_t maxConnections = SIZE_MAX;
+    std::size_t maxBytes = SIZE_MAX; ///< For buffers and connections together.
+    std::chrono::milliseconds headTimeout{0}; ///< From the first byte of a head to its end; 0 for no limit.
+
+    /// Whether this number of connections, and what their requests and responses take, exceed the limits.
+    bool isExceeded(std::size_t connections, std::size_t bufferedBytes) const;
+
+    /// Returns the index of the connection to close; the size of @p connections if none may be closed.
+    ///
+    /// The order: incomplete requests, the least advanced first and of equal ones the oldest; the same among those that
+    /// began within the last second, since an ordinary request is complete by then; the longest idle connection; a
+    /// caller that has not read anything for a while. A complete request whose caller reads is never closed.
+    static std::size_t choose(const std::vector<ConnectionProgress> &connections, TimePoint now);
+
+    bool isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const;
+};
+
+} // namespace hemlock
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -1,15 +1,21 @@
 #include "httpserver.h"
 
 #include "bufferpool.h"
+#include "connectionbudget.h"
 #include "logger.h"
+#include "requestscanner.h"
 
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <limits>
 #include <unordered_map>
+#include <vector>
+
+#include <sys/socket.h>
 
 namespace hemlock {
 
@@ -24,6 +30,21 @@
 /// Time after which a caller may repeat a request that found no room.
 constexpr std::string_view retryAfterSeconds = "1";
 
+/// Share of the memory of a process for connections, requests and responses of callers. The rest is for the process
+/// itself (17 MB), answers of upstreams, and copies of the requests that are relayed.
+constexpr double callerMemoryShare = 0.35;
+
+/// Memory of a field or chunk beside its bytes: RESTinio's record has 72 bytes, in a vector that is up to three times
+/// as large while it grows, and each copy for the handler has 64.
+constexpr std::size_t recordBytes = 300;
+
+/// Buffers of the kernel for each connection, which count as memory of the process. The kernel doubles the values.
+constexpr int receiveBufferBytes = 32 * 1024;
+constexpr int sendBufferBytes = 128 * 1024;
+
+/// Interval of the check for heads that take too long.
+constexpr std::chrono::milliseconds headCheckInterval{250};
+
 class MeteredSocket;
 
 /// Buffers of all servers on a loop. A service of the loop, since RESTinio creates sockets from the loop alone.
@@ -35,56 +56,117 @@
 
     explicit ServerBuffers(asio::execution_context &context)
         : asio::execution_context::service(context)
+        , timer(static_cast<asio::io_context &>(context))
     {
     }
 
+    void setLimits(const IncomingLimits &limits);
+
+    /// Closes connections until all are within their limits. Returns false if @p current had to be closed.
+    bool enforceLimits(MeteredSocket &current);
+
+    void closeOverdueHeads();
+
+    IncomingLimits limits;
+    RefusedCallers refused;
+    ConnectionBudget budget;
+    std::vector<MeteredSocket *> sockets; ///< Of open connections.
     std::shared_ptr<BufferPool> pool = std::make_shared<BufferPool>(bufferCapacity);
     MeteredSocket *readingSocket = nullptr; ///< Its bytes are being handled.
 
 private:
     void shutdown() override
     {
+        this->timer.cancel();
     }
+
+    asio::steady_timer timer;
 };
 
 /// Socket that accounts for the bytes of each request until its response is complete.
 ///
-/// RESTinio buffers the body of a request without telling how much of it has arrived.
+/// RESTinio buffers the head and the body of a request without telling how much of it has arrived.
 class MeteredSocket : public asio::ip::tcp::socket
 {
 public:
+    using TimePoint = ConnectionProgress::TimePoint;
+
     explicit MeteredSocket(asio::io_context &loop)
         : asio::ip::tcp::socket(loop)
         , buffers(&asio::use_service<ServerBuffers>(loop))
     {
     }
 
+    /// RESTinio moves a socket before it first reads from it, and not any more afterwards.
+    MeteredSocket(MeteredSocket &&) = default;
+    MeteredSocket &operator=(MeteredSocket &&) = default;
+
+    ~MeteredSocket()
+    {
+        this->leave();
+    }
+
     template <class Buffer, class Handler>
     void async_read_some(const Buffer &buffer, Handler handler)
     {
+        if (!this->enter()) {
+            const auto refusedExecutor = asio::get_associated_executor(handler);
+            asio::post(refusedExecutor,
+                       [handler = std::move(handler)]() mutable { handler(asio::error::no_buffer_space, 0); });
+            return;
+        }
         const auto executor = asio::get_associated_executor(handler);
         asio::ip::tcp::socket::async_read_some(
             buffer,
-            asio::bind_executor(executor,
-                                [this, handler = std::move(handler)](asio::error_code error, std::size_t size) mutable {
-                                    if (!error && !this->account(size))
-                                        error = asio::error::no_buffer_space;
-                                    const auto outer = std::exchange(this->buffers->readingSocket, this);
-                                    auto *const ownBuffers = this->buffers;
-                                    // The socket may be destroyed by its handler.
-                                    handler(error, size);
-                                    ownBuffers->readingSocket = outer;
-                                }));
+            asio::bind_executor(
+                executor,
+                [this, buffer, handler = std::move(handler)](asio::error_code error, std::size_t size) mutable {
+                    if (!error && !this->isRefused && !this->account({static_cast<const char *>(buffer.data()), size}))
+                        error = asio::error::no_buffer_space;
+                    // RESTinio would keep a connection whose read was cancelled.
+                    if (this->isRefused)
+                        error = asio::error::no_buffer_space;
+                    const auto outer = std::exchange(this->buffers->readingSocket, this);
+                    auto *const ownBuffers = this->buffers;
+                    // The socket may be destroyed by its handler.
+                    handler(error, size);
+                    ownBuffers->readingSocket = outer;
+                }));
+    }
+
+    void close()
+    {
+        this->leave();
+        asio::error_code ignored;
+        asio::ip::tcp::socket::close(ignored);
     }
 
     /// Hands over the bytes of the request that was read. They count until the result is destroyed.
     std::shared_ptr<BufferPool::Share> takeRequest()
     {
         auto request = std::exchange(this->request, nullptr);
+        this->scanner.requestComplete();
         this->answeredRequest = request;
+        this->hasCompleteRequest = true;
+        this->since = std::chrono::steady_clock::now();
         return request;
     }
 
+    ConnectionProgress progress() const
+    {
+        using Stage = ConnectionProgress::Stage;
+        ConnectionProgress progress;
+        if (!this->answeredRequest.expired() || this->writeStart != TimePoint())
+            progress.stage = Stage::Running;
+        else if (this->hasCompleteRequest && this->scanner.isBetweenRequests())
+            progress.stage = Stage::Idle;
+        progress.isInHead = this->scanner.isInHead();
+        progress.requestBytes = this->request ? this->request->size() : 0;
+        progress.since = this->since;
+        progress.writeStart = this->writeStart;
+        return progress;
+    }
+
     /// Sends a response to a request that RESTinio does not understand; it then closes the connection.
     void refuseMalformed()
     {
@@ -94,13 +176,68 @@
         this->writeRefusal(400, "malformed", {});
     }
 
+    /// Closes the connection, after a response if an incomplete request has arrived.
+    void refuse(int status, std::string_view code, std::string_view fields)
+    {
+        asio::error_code ignored;
+        const auto caller = this->remote_endpoint(ignored);
+        logEvent(LogLevel::Warning,
+                 "caller-refused",
+                 {{"caller", caller.address().to_string()},
+                  {"code", code},
+                  {"bytes", this->request ? this->request->size() : 0},
+                  {"allBytes", this->buffers->pool->usedBytes()},
+                  {"connections", this->buffers->sockets.size()}});
+        if (this->request)
+            this->writeRefusal(status, code, fields);
+        this->isRefused = true;
+        this->request.reset();
+        this->close();
+    }
+
 private:
-    bool account(std::size_t size)
+    /// Registers the connection. Returns false if there is no room for it.
+    bool enter()
     {
-        if (!this->request)
+        if (this->index != notRegistered)
+            return true;
+        if (this->isRefused)
+            return false;
+        this->since = std::chrono::steady_clock::now();
+        this->index = this->buffers->sockets.size();
+        this->buffers->sockets.push_back(this);
+        return this->buffers->enforceLimits(*this);
+    }
+
+    void leave()
+    {
+        if (this->index == notRegistered)
+            return;
+        auto &sockets = this->buffers->sockets;
+        sockets[this->index] = sockets.back();
+        sockets[this->index]->index = this->index;
+        sockets.pop_back();
+        this->index = notRegistered;
+    }
+
+    bool account(std::string_view bytes)
+    {
+        if (!this->request) {
             this->request = std::make_shared<BufferPool::Share>(this->buffers->pool);
+            this->since = std::chrono::steady_clock::now();
+        }
+        const std::size_t maxHeadBytes = this->buffers->limits.maxHeadBytes;
+        const std::uint64_t records = this->scanner.recordCount();
+        if (!this->scanner.add(bytes, maxHeadBytes == 0 ? SIZE_MAX : maxHeadBytes)) {
+            ++this->buffers->refused.largeHeads;
+            this->refuse(431, "head-too-large", {});
+            return false;
+        }
+        std::size_t size = bytes.size();
+        if (this->buffers->limits.memoryBytes > 0)
+            size += static_cast<std::size_t>(this->scanner.recordCount() - records) * recordBytes;
         if (this->request->grow(size))
-            return true;
+            return this->buffers->enforceLimits(*this);
         this->refuseRequest(this->buffers->pool->fits(this->request->size() + size));
         return false;
     }
@@ -119,27 +256,96 @@
         const std::string retryField =
             isTemporary ? "Retry-After: " + std::string(retryAfterSeconds) + "\r\n" : std::string();
         this->writeRefusal(isTemporary ? 503 : 413, "too-large", retryField);
+        this->request.reset();
     }
 
     /// Sends a response to a request that is not passed on, unless another request's response is in progress.
     void writeRefusal(int status, std::string_view code, std::string_view fields)
     {
-        if (!this->answeredRequest.expired())
+        if (!this->answeredRequest.expired() || this->writeStart != TimePoint())
             return;
         const std::string body = R"({"error":{"code":")" + std::string(code) + R"(","verdict":"not-run"}})";
         std::string response = "HTTP/1.1 " + std::to_string(status) + " Error\r\n";
         response.append(fields).append("Connection: close\r\nContent-Type: application/json\r\nContent-Length: ");
         response.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+        // Asio's synchronous calls would wait for a caller that does not read.
+        ::send(this->native_handle(), response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         asio::error_code ignored;
-        this->write_some(asio::buffer(response), ignored);
         this->shutdown(shutdown_send, ignored);
+        this->discardReceived();
+    }
+
+    /// Reads what has arrived: a close with unread bytes resets the connection, and the caller may lose the response.
+    void discardReceived()
+    {
+        constexpr int maxReads = 16;
+        std::array<char, std::size_t{16} * 1024> bytes{};
+        for (int i = 0; i<maxReads && ::recv(this->native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT)> 0; ++i) {
+        }
     }
 
+    static constexpr std::size_t notRegistered = SIZE_MAX;
+
     ServerBuffers *buffers;
     std::shared_ptr<BufferPool::Share> request; ///< The request that is being read.
     std::weak_ptr<BufferPool::Share> answeredRequest; ///< Expires when the latest request's response is complete.
+    RequestScanner scanner;
+    std::size_t index = notRegistered; ///< In the list of open connections.
+    TimePoint since; ///< As in ConnectionProgress.
+    TimePoint writeStart;
+    bool hasCompleteRequest = false;
+    bool isRefused = false;
 };
 
+void ServerBuffers::setLimits(const IncomingLimits &changed)
+{
+    this->limits = changed;
+    this->budget.headTimeout = changed.headTimeout;
+    if (changed.maxConnections > 0)
+        this->budget.maxConnections = changed.maxConnections;
+    if (changed.memoryBytes > 0) {
+        this->budget.maxBytes = static_cast<std::size_t>(static_cast<double>(changed.memoryBytes) * callerMemoryShare);
+        this->pool->setCapacity(std::min(bufferCapacity, this->budget.maxBytes));
+    }
+    this->timer.cancel();
+    if (changed.headTimeout.count() > 0)
+        this->closeOverdueHeads();
+}
+
+bool ServerBuffers::enforceLimits(MeteredSocket &current)
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (this->budget.isExceeded(this->sockets.size(), this->pool->usedBytes())) {
+        std::vector<ConnectionProgress> connections;
+        connections.reserve(this->sockets.size());
+        for (const MeteredSocket *socket : this->sockets)
+            connections.push_back(socket->progress());
+        const std::size_t chosen = ConnectionBudget::choose(connections, now);
+        MeteredSocket *const closed = chosen < this->sockets.size() ? this->sockets[chosen] : &current;
+        ++this->refused.closedConnections;
+        closed->refuse(503, "too-many-callers", "Retry-After: " + std::string(retryAfterSeconds) + "\r\n");
+        if (closed == &current)
+            return false;
+    }
+    return true;
+}
+
+void ServerBuffers::closeOverdueHeads()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (MeteredSocket *socket : std::vector(this->sockets)) {
+        if (!this->budget.isHeadOverdue(socket->progress(), now))
+            continue;
+        ++this->refused.slowHeads;
+        socket->refuse(408, "head-too-slow", {});
+    }
+    this->timer.expires_after(headCheckInterval);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->closeOverdueHeads();
+    });
+}
+
 /// Learns from RESTinio's log which requests it does not understand, as it has no other way to tell.
 class ParseErrorListener
 {
@@ -539,6 +745,7 @@
     const HttpServerSettings &httpSettings = this->d->settings;
     // With two pipelined requests, RESTinio keeps reading while a response is sent, which detects a disconnect.
     constexpr std::size_t pipelinedRequests = 2;
+    const bool hasMemoryLimit = asio::use_service<ServerBuffers>(this->d->loop).limits.memoryBytes > 0;
     restinio::server_settings_t<ServerTraits> settings;
     settings.logger(asio::use_service<ServerBuffers>(this->d->loop))
         .address(httpSettings.address)
@@ -550,8 +757,14 @@
         .max_parallel_connections(httpSettings.maxConnections)
         .concurrent_accepts_count(8)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(httpSettings.maxBodyBytes))
-        .acceptor_options_setter(
-            [](auto &options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+        .acceptor_options_setter([hasMemoryLimit](auto &options) {
+            options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+            if (!hasMemoryLimit)
+                return;
+            // Connections inherit these before they are accepted.
+            options.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+            options.set_option(asio::socket_base::send_buffer_size(sendBufferBytes));
+        })
         .acceptor_post_bind_hook(
             [this](asio::ip::tcp::acceptor &acceptor) { this->d->boundPort = acceptor.local_endpoint().port(); })
         .socket_options_setter([](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
@@ -579,6 +792,21 @@
     return this->d->table->openResponses;
 }
 
+void HttpServer::setLimits(const IncomingLimits &limits)
+{
+    asio::use_service<ServerBuffers>(this->d->loop).setLimits(limits);
+}
+
+const RefusedCallers &HttpServer::refusedCallers() const
+{
+    return asio::use_service<ServerBuffers>(this->d->loop).refused;
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return asio::use_service<ServerBuffers>(this->d->loop).sockets.size();
+}
+
 const BufferPool &HttpServer::buffers() const
 {
     return *asio::use_service<ServerBuffers>(this->d->loop).pool;
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -53,6 +53,23 @@
     std::chrono::seconds handleTimeout{3600}; ///< Limit from a request to the end of its response.
 };
 
+/// Limits for the callers of all servers on a loop together.
+struct IncomingLimits
+{
+    std::size_t memoryBytes = 0; ///< Memory of the process; 0 for no limit that follows from it.
+    std::size_t maxConnections = 0; ///< 0 for no limit.
+    std::size_t maxHeadBytes = 0; ///< For a head, its trailer and empty lines before it; 0 for that of http_parser.
+    std::chrono::milliseconds headTimeout{0}; ///< From the first byte of a head to its end; 0 for no limit.
+};
+
+/// Connections and requests that were refused since the start, of all servers on a loop.
+struct RefusedCallers
+{
+    std::uint64_t largeHeads = 0; ///< Answered 431.
+    std::uint64_t slowHeads = 0; ///< Answered 408.
+    std::uint64_t closedConnections = 0; ///< Closed because all together exceeded a limit.
+};
+
 /// HTTP/1.1 server on an Asio loop, based on RESTinio.
 class HttpServer
 {
@@ -72,6 +89,14 @@
     /// Number of requests whose response has not been written to the socket as a whole.
     std::size_t openResponses() const;
 
+    /// Limits the callers of all servers on the loop. A limit of the memory applies to servers that start afterwards.
+    void setLimits(const IncomingLimits &limits);
+
+    const RefusedCallers &refusedCallers() const;
+
+    /// Number of open connections, of all servers on the loop.
+    std::size_t openConnections() const;
+
     /// Bytes of requests and responses in progress, of all servers on the loop.
     const BufferPool &buffers() const;
 
--- a/src/libhemlock/relay/relayconfig.h
+++ b/src/libhemlock/relay/relayconfig.h
@@ -80,6 +80,8 @@
     std::vector<RelayService> services;
     std::vector<RelayAccount> accounts;
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
+    std::size_t maxHeadBytes = 0; ///< For the head of a caller's request; 0 if there is no limit.
+    std::chrono::milliseconds headTimeout{0}; ///< Maximum time in which the head arrives; 0 for no limit.
 };
 
 /// Indexes one version of the configuration for lookups by host, API key and service name.
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -1,9 +1,9 @@
 #include "relay/relayprocess.h"
 
 #include "bootclock.h"
-#include "bufferpool.h"
 #include "encoding.h"
 #include "logger.h"
+#include "relay/callerlimits.h"
 
 #include <asio/post.hpp>
 
@@ -213,6 +213,7 @@
     this->firstClaimTime =
         this->now() + std::chrono::milliseconds(std::llround(this->randomFraction() * maxClaimDelay.count()));
     this->store.start();
+    this->callerServer.setLimits(callerLimits(this->settings, nullptr));
     this->callerServer.start();
     this->readinessServer.start();
     this->controlServer.start();
@@ -410,6 +411,7 @@
                 models.insert(service.name);
         }
         this->scheduler.setModelServices(std::move(models));
+        this->callerServer.setLimits(callerLimits(this->settings, &config));
         this->context.routes = std::make_shared<const RouteTable>(std::move(config));
         logEvent(LogLevel::Info,
                  "configuration",
@@ -492,9 +494,7 @@
     this->metrics.setTotal("hemlock_invalid_upstream_notices_total",
                            "Notices in answers of upstreams whose value was ignored or bounded.",
                            notices.invalid);
-    this->metrics.setTotal("hemlock_buffer_refusals_total",
-                           "Requests and responses of callers that found no room in the buffers.",
-                           this->callerServer.buffers().refusalCount());
+    reportRefusedCallers(this->callerServer, this->metrics);
     logEvent(LogLevel::Info,
              "health",
              {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLateness).count()},
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -32,6 +32,8 @@
 {
     std::string node; ///< Name of this entry VM.
     double cpuShare = 0.0; ///< Processor cores of this VM.
+    std::size_t memoryBytes = 0; ///< Memory of this VM; 0 if it is not known.
+    std::size_t maxSockets = 0; ///< Descriptors of this VM that are not for files; 0 if that is not known.
     AvailabilityZone zone;
     std::string callerAddress; ///< "IP:PORT" on which callers' requests arrive.
     std::string readinessAddress; ///< "IP:PORT" of the load balancer's readiness check; any path.
