Keep new connections when the limits for callers are exceeded; document the limits

Cause: with all connections younger than a second, an ordinary request that had just connected was closed first.

Change: requests that have begun are closed before connections that were just opened.

--- a/src/libhemlock/connectionbudget.cpp
+++ b/src/libhemlock/connectionbudget.cpp
@@ -14,9 +14,6 @@
 /// Ordinary requests are complete within this time.
 constexpr std::chrono::seconds arrivalTime{1};
 
-/// A caller that takes no byte of its response for so long does not read.
-constexpr std::chrono::seconds writeStallTime{10};
-
 } // namespace
 
 bool ConnectionBudget::isExceeded(std::size_t connections, std::size_t bufferedBytes) const
@@ -33,12 +30,12 @@
     for (std::size_t i = 0; i < connections.size(); ++i) {
         const ConnectionProgress &connection = connections[i];
         Rank rank;
-        if (connection.stage == Stage::Reading)
-            rank = {now - connection.since < arrivalTime ? 1 : 0, connection.requestBytes, connection.since};
-        else if (connection.stage == Stage::Idle)
-            rank = {2, 0, connection.since};
-        else if (connection.writeStart != TimePoint() && now - connection.writeStart >= writeStallTime)
-            rank = {3, 0, connection.writeStart};
+        if (connection.stage == Stage::Reading) {
+            const bool isYoung = now - connection.since < arrivalTime;
+            const int youngRank = connection.requestBytes > 0 ? 1 : 2;
+            rank = {isYoung ? youngRank : 0, connection.requestBytes, connection.since};
+        } else if (connection.stage == Stage::Idle)
+            rank = {3, 0, connection.since};
         else
             continue;
         if (least && *least <= rank)
--- a/src/libhemlock/connectionbudget.h
+++ b/src/libhemlock/connectionbudget.h
@@ -22,7 +22,6 @@
     bool isInHead = false; ///< Part of a head has arrived.
     std::size_t requestBytes = 0; ///< Received bytes of the incomplete request.
     TimePoint since; ///< Start of the connection, of the incomplete request, or of the idle time.
-    TimePoint writeStart; ///< Start of the write in progress; the epoch when there is none.
 };
 
 /// Chooses the connections that are closed when all of a process exceed their common limits.
@@ -40,9 +39,9 @@
 
     /// Returns the index of the connection to close; the size of @p connections if none may be closed.
     ///
-    /// The order: incomplete requests, the least advanced first and of equal ones the oldest; the same among those that
-    /// began within the last second, since an ordinary request is complete by then; the longest idle connection; a
-    /// caller that has not read anything for a while. A complete request whose caller reads is never closed.
+    /// The order: incomplete requests and connections without any, the least advanced first and of equal ones the
+    /// oldest; incomplete requests that began within the last second; connections that were opened within it, whose
+    /// ordinary requests are about to arrive whole; the longest idle connection. A complete request is never closed.
     static std::size_t choose(const std::vector<ConnectionProgress> &connections, TimePoint now);
 
     bool isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const;
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -156,14 +156,13 @@
     {
         using Stage = ConnectionProgress::Stage;
         ConnectionProgress progress;
-        if (!this->answeredRequest.expired() || this->writeStart != TimePoint())
+        if (!this->answeredRequest.expired())
             progress.stage = Stage::Running;
         else if (this->hasCompleteRequest && this->scanner.isBetweenRequests())
             progress.stage = Stage::Idle;
         progress.isInHead = this->scanner.isInHead();
         progress.requestBytes = this->request ? this->request->size() : 0;
         progress.since = this->since;
-        progress.writeStart = this->writeStart;
         return progress;
     }
 
@@ -262,7 +261,7 @@
     /// Sends a response to a request that is not passed on, unless another request's response is in progress.
     void writeRefusal(int status, std::string_view code, std::string_view fields)
     {
-        if (!this->answeredRequest.expired() || this->writeStart != TimePoint())
+        if (!this->answeredRequest.expired())
             return;
         const std::string body = R"({"error":{"code":")" + std::string(code) + R"(","verdict":"not-run"}})";
         std::string response = "HTTP/1.1 " + std::to_string(status) + " Error\r\n";
@@ -292,7 +291,6 @@
     RequestScanner scanner;
     std::size_t index = notRegistered; ///< In the list of open connections.
     TimePoint since; ///< As in ConnectionProgress.
-    TimePoint writeStart;
     bool hasCompleteRequest = false;
     bool isRefused = false;
 };
