--- a/tests/failure/boundlesscallertest.cpp
+++ b/tests/failure/boundlesscallertest.cpp
@@ -88,8 +88,7 @@
         this->store.put("servers/upstream", entry.dump());
         this->relay->waitForEvent("start");
         const auto end = std::chrono::steady_clock::now() + eventTimeout;
-        while (this->requestStatus("front") != 200 && std::chrono::steady_clock::now() < end) {
-        }
+        while (this->requestStatus("front") != 200 && std::chrono::steady_clock::now() < end) {}
     }
 
     std::string address(const std::string &listener)
