Track all open responses of a caller's connection

With pipelined requests, the second one overwrote the state of the first, so a running request counted as idle. Its connection could be closed, or a 408 or 503 that says not-run was sent as its response. The scanner took the rest of a pipelined body for a head, which refused it with 431 or 408.

A connection whose response was handed over but not written counted as idle since its request arrived. It is now closed only after all idle connections, which are ordered by the end of their last response.

--- a/src/libhemlock/connectionbudget.cpp
+++ b/src/libhemlock/connectionbudget.cpp
@@ -36,6 +36,8 @@
             rank = {isYoung ? youngRank : 0, connection.requestBytes, connection.since};
         } else if (connection.stage == Stage::Idle)
             rank = {3, 0, connection.since};
+        else if (connection.stage == Stage::Writing)
+            rank = {4, 0, connection.since};
         else
             continue;
         if (least && *least <= rank)
--- a/src/libhemlock/connectionbudget.h
+++ b/src/libhemlock/connectionbudget.h
@@ -14,14 +14,15 @@
 
     enum class Stage {
         Reading, ///< Nothing, or an incomplete request, has arrived since the start of the connection.
-        Idle, ///< The last request was answered.
+        Idle, ///< The last response was written.
+        Writing, ///< All requests were answered, but a response is not written as a whole.
         Running, ///< A complete request is not answered yet.
     };
 
     Stage stage = Stage::Reading;
     bool isInHead = false; ///< Part of a head has arrived.
     std::size_t requestBytes = 0; ///< Received bytes of the incomplete request.
-    TimePoint since; ///< Start of the connection, of the incomplete request, or of the idle time.
+    TimePoint since; ///< Start of the connection, of the incomplete request, of the response, or of the idle time.
 };
 
 /// Chooses the connections that are closed when all of a process exceed their common limits.
@@ -41,7 +42,8 @@
     ///
     /// The order: incomplete requests and connections without any, the least advanced first and of equal ones the
     /// oldest; incomplete requests that began within the last second; connections that were opened within it, whose
-    /// ordinary requests are about to arrive whole; the longest idle connection. A complete request is never closed.
+    /// ordinary requests are about to arrive whole; the longest idle connection; the response that has been waiting
+    /// longest for its caller to read it. A request that is not answered yet is never closed.
     static std::size_t choose(const std::vector<ConnectionProgress> &connections, TimePoint now);
 
     bool isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const;
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -47,6 +47,14 @@
 
 class MeteredSocket;
 
+/// Requests and responses in progress of one connection.
+struct OpenResponses
+{
+    int unanswered = 0; ///< Requests that the handler has not answered as a whole.
+    int unwritten = 0; ///< Responses that are not written as a whole, with those of unanswered requests.
+    ConnectionProgress::TimePoint since; ///< End of the latest answer or of the latest write.
+};
+
 /// Buffers of all servers on a loop. A service of the loop, since RESTinio creates sockets from the loop alone.
 class ServerBuffers : public asio::execution_context::service
 {
@@ -144,25 +152,32 @@
     /// Hands over the bytes of the request that was read. They count until the result is destroyed.
     std::shared_ptr<BufferPool::Share> takeRequest()
     {
-        auto request = std::exchange(this->request, nullptr);
         this->scanner.requestComplete();
-        this->answeredRequest = request;
         this->hasCompleteRequest = true;
         this->since = std::chrono::steady_clock::now();
-        return request;
+        return std::exchange(this->request, nullptr);
+    }
+
+    const std::shared_ptr<OpenResponses> &openResponses() const
+    {
+        return this->responses;
     }
 
     ConnectionProgress progress() const
     {
         using Stage = ConnectionProgress::Stage;
         ConnectionProgress progress;
-        if (!this->answeredRequest.expired())
+        progress.since = this->since;
+        if (this->responses->unanswered > 0)
             progress.stage = Stage::Running;
+        else if (this->responses->unwritten > 0)
+            progress.stage = Stage::Writing;
         else if (this->hasCompleteRequest && this->scanner.isBetweenRequests())
             progress.stage = Stage::Idle;
         progress.isInHead = this->scanner.isInHead();
         progress.requestBytes = this->request ? this->request->size() : 0;
-        progress.since = this->since;
+        if (progress.stage == Stage::Idle || progress.stage == Stage::Writing)
+            progress.since = this->responses->since;
         return progress;
     }
 
@@ -202,6 +217,8 @@
             return true;
         if (this->isRefused)
             return false;
+        // Not in the constructor: RESTinio's acceptor moves from the same socket again and again.
+        this->responses = std::make_shared<OpenResponses>();
         this->since = std::chrono::steady_clock::now();
         this->index = this->buffers->sockets.size();
         this->buffers->sockets.push_back(this);
@@ -261,7 +278,7 @@
     /// Sends a response to a request that is not passed on, unless another request's response is in progress.
     void writeRefusal(int status, std::string_view code, std::string_view fields)
     {
-        if (!this->answeredRequest.expired())
+        if (this->responses->unwritten > 0)
             return;
         const std::string body = R"({"error":{"code":")" + std::string(code) + R"(","verdict":"not-run"}})";
         std::string response = "HTTP/1.1 " + std::to_string(status) + " Error\r\n";
@@ -287,7 +304,7 @@
 
     ServerBuffers *buffers;
     std::shared_ptr<BufferPool::Share> request; ///< The request that is being read.
-    std::weak_ptr<BufferPool::Share> answeredRequest; ///< Expires when the latest request's response is complete.
+    std::shared_ptr<OpenResponses> responses; ///< From the first read on.
     RequestScanner scanner;
     std::size_t index = notRegistered; ///< In the list of open connections.
     TimePoint since; ///< As in ConnectionProgress.
@@ -403,11 +420,26 @@
         return responder;
     }
 
+    /// The open responses of a connection, which are those of @p socket when it is first asked for.
+    std::shared_ptr<OpenResponses> responsesOf(restinio::connection_id_t connection, const MeteredSocket *socket)
+    {
+        auto &known = this->responses[connection];
+        if (!known)
+            known = socket ? socket->openResponses() : std::make_shared<OpenResponses>();
+        return known;
+    }
+
+    void connectionClosed(restinio::connection_id_t connection)
+    {
+        this->responses.erase(connection);
+    }
+
     bool draining = false;
     std::size_t openResponses = 0; ///< Not written to their sockets as a whole.
 
 private:
     std::unordered_map<restinio::connection_id_t, std::weak_ptr<Responder>> responders;
+    std::unordered_map<restinio::connection_id_t, std::shared_ptr<OpenResponses>> responses;
 };
 
 /// Notifies the responder of a connection that has closed.
@@ -448,15 +480,17 @@
     Responder(restinio::request_handle_t request,
               std::shared_ptr<ConnectionTable> table,
               std::shared_ptr<BufferPool::Share> requestBytes,
+              std::shared_ptr<OpenResponses> responses,
               const std::shared_ptr<BufferPool> &buffers)
         : request(std::move(request))
         , table(std::move(table))
         , requestBytes(std::move(requestBytes))
-        , output(std::make_shared<Output>(buffers, this->table))
+        , output(std::make_shared<Output>(buffers, this->table, std::move(responses)))
         , keepAlive(this->request->header().should_keep_alive())
         , connectionId(this->request->connection_id())
         , connection(restinio::impl::access_req_connection(*this->request))
     {
+        ++this->output->responses->unanswered;
     }
 
     ~Responder() override
@@ -570,16 +604,22 @@
     /// Pending output; shared with the write callbacks, which may outlive the responder.
     struct Output
     {
-        Output(const std::shared_ptr<BufferPool> &buffers, std::shared_ptr<ConnectionTable> table)
+        Output(const std::shared_ptr<BufferPool> &buffers,
+               std::shared_ptr<ConnectionTable> table,
+               std::shared_ptr<OpenResponses> responses)
             : bytes(buffers)
             , table(std::move(table))
+            , responses(std::move(responses))
         {
             ++this->table->openResponses;
+            ++this->responses->unwritten;
         }
 
         ~Output()
         {
             --this->table->openResponses;
+            --this->responses->unwritten;
+            this->responses->since = std::chrono::steady_clock::now();
         }
 
         Output(const Output &) = delete;
@@ -587,6 +627,7 @@
 
         BufferPool::Share bytes;
         std::shared_ptr<ConnectionTable> table;
+        std::shared_ptr<OpenResponses> responses;
         std::function<void()> onDrained;
     };
 
@@ -602,6 +643,10 @@
 
     void releaseBuffers()
     {
+        if (this->request) {
+            --this->output->responses->unanswered;
+            this->output->responses->since = std::chrono::steady_clock::now();
+        }
         this->stream.reset();
         this->request.reset();
         this->requestBytes.reset();
@@ -656,6 +701,7 @@
 {
     if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
         return;
+    this->table->connectionClosed(notice.connection_id());
     if (const auto responder = this->table->take(notice.connection_id()))
         responder->connectionClosed();
 }
@@ -714,7 +760,9 @@
         auto &buffers = asio::use_service<ServerBuffers>(this->loop);
         // A pipelined request may be read from the connection's buffer, without a read of the socket.
         auto requestBytes = buffers.readingSocket ? buffers.readingSocket->takeRequest() : nullptr;
-        auto responder = std::make_shared<Responder>(request, this->table, std::move(requestBytes), buffers.pool);
+        auto responses = this->table->responsesOf(request->connection_id(), buffers.readingSocket);
+        auto responder = std::make_shared<Responder>(
+            request, this->table, std::move(requestBytes), std::move(responses), buffers.pool);
         this->table->add(request->connection_id(), responder);
         HttpRequest converted = convertRequest(*request);
         if (!hasSoundFraming(converted)) {
--- a/src/libhemlock/requestscanner.cpp
+++ b/src/libhemlock/requestscanner.cpp
@@ -64,7 +64,8 @@
 
 void RequestScanner::requestComplete()
 {
-    if (this->part != Part::Head)
+    ++this->handledRequests;
+    if (this->handledRequests > this->recognizedRequests)
         this->beginRequest();
 }
 
@@ -139,6 +140,7 @@
 
 void RequestScanner::beginRequest()
 {
+    ++this->recognizedRequests;
     this->part = Part::Head;
     this->headBytes = 0;
     this->lines = 0;
--- a/src/libhemlock/requestscanner.h
+++ b/src/libhemlock/requestscanner.h
@@ -26,7 +26,8 @@
     /// Fields and chunks since construction; RESTinio keeps a record of each.
     std::uint64_t recordCount() const;
 
-    /// Begins with the next request if the end of the current one was not recognized.
+    /// Records that a request was handled. Begins with the next one if its end was not recognized; the bytes of
+    /// pipelined requests are added before the first of them is handled.
     void requestComplete();
 
 private:
@@ -42,6 +43,8 @@
     std::size_t headBytes = 0; ///< Of the current request, with its trailer.
     std::uint64_t bodyBytesLeft = 0; ///< Of the body, or of the chunk and the line end after it.
     std::uint64_t records = 0;
+    std::uint64_t recognizedRequests = 0; ///< Requests whose end was found.
+    std::uint64_t handledRequests = 0;
     std::string line; ///< Beginning of the current line without white space, in lower case.
     std::size_t lines = 0; ///< Complete lines of the head or trailer.
     bool isLineEmpty = true;
--- a/tests/unit/connectionbudgettest.cpp
+++ b/tests/unit/connectionbudgettest.cpp
@@ -23,12 +23,15 @@
     const ConnectionProgress running{Stage::Running, false, 0, now - std::chrono::minutes(5)};
     const ConnectionProgress idle{Stage::Idle, false, 0, now - std::chrono::minutes(2)};
     const ConnectionProgress idleLonger{Stage::Idle, false, 0, now - std::chrono::minutes(3)};
+    const ConnectionProgress writing{Stage::Writing, false, 0, now - std::chrono::minutes(4)};
     const ConnectionProgress justOpened = reading(0, milliseconds(5));
 
     CHECK(ConnectionBudget::choose({}, now) == 0);
     CHECK(ConnectionBudget::choose({running}, now) == 1);
     CHECK(ConnectionBudget::choose({running, idle, idleLonger}, now) == 2);
     CHECK(ConnectionBudget::choose({running, idle, justOpened}, now) == 2);
+    CHECK(ConnectionBudget::choose({running, writing, idle}, now) == 2);
+    CHECK(ConnectionBudget::choose({running, writing}, now) == 1);
     CHECK(ConnectionBudget::choose({justOpened, reading(900, milliseconds(10))}, now) == 1);
     CHECK(ConnectionBudget::choose({justOpened, reading(900, milliseconds(2000)), idle}, now) == 1);
     CHECK(ConnectionBudget::choose({reading(900, milliseconds(2000)), reading(10, milliseconds(2000))}, now) == 1);
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -305,3 +305,45 @@
     this->runUntil([this] { return this->server->buffers().usedBytes() == 0; });
     CHECK(this->server->openResponses() == 0);
 }
+
+// Guards against a body that counts as a head because it began in the same read as the request before it.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: body of a pipelined request is longer than a head may be: it is read")
+{
+    IncomingLimits limits;
+    limits.maxHeadBytes = 1000;
+    std::vector<std::size_t> bodies;
+    this->startServer([&bodies](const HttpRequest &request, const HttpResponderPtr &responder) {
+        bodies.push_back(request.body.size());
+        responder->reply(200, {}, "answer");
+    });
+    this->server->setLimits(limits);
+    this->send(plainRequest + "POST / HTTP/1.1\r\nHost: test\r\nConnection: close\r\nContent-Length: 5000\r\n\r\nxxxx");
+    this->runUntil([&bodies] { return !bodies.empty(); });
+    this->send(std::string(4996, 'x'));
+    CHECK(this->readToEnd().find(" 431 ") == std::string::npos);
+    CHECK(bodies == std::vector<std::size_t>{0, 5000});
+}
+
+// Guards against a refusal that says not-run while a pipelined request is at the handler, and against closing it.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: head after pipelined requests is slow: running ones are not refused")
+{
+    IncomingLimits limits;
+    limits.headTimeout = std::chrono::milliseconds(50);
+    std::vector<HttpResponderPtr> responders;
+    this->startServer(
+        [&responders](const HttpRequest &, const HttpResponderPtr &responder) { responders.push_back(responder); });
+    this->server->setLimits(limits);
+    this->send(plainRequest + plainRequest + "GET / HTTP/1.1\r\nHost: t");
+    this->runUntil([&responders] { return responders.size() == 2; });
+    responders.front()->reply(200, {}, "first");
+    this->loop.run_for(std::chrono::milliseconds(200));
+    this->send("e");
+    // Several checks for heads that take too long.
+    this->loop.run_for(std::chrono::milliseconds(800));
+    CHECK(this->server->refusedCallers().slowHeads == 0);
+    responders.back()->reply(200, {}, "second");
+    const std::string received = this->readToEnd();
+    CHECK(received.find("first") < received.find("second"));
+    CHECK(received.find("second") != std::string::npos);
+    CHECK(received.find("second") < received.find(" 408 "));
+}
