Grant trials in the poison model again after a success

The model's store compared the number of trials with the highest one ever granted, but a success resets that number in the VMs.

--- a/tests/unit/poisonfleet.cpp
+++ b/tests/unit/poisonfleet.cpp
@@ -233,6 +233,8 @@
         std::erase(this->attempts, attempt);
         attempt->suspects.record(
             CrashEvidence::Answered, this->upstreams[attempt->upstream].upstream, attempt->answerStart, this->now);
+        // A success ends the count of trials, as in the records of VMs.
+        this->grantedTrials.erase(attempt->trial);
         if (const auto refused = this->refusedParts.find(attempt->trial); refused != this->refusedParts.end())
             refused->second.trialSucceeded = this->now;
     });
