Bound the idle connections to upstreams by the descriptors of the VM

Cause: libcurl keeps up to 1024 idle connections whatever max-fds is, so that a VM with few descriptors and many upstreams runs out of them in ordinary operation (found by reading in a review).

Change: the limit follows from max-fds where that gives less than 1024.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -201,9 +201,7 @@
         , timer(loop)
         , multiHandle(curl_multi_init())
     {
-        // Large enough for one idle connection to each upstream that a node knows.
-        constexpr long maxIdleConnections = 1024;
-        curl_multi_setopt(this->multiHandle, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+        this->setMaxConnections(defaultMaxConnections);
         curl_multi_setopt(this->multiHandle, CURLMOPT_SOCKETFUNCTION, &Private::socketChanged);
         curl_multi_setopt(this->multiHandle, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(this->multiHandle, CURLMOPT_TIMERFUNCTION, &Private::timerChanged);
@@ -220,6 +218,11 @@
         curl_multi_cleanup(this->multiHandle);
     }
 
+    void setMaxConnections(std::size_t count) const
+    {
+        curl_multi_setopt(this->multiHandle, CURLMOPT_MAXCONNECTS, static_cast<long>(count));
+    }
+
     void add(const std::shared_ptr<Transfer> &transfer)
     {
         if (transfer->cancelled) {
@@ -503,6 +506,11 @@
     return found == this->d->transfers.end() ? std::nullopt : unsentBytes(found->second->socket);
 }
 
+void HttpClient::setMaxConnections(std::size_t count)
+{
+    this->d->setMaxConnections(count);
+}
+
 std::uint64_t HttpClient::brokenOffAnswers() const
 {
     return this->d->brokenOffAnswers;
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -102,6 +102,13 @@
     /// Aborts an exchange and closes its connection. Of its hooks, only closed is called afterwards.
     void cancel(CallId id);
 
+    /// Large enough for one idle connection to each upstream that a VM knows.
+    static constexpr std::size_t defaultMaxConnections = 1024;
+
+    /// Limits the connections that are kept open, defaultMaxConnections unless it is set. Above it, those that have
+    /// been idle for longest are closed; calls in progress are not limited.
+    void setMaxConnections(std::size_t count);
+
     /// Bytes of a call's request that were written to the connection and that the peer has not acknowledged; nullopt
     /// when the exchange has no connection or has ended.
     std::optional<std::size_t> unacknowledgedBytes(CallId id) const;
--- a/src/libhemlock/relay/callerlimits.cpp
+++ b/src/libhemlock/relay/callerlimits.cpp
@@ -1,6 +1,7 @@
 #include "relay/callerlimits.h"
 
 #include "bufferpool.h"
+#include "httpclient.h"
 #include "metrics.h"
 #include "relay/relayconfig.h"
 #include "relay/relayprocess.h"
@@ -41,6 +42,14 @@
     return limits;
 }
 
+std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings)
+{
+    if (settings.maxSockets == 0)
+        return std::nullopt;
+    return std::min(HttpClient::defaultMaxConnections,
+                    callerLimits(settings, nullptr).maxConnections * (socketsPerCaller - 1));
+}
+
 void reportRefusedCallers(const HttpServer &server, Metrics &metrics)
 {
     const RefusedCallers &refused = server.refusedCallers();
--- a/src/libhemlock/relay/callerlimits.h
+++ b/src/libhemlock/relay/callerlimits.h
@@ -2,6 +2,9 @@
 
 #include "httpserver.h"
 
+#include <cstddef>
+#include <optional>
+
 namespace hemlock {
 
 class Metrics;
@@ -11,6 +14,10 @@
 /// Limits for the callers of a relay process, from its VM and the configuration in force; null if there is none yet.
 IncomingLimits callerLimits(const RelaySettings &settings, const RelayConfig *config);
 
+/// Connections to upstreams that are kept open, so that all sockets stay within the settings; nullopt to keep the
+/// default of HttpClient.
+std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings);
+
 /// Sets the counters of refused callers.
 void reportRefusedCallers(const HttpServer &server, Metrics &metrics);
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -184,6 +184,8 @@
         this->now() + std::chrono::milliseconds(std::llround(this->randomFraction() * maxClaimDelay.count()));
     this->store.start();
     this->callerServer.setLimits(callerLimits(this->settings, nullptr));
+    if (const auto connections = maxUpstreamConnections(this->settings))
+        this->context.http.setMaxConnections(*connections);
     this->callerServer.start();
     this->readinessServer.start();
     this->controlServer.start();
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 #include "answerforms.h"
 #include "bufferpool.h"
+#include "httpserver.h"
 
 #include <asio.hpp>
 
@@ -8,7 +9,9 @@
 
 #include <algorithm>
 #include <deque>
+#include <filesystem>
 #include <fstream>
+#include <list>
 #include <unistd.h>
 
 using namespace hemlock;
@@ -192,6 +195,35 @@
 
 } // namespace
 
+// Guards against idle connections to many upstreams that take all descriptors of a VM.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient: connections of many servers are idle: those above the limit are closed")
+{
+    const auto openFiles = [] {
+        const std::filesystem::directory_iterator files("/proc/self/fd");
+        return std::distance(begin(files), end(files));
+    };
+    constexpr int serverCount = 20;
+    constexpr std::size_t maxConnections = 5;
+    std::list<HttpServer> servers;
+    std::vector<std::string> urls;
+    for (int i = 0; i < serverCount; ++i) {
+        servers.emplace_back(
+            this->loop, HttpServerSettings{}, [](const HttpRequest &, const HttpResponderPtr &responder) {
+                responder->reply(200, {}, "");
+            });
+        urls.push_back("http://" + servers.back().start() + "/");
+    }
+    this->client.setMaxConnections(maxConnections);
+    const auto before = openFiles();
+    for (const std::string &url : urls)
+        REQUIRE(this->post(url).isComplete());
+    // The servers notice the closed connections.
+    this->loop.run_for(std::chrono::milliseconds(100));
+    // Both ends of each connection.
+    CHECK(openFiles() - before <= 2 * static_cast<std::ptrdiff_t>(maxConnections));
+}
+
 // Guards against running a call twice: libcurl resends a request when a reused connection closes without a response.
 TEST_CASE_METHOD(HttpClientFixture, "HttpClient: reused connection closes after the request: request is sent only once")
 {
