Estimate each upstream's time to the first token from its responses

Cause: the speed of prompts (50 tokens per ms), the delay per request and the cached tokens were constants, while upstreams of a service differ by 0.55 to 1.2 and are slowed down by 2.5 for some 600 ms at a time.

Change: UpstreamModels learns speed, fixed delay and delay per request from streams, with the median of the service and then the former constants as prior. The load field of answers gives the momentary slow-down and the number of requests.

--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -498,3 +498,42 @@
     this->scheduler.applyUpstreams(this->upstreams, this->now);
     CHECK(this->chosenUpstreams["a"] == "p2");
 }
+
+// Guards against figures of an earlier incarnation, which say nothing of the present one.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: upstream reports a slow-down: requests go elsewhere unless it restarted since")
+{
+    UpstreamNotice notice;
+    notice.load = LoadFigures{1, 0, 64, 2.5};
+    const Upstream former = this->upstreams[0];
+    const bool isRestarted = GENERATE(false, true);
+    if (isRestarted) {
+        this->upstreams[0].incarnation = "2";
+        this->scheduler.applyUpstreams(this->upstreams, this->now);
+    }
+    this->scheduler.recordNotice(former, notice, this->now);
+    CHECK(this->scheduler.upstreamModels().tokensPerMs("m1", this->now) == Approx(isRestarted ? 50.0 : 20.0));
+    bool isSlowOneChosen = false;
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = std::to_string(i);
+        this->submit(this->ticket(id, "model", 5000.0));
+        isSlowOneChosen = isSlowOneChosen || this->chosenUpstreams.at(id) == "m1";
+        this->scheduler.answerBegan(id, this->now);
+        this->scheduler.requestEnded(id, false, this->now);
+    }
+    CHECK(isSlowOneChosen == isRestarted);
+}
+
+// Guards against answers that are complete when they begin, whose time is not that of the first token.
+TEST_CASE_METHOD(RelaySchedulerFixture, "RelayScheduler: answers begin: only those of streams are learned from")
+{
+    RelayTicket complete = this->ticket("complete", "model", 1000.0);
+    RelayTicket stream = this->ticket("stream", "model", 1000.0);
+    stream.isStream = true;
+    for (const RelayTicket &ticket : {complete, stream}) {
+        this->submit(ticket);
+        this->now += std::chrono::milliseconds(300);
+        this->scheduler.answerBegan(ticket.id, this->now);
+    }
+    CHECK(this->scheduler.upstreamModels().counts().samples == 1);
+}
