Test the routing by models under more load than the upstreams can take

Cause: the limit of pending tokens now follows the speed of each upstream, and only a load below the capacity was tested.

Change: a test with 800 and 350 requests per second, where constants and model are compared in the same run.

--- a/tests/unit/estimationfleettest.cpp
+++ b/tests/unit/estimationfleettest.cpp
@@ -350,6 +350,19 @@
     CHECK(shareWithin(learned.factors, 1.5) > 0.9);
 }
 
+// Guards against lost capacity under more load than the service can compute, where the limit of pending tokens decides.
+TEST_CASE("UpstreamModels: more load than the upstreams can take: more long prompts are on time than with constants")
+{
+    const bool isLarge = GENERATE(true, false);
+    const FleetLoad load =
+        isLarge ? FleetLoad{140, 16, 50.0, 6.0, 800.0, false} : FleetLoad{24, 64, 100.0, 120.0, 350.0, false};
+    const FleetResult constants = EstimationFleet(load, false, 1).run();
+    const FleetResult learned = EstimationFleet(load, true, 1).run();
+    CAPTURE(summary(constants), summary(learned));
+    CHECK(learned.longOnTime > constants.longOnTime * 1.5);
+    CHECK(learned.shortOnTime > constants.shortOnTime * 0.98);
+}
+
 // Guards against a worse routing of deployments that behave like the defaults.
 TEST_CASE("UpstreamModels: upstreams behave like the defaults: as many requests are on time as with constants")
 {
