--- a/src/libhemlock/relay/partaffinity.cpp
+++ b/src/libhemlock/relay/partaffinity.cpp
@@ -1,6 +1,5 @@
 #include "relay/partaffinity.h"
 
-#include "estimation/upstreammodels.h"
 #include "mixbits.h"
 
 #include <algorithm>
@@ -53,7 +52,7 @@
 } // namespace
 
 PartAffinityPolicy::PartAffinityPolicy(PartAffinitySettings settings)
-    : settings(std::move(settings))
+    : settings(settings)
 {
 }
 
@@ -68,24 +67,24 @@
     const UpstreamView *best = &candidates.at(0);
     double leastCost = std::numeric_limits<double>::max();
     double missing = 0.0;
+    double sharedTokens = 0.0;
     double totalTokens = 0.0;
     for (const PromptPart &part : query.parts)
         totalTokens += part.tokens;
-    const double ownTokens = query.parts.empty() ? 0.0 : query.parts.back().tokens;
+    for (std::size_t i = 0; i < sharedPartCount(query); ++i)
+        sharedTokens += query.parts[i].tokens;
     for (const UpstreamView *candidate : this->evaluatedCandidates(preferred, candidates, random)) {
         const UpstreamView &view = *candidate;
         const double tokens = this->missingTokens(query, view.id);
-        // The part of the request alone is last and never credited.
-        const double missingShared = std::max(0.0, tokens - ownTokens);
         const double credit = this->preferenceCredit(view, preferred, isLargeFleet);
-        const double effectiveTokens = tokens - credit * missingShared;
-        const double nonPreferredTokens =
-            isLargeFleet && credit == 0.0 ? (this->settings.nonPreferredCostFactor - 1.0) * missingShared : 0.0;
-        const FirstTokenFigures figures =
-            this->settings.figures ? this->settings.figures(view.id, query.now) : FirstTokenFigures();
-        const double computedTokens = view.pendingTokens + effectiveTokens + nonPreferredTokens
-            + UpstreamModels::attentionTokens(effectiveTokens, totalTokens);
-        const double cost = computedTokens * figures.msPerToken + view.load() * figures.msPerRequest + figures.fixedMs
+        const double effectiveTokens = tokens - credit * std::min(tokens, sharedTokens);
+        const double nonPreferredTokens = isLargeFleet && credit == 0.0
+            ? (this->settings.nonPreferredCostFactor - 1.0) * std::min(tokens, sharedTokens)
+            : 0.0;
+        // Attention pairs each computed token with every earlier token, cached or not.
+        const double millionPairs = effectiveTokens * (totalTokens - effectiveTokens / 2) / 1e6;
+        const double cost = (view.pendingTokens + effectiveTokens + nonPreferredTokens) / this->settings.tokensPerMs
+            + millionPairs * this->settings.msPerMillionPairs + view.load() * this->settings.msPerRequest
             + static_cast<double>(view.excessDelay.count()) + view.failureShare * this->settings.failurePenaltyMs
             + (view.zone == query.zone ? 0.0 : this->settings.crossZonePenaltyMs) + tieBreak(random);
         if (cost >= leastCost)
@@ -168,9 +167,7 @@
         cache.positions[part.id] = cache.recency.begin();
         cache.tokens += part.tokens;
     }
-    const double capacity =
-        this->settings.cacheCapacity ? this->settings.cacheCapacity(upstream) : this->settings.cacheCapacityTokens;
-    while (cache.tokens > capacity && cache.recency.size() > 1) {
+    while (cache.tokens > this->settings.cacheCapacityTokens && cache.recency.size() > 1) {
         cache.tokens -= cache.recency.back().tokens;
         cache.positions.erase(cache.recency.back().id);
         cache.recency.pop_back();
--- a/src/libhemlock/relay/partaffinity.h
+++ b/src/libhemlock/relay/partaffinity.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "estimation/firsttokenmodel.h"
 #include "router.h"
 
-#include <chrono>
-#include <functional>
 #include <list>
 #include <unordered_map>
 
@@ -13,8 +10,10 @@
 /// Cost model of the policy "part-affinity". All costs are milliseconds of expected delay of the first token.
 struct PartAffinitySettings
 {
-    /// Returns the figures of an upstream at a time; unset to use the defaults of FirstTokenFigures.
-    std::function<FirstTokenFigures(const std::string &upstream, std::chrono::steady_clock::time_point now)> figures;
+    double tokensPerMs = 50.0; ///< Prompt tokens that an upstream computes per millisecond.
+    /// Attention cost: time for one million pairs of a computed token and an earlier token.
+    double msPerMillionPairs = 0.4;
+    double msPerRequest = 2.0; ///< Delay caused by each request in progress.
     double crossZonePenaltyMs = 15.0; ///< Round trips and traffic price to another availability zone.
     double failurePenaltyMs = 3000.0; ///< Cost of an upstream that fails every request.
     /// Fraction of a shared part's tokens that is not charged to its first preferred upstream, so that entry VMs agree
@@ -31,8 +30,6 @@
     std::size_t sampledUpstreams = 8; ///< Size of the random sample.
     /// Prompt tokens that an upstream's cache is assumed to hold: its memory minus what running requests need.
     double cacheCapacityTokens = 400000.0;
-    /// Returns the capacity of one upstream's cache; unset to use cacheCapacityTokens.
-    std::function<double(const std::string &upstream)> cacheCapacity;
 };
 
 /// Prefix affinity for prompts whose callers state the parts that prompts share.
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -237,7 +237,6 @@
     if (this->attempts > 0)
         ticket.latestStart = this->answerDeadline;
     ticket.excluded = this->triedUpstreams;
-    ticket.isStream = this->route->kind == CallKind::Stream;
     ticket.isTrial = this->suspects.grantedTrial(this->context.now()).has_value();
     RelayTicketHooks hooks;
     hooks.start = [weak = this->weak_from_this()](const Upstream &chosen, const RouteDecision &decision) {
@@ -279,7 +278,9 @@
     this->status = 0;
     this->headers = {};
     this->answer = {};
-    this->isAborted = this->isMismatched = this->isStreaming = false;
+    this->isAborted = false;
+    this->isMismatched = false;
+    this->isStreaming = false;
     this->discardedBytes = 0;
     this->eventWrites = 0;
     if (this->attempts == 1)
@@ -396,7 +397,6 @@
     if (!this->answer.namesRateLimit && this->status < 300 && this->answer.isSigned)
         notice.limit = 0.0;
     notice.isLeaving = this->answer.isUpstreamLeaving;
-    notice.load = this->answer.load;
     notice.invalidFields = this->answer.invalidNotices;
     if (this->status == 503) {
         notice.pause = this->answer.pause;
--- a/src/libhemlock/relay/relayconfig.h
+++ b/src/libhemlock/relay/relayconfig.h
@@ -57,7 +57,6 @@
 {
     std::string name;
     bool isModel = false; ///< Its upstreams run a language model.
-    std::optional<double> kvCacheTokens; ///< Memory of an upstream for running requests and cached parts together.
     std::optional<ScalingLimits> scaling;
 };
 
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -378,14 +378,11 @@
         if (config.version <= known)
             return;
         std::set<std::string> models;
-        std::map<std::string, double> kvCacheTokens;
         for (const RelayService &service : config.services) {
             if (service.isModel)
                 models.insert(service.name);
-            if (service.kvCacheTokens)
-                kvCacheTokens[service.name] = *service.kvCacheTokens;
         }
-        this->scheduler.setModelServices(std::move(models), std::move(kvCacheTokens));
+        this->scheduler.setModelServices(std::move(models));
         this->callerServer.setLimits(callerLimits(this->settings, &config));
         this->context.routes = std::make_shared<const RouteTable>(std::move(config));
         logEvent(LogLevel::Info,
@@ -469,16 +466,6 @@
     this->metrics.setTotal("hemlock_invalid_upstream_notices_total",
                            "Notices in answers of upstreams whose value was ignored or bounded.",
                            notices.invalid);
-    const UpstreamModels::Counts &estimation = this->scheduler.upstreamModels().counts();
-    this->metrics.setTotal("hemlock_first_token_samples_total",
-                           "Times to the first token from which upstreams were estimated.",
-                           estimation.samples);
-    this->metrics.setTotal("hemlock_first_token_samples_ignored_total",
-                           "Times to the first token that were implausible or of an unknown upstream.",
-                           estimation.ignoredSamples);
-    this->metrics.setTotal("hemlock_upstream_load_reports_total",
-                           "Load figures of upstreams in the heads of their answers.",
-                           estimation.loadReports);
     reportRefusedCallers(this->callerServer, this->metrics);
     logEvent(LogLevel::Info,
              "health",
--- a/src/libhemlock/relay/relayrequest.h
+++ b/src/libhemlock/relay/relayrequest.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "estimation/loadfigures.h"
 #include "httpmessage.h"
 #include "router.h"
 
@@ -65,7 +64,6 @@
     bool isUpstreamLeaving = false; ///< The upstream says that it is about to leave.
     /// Names of what the upstream says of itself with a value that is not used as it stands.
     std::vector<std::string> invalidNotices;
-    std::optional<LoadFigures> load; ///< Unset if the answer has none or no valid one.
     std::optional<std::chrono::seconds> keepAlive; ///< Idle time after which the upstream closes the connection.
 };
 
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -1,7 +1,7 @@
 #include "relay/relayscheduler.h"
 
 #include <algorithm>
-#include <memory>
+#include <cmath>
 
 namespace hemlock {
 
@@ -13,25 +13,18 @@
 // Tolerated time to the first byte on top of the expected delay; only time beyond it counts as excess delay.
 constexpr std::chrono::milliseconds baselineDelay{30};
 
+constexpr double tokensPerMs = 50.0;
+
 // Weight of a new sample; averages over about the last 50 prompts.
 constexpr double uncachedShareSmoothing = 0.02;
 
-/// The models must outlive the policy.
-PartAffinitySettings affinitySettings(const UpstreamModels &models)
-{
-    PartAffinitySettings affinity;
-    affinity.figures = [&models](const std::string &upstream, auto now) { return models.figures(upstream, now); };
-    affinity.cacheCapacity = [&models](const std::string &upstream) { return models.cacheTokens(upstream); };
-    return affinity;
-}
-
 } // namespace
 
 RelayScheduler::RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings)
     : zone(std::move(zone))
     , random(random)
     , settings(settings)
-    , modelRouter(std::make_shared<PartAffinityPolicy>(affinitySettings(this->models)))
+    , modelRouter(policyName)
     , plainRouter(policyName)
 {
 }
@@ -44,21 +37,26 @@
             upstream.state = UpstreamState::Leaving;
     }
     this->upstreamNotices.prune(upstreams, now);
-    const UpstreamPool::Change change = this->pool.apply(upstreams, now);
-    for (const auto *former : {&change.removed, &change.restarted}) {
-        for (const Upstream &upstream : *former) {
+    std::unordered_map<std::string, std::string> knownIncarnations;
+    for (const auto &[id, upstream] : this->pool.all())
+        knownIncarnations[id] = upstream.incarnation;
+    for (const Upstream &removedUpstream : this->pool.apply(upstreams, now).removed) {
+        this->modelRouter.removeUpstream(removedUpstream.id);
+        this->upstreamNotices.remove(removedUpstream.id);
+    }
+    for (const Upstream &upstream : upstreams) {
+        const auto known = knownIncarnations.find(upstream.id);
+        if (known != knownIncarnations.end() && known->second != upstream.incarnation) {
             this->modelRouter.removeUpstream(upstream.id);
             this->upstreamNotices.remove(upstream.id);
         }
     }
-    this->models.setUpstreams(upstreams);
     this->tick(now);
 }
 
-void RelayScheduler::setModelServices(std::set<std::string> services, std::map<std::string, double> kvCacheTokens)
+void RelayScheduler::setModelServices(std::set<std::string> services)
 {
     this->modelServices = std::move(services);
-    this->models.setMemory(std::move(kvCacheTokens));
 }
 
 void RelayScheduler::submit(RelayTicket ticket, RelayTicketHooks hooks, TimePoint now)
@@ -98,8 +96,6 @@
     const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - started.startTime);
     const auto excess = std::max(std::chrono::milliseconds(0), delay - started.expectedDelay - baselineDelay);
     this->pool.outcomeObserved(started.upstream, false, excess);
-    if (started.atStart && this->settings.learnsUpstreams)
-        this->models.firstTokenObserved(started.upstream, *started.atStart, delay, now);
     this->pool.addPendingTokens(started.upstream, -std::exchange(started.pendingTokens, 0.0));
     this->dispatch(started.service, now);
 }
@@ -176,11 +172,6 @@
 
 void RelayScheduler::recordNotice(const Upstream &upstream, const UpstreamNotice &notice, TimePoint now)
 {
-    const auto known = this->pool.find(upstream.id);
-    if (notice.load && this->settings.learnsUpstreams && known && known->incarnation == upstream.incarnation) {
-        this->models.loadReported(upstream.id, *notice.load, now);
-        this->pool.ownLoadReported(upstream.id, notice.load->running + notice.load->waiting, now);
-    }
     if (this->upstreamNotices.record(upstream, notice, now))
         this->applyDepartures(now);
 }
@@ -254,15 +245,13 @@
     return tokens;
 }
 
-bool RelayScheduler::isFull(const UpstreamView &view, const RelayTicket &ticket, TimePoint now) const
+bool RelayScheduler::isFull(const UpstreamView &view, const RelayTicket &ticket) const
 {
     if (!this->modelServices.contains(ticket.service))
         return view.slots > 0 && view.load() >= view.slots * this->settings.slotOvercommit;
     if (view.slots > 0 && view.load() >= view.slots)
         return true;
-    const double maxMs = this->settings.maxPendingTokens * FirstTokenFigures().msPerToken;
-    return view.pendingTokens > 0.0
-        && view.pendingTokens + ticket.promptTokens > maxMs * this->models.tokensPerMs(view.id, now);
+    return view.pendingTokens > 0.0 && view.pendingTokens + ticket.promptTokens > this->settings.maxPendingTokens;
 }
 
 std::set<std::string> RelayScheduler::fullUpstreams(const RelayTicket &ticket, TimePoint now)
@@ -270,12 +259,27 @@
     std::set<std::string> full;
     const CandidateSet &candidates = this->pool.healthy(ticket.service, now);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (this->isFull(candidates.at(i), ticket, now))
+        if (this->isFull(candidates.at(i), ticket))
             full.insert(candidates.at(i).id);
     }
     return full;
 }
 
+void RelayScheduler::excludeLoaded(const std::string &service, std::set<std::string> &excluded, TimePoint now)
+{
+    const CandidateSet &candidates = this->pool.healthy(service, now);
+    const UpstreamView *idlest = nullptr;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamView &view = candidates.at(i);
+        if (!excluded.contains(view.id) && (!idlest || view.load() < idlest->load()))
+            idlest = &view;
+    }
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (&candidates.at(i) != idlest)
+            excluded.insert(candidates.at(i).id);
+    }
+}
+
 bool RelayScheduler::tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now)
 {
     const RelayTicket &ticket = waiting.ticket;
@@ -284,14 +288,13 @@
     // Also those that failed recently, which are chosen when no healthy one is left.
     excluded.merge(this->upstreamNotices.unavailable(now));
     if (ticket.isTrial)
-        excluded.merge(this->pool.allButLeastLoaded(ticket.service, excluded, now));
+        this->excludeLoaded(ticket.service, excluded, now);
     const bool isModel = this->modelServices.contains(ticket.service);
     RouteQuery query;
     query.requestId = ticket.id;
     query.service = ticket.service;
     query.zone = this->zone;
     query.parts = ticket.parts;
-    query.now = now;
     const RouteDecision decision =
         this->pool.choose(isModel ? this->modelRouter : this->plainRouter, query, excluded, now, this->random);
     const auto upstream = this->pool.find(decision.upstream);
@@ -304,12 +307,9 @@
     started.rank = ticket.rank;
     started.startTime = now;
     started.pendingTokens = isModel ? (ticket.parts.empty() ? ticket.promptTokens : decision.tokensToCompute) : 0.0;
-    if (const auto view = this->pool.viewOf(upstream->id); view && isModel) {
-        const FirstTokenQuery atStart{view->pendingTokens, started.pendingTokens, view->load(), ticket.promptTokens};
-        started.expectedDelay = this->models.firstToken(upstream->id, atStart, now).delay;
-        if (ticket.isStream)
-            started.atStart = atStart;
-    }
+    if (const auto view = this->pool.viewOf(upstream->id); view && isModel)
+        started.expectedDelay =
+            std::chrono::milliseconds(std::llround((view->pendingTokens + started.pendingTokens) / tokensPerMs));
     if (!ticket.parts.empty()) {
         // Noted before the parts are computed: later requests at this upstream run after this one and find them cached.
         this->modelRouter.notePartsCached(upstream->id, ticket.parts);
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "estimation/upstreammodels.h"
 #include "fairqueue.h"
-#include "relay/partaffinity.h"
 #include "relay/upstreamnotices.h"
 #include "router.h"
 #include "upstreampool.h"
@@ -31,7 +29,6 @@
     std::vector<PromptPart> parts;
     std::chrono::steady_clock::time_point latestStart; ///< The request is refused if it has not started by then.
     std::set<std::string> excluded; ///< Identifiers of upstreams that got an earlier attempt.
-    bool isStream = false; ///< The answer begins with the first token, not when it is complete.
     bool isTrial = false; ///< The request may crash its upstream, so it gets the one with the least load.
 };
 
@@ -57,9 +54,6 @@
     /// Maximum number of requests at one transactional upstream, as a multiple of its slots. A short queue at the
     /// upstream keeps its slots busy during the network round trip.
     double slotOvercommit = 1.5;
-    /// Whether the speed and the delays of upstreams are learned from their responses; otherwise they are taken to have
-    /// the defaults of FirstTokenFigures.
-    bool learnsUpstreams = true;
 };
 
 /// Queues requests and assigns them to upstreams.
@@ -73,15 +67,12 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings = {});
-    RelayScheduler(const RelayScheduler &) = delete;
-    RelayScheduler &operator=(const RelayScheduler &) = delete;
 
     /// Replaces the known upstreams. One that has said that it leaves does, whatever its listed state.
     void applyUpstreams(const std::vector<Upstream> &listed, TimePoint now);
 
-    /// Sets the services whose upstreams run a language model and compute prompts, and the memory of one upstream for
-    /// running requests and cached parts together, in tokens, where it is known.
-    void setModelServices(std::set<std::string> services, std::map<std::string, double> kvCacheTokens = {});
+    /// Sets the services whose upstreams run a language model and compute prompts.
+    void setModelServices(std::set<std::string> services);
 
     /// Queues a request and starts it at once if an upstream is free.
     void submit(RelayTicket ticket, RelayTicketHooks hooks, TimePoint now);
@@ -105,11 +96,6 @@
 
     UpstreamNotices &notices();
 
-    const UpstreamModels &upstreamModels() const
-    {
-        return this->models;
-    }
-
     /// Records what the head of an answer says of @p upstream, as known when the request was sent.
     void recordNotice(const Upstream &upstream, const UpstreamNotice &notice, TimePoint now);
 
@@ -153,7 +139,6 @@
         double pendingTokens = 0.0;
         TimePoint startTime;
         std::chrono::milliseconds expectedDelay{0};
-        std::optional<FirstTokenQuery> atStart; ///< Set if the upstream is estimated from the time to the first token.
         bool hasAnswerBegun = false;
     };
 
@@ -162,7 +147,9 @@
     /// Takes upstreams that have said so for leaving.
     void applyDepartures(TimePoint now);
     std::set<std::string> fullUpstreams(const RelayTicket &ticket, TimePoint now);
-    bool isFull(const UpstreamView &view, const RelayTicket &ticket, TimePoint now) const;
+    /// Excludes all healthy upstreams of a service but the one with the least load of those not yet excluded.
+    void excludeLoaded(const std::string &service, std::set<std::string> &excluded, TimePoint now);
+    bool isFull(const UpstreamView &view, const RelayTicket &ticket) const;
     bool tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now);
     void dispatch(const std::string &service, TimePoint now);
     /// Refuses waiting requests whose earlier attempts went to all upstreams that are left.
@@ -179,7 +166,6 @@
     RelaySchedulerSettings settings;
     UpstreamPool pool;
     UpstreamNotices upstreamNotices;
-    UpstreamModels models;
     Router modelRouter;
     Router plainRouter;
     std::set<std::string> modelServices;
--- a/src/libhemlock/relay/upstreamnotices.h
+++ b/src/libhemlock/relay/upstreamnotices.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "estimation/loadfigures.h"
 #include "upstream.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -26,7 +25,6 @@
     std::optional<double> limit;
     bool isLeaving = false;
     std::optional<std::chrono::milliseconds> pause; ///< It turned the request away and wants none for this long.
-    std::optional<LoadFigures> load; ///< Not kept by UpstreamNotices.
     std::vector<std::string> invalidFields; ///< Names of the notices whose value is not used as it stands.
 };
 
--- a/src/libhemlock/router.cpp
+++ b/src/libhemlock/router.cpp
@@ -108,11 +108,6 @@
     this->policy = found->second();
 }
 
-Router::Router(std::shared_ptr<RoutePolicy> policy)
-    : policy(std::move(policy))
-{
-}
-
 RouteDecision
 Router::choose(const RouteQuery &query, const std::vector<UpstreamView> &candidates, RandomEngine &random) const
 {
--- a/src/libhemlock/router.h
+++ b/src/libhemlock/router.h
@@ -3,7 +3,6 @@
 #include "candidateset.h"
 #include "upstream.h"
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,7 +27,6 @@
     AvailabilityZone zone; ///< Zone of this process.
     int priority = 5;
     std::vector<PromptPart> parts; ///< Parts of the prompt when the caller names them; the last one is not shared.
-    std::chrono::steady_clock::time_point now{}; ///< For figures that change with time; may be left out otherwise.
     int entryVms = 1; ///< Number of entry VMs that route to the same upstreams, including this one.
 };
 
@@ -67,8 +65,6 @@
     /// Throws std::invalid_argument when no policy has this name.
     explicit Router(const std::string &policyName);
 
-    explicit Router(std::shared_ptr<RoutePolicy> policy);
-
     /// Builds a CandidateSet from the candidates first; for small numbers of upstreams.
     RouteDecision
     choose(const RouteQuery &query, const std::vector<UpstreamView> &candidates, RandomEngine &random) const;
--- a/src/libhemlock/upstreampool.cpp
+++ b/src/libhemlock/upstreampool.cpp
@@ -11,9 +11,6 @@
 // The time that the control process may need to detect a dead upstream and to send a snapshot without it.
 constexpr std::chrono::seconds failureCooldown{2};
 
-// Time for which the load that an upstream reported is in force. Peers report theirs every few hundred milliseconds.
-constexpr std::chrono::milliseconds ownReportValidity{300};
-
 // Weight of a new sample in the exponential moving averages; about the last five answers count.
 constexpr double smoothingFactor = 0.2;
 
@@ -36,8 +33,6 @@
         const bool isGone = !isListed || current->second.state == UpstreamState::Gone;
         if (isGone && upstream.state != UpstreamState::Gone)
             change.removed.push_back(upstream);
-        if (isListed && current->second.incarnation != upstream.incarnation)
-            change.restarted.push_back(upstream);
     }
     for (const auto &[id, upstream] : this->upstreams)
         this->refreshCandidate(upstream, now);
@@ -60,7 +55,6 @@
                                    RandomEngine &random)
 {
     this->endCooldowns(now);
-    this->endOwnReports(now);
     const auto healthy = this->healthyByService.find(query.service);
     if (excluded.empty() && healthy != this->healthyByService.end() && healthy->second.size() > 0)
         return router.choose(query, healthy->second, random);
@@ -154,11 +148,8 @@
     if (upstream == this->upstreams.end())
         return;
     Activity &activity = this->activities[id];
-    activity.peerRequests = requests;
-    if (!activity.ownReportAt) {
-        activity.reportedLoad = requests;
-        activity.inFlightAtReport = 0.0;
-    }
+    activity.reportedLoad = requests;
+    activity.inFlightAtReport = 0.0;
     activity.peerPendingTokens = pendingTokens;
     this->refreshCandidate(upstream->second, now);
 }
@@ -184,28 +175,9 @@
 const CandidateSet &UpstreamPool::healthy(const std::string &service, Time now)
 {
     this->endCooldowns(now);
-    this->endOwnReports(now);
     return this->healthyByService[service];
 }
 
-std::set<std::string>
-UpstreamPool::allButLeastLoaded(const std::string &service, const std::set<std::string> &excluded, Time now)
-{
-    const CandidateSet &candidates = this->healthy(service, now);
-    const UpstreamView *idlest = nullptr;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const UpstreamView &view = candidates.at(i);
-        if (!excluded.contains(view.id) && (!idlest || view.load() < idlest->load()))
-            idlest = &view;
-    }
-    std::set<std::string> others;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (&candidates.at(i) != idlest)
-            others.insert(candidates.at(i).id);
-    }
-    return others;
-}
-
 const std::unordered_map<std::string, Upstream> &UpstreamPool::all() const
 {
     return this->upstreams;
@@ -245,35 +217,6 @@
     this->refreshCandidate(upstream->second, now);
 }
 
-void UpstreamPool::ownLoadReported(const std::string &id, double load, Time now)
-{
-    const auto upstream = this->upstreams.find(id);
-    if (upstream == this->upstreams.end())
-        return;
-    Activity &activity = this->activities[id];
-    activity.reportedLoad = load;
-    activity.inFlightAtReport = activity.inFlight;
-    activity.ownReportAt = now;
-    this->ownReports.emplace_back(now, id);
-    this->updateView(upstream->second);
-}
-
-void UpstreamPool::endOwnReports(Time now)
-{
-    while (!this->ownReports.empty() && now - this->ownReports.front().first >= ownReportValidity) {
-        const auto [time, id] = std::move(this->ownReports.front());
-        this->ownReports.pop_front();
-        const auto activity = this->activities.find(id);
-        if (activity == this->activities.end() || activity->second.ownReportAt != time)
-            continue;
-        activity->second.ownReportAt.reset();
-        activity->second.reportedLoad = activity->second.peerRequests;
-        activity->second.inFlightAtReport = 0.0;
-        if (const auto upstream = this->upstreams.find(id); upstream != this->upstreams.end())
-            this->updateView(upstream->second);
-    }
-}
-
 int UpstreamPool::inFlightAt(const std::string &id) const
 {
     const auto activity = this->activities.find(id);
--- a/src/libhemlock/upstreampool.h
+++ b/src/libhemlock/upstreampool.h
@@ -25,7 +25,6 @@
     struct Change
     {
         std::vector<Upstream> removed; ///< No longer listed or now in the state "gone"; with their previous data.
-        std::vector<Upstream> restarted; ///< Listed with another incarnation; with their previous data.
     };
 
     /// Replaces the known upstreams and keeps the in-flight counts.
@@ -60,10 +59,6 @@
     /// Returns the upstreams of a service that are serving and did not fail recently.
     const CandidateSet &healthy(const std::string &service, Time now);
 
-    /// Returns all healthy upstreams of a service but the one with the least load of those that are not excluded.
-    std::set<std::string>
-    allButLeastLoaded(const std::string &service, const std::set<std::string> &excluded, Time now);
-
     /// All known upstreams by identifier, in any state.
     const std::unordered_map<std::string, Upstream> &all() const;
 
@@ -75,10 +70,6 @@
     /// Records the load reported by an upstream, in requests; @p ownInFlight of them were sent by this process.
     void loadReported(const std::string &id, double load, int ownInFlight, Time now);
 
-    /// Records the requests at an upstream as it reported them in an answer. For a short time, they replace what the
-    /// other entry VMs report.
-    void ownLoadReported(const std::string &id, double load, Time now);
-
     /// Returns the number of requests of this process in progress at an upstream.
     int inFlightAt(const std::string &id) const;
 
@@ -103,8 +94,6 @@
         std::optional<Time> failedAt;
         double reportedLoad = 0.0;
         double inFlightAtReport = 0.0;
-        double peerRequests = 0.0; ///< As last reported by the other entry VMs.
-        std::optional<Time> ownReportAt; ///< While the upstream's own report is in force.
         double pendingTokens = 0.0;
         double peerPendingTokens = 0.0;
         double failureShare = 0.0;
@@ -120,8 +109,6 @@
     void refreshCandidate(const Upstream &upstream, Time now);
     /// Refreshes the upstreams whose cooldown has ended.
     void endCooldowns(Time now);
-    /// Returns to the peers' reports where the upstream's own ones are too old.
-    void endOwnReports(Time now);
     /// The healthy upstreams of a service without the excluded ones, or the unhealthy ones when there are none.
     std::vector<UpstreamView>
     candidates(const std::string &service, const std::set<std::string> &excluded, Time now) const;
@@ -131,7 +118,6 @@
     std::map<std::string, CandidateSet> healthyByService; ///< Serving and not in the cooldown.
     std::unordered_map<std::string, Activity> activities;
     std::deque<std::pair<Time, std::string>> coolingDown; ///< Oldest failure first.
-    std::deque<std::pair<Time, std::string>> ownReports; ///< Oldest first.
     std::map<std::string, int> failures;
 };
 
