Start requests past a queued one that fits nowhere

Cause: RelayScheduler::dispatch stopped a service at the first request that found no upstream, so a large prompt, or a retry that may go to one upstream only, blocked all other requests of the service.

Change: BackfillScan (src/libhemlock/admission) decides which later requests can still fit. FairQueue::putBack() returns a request without charging its account for the try. AdmissionSettings::startsPastBlocked selects the earlier rule.

--- a/src/libhemlock/fairqueue.cpp
+++ b/src/libhemlock/fairqueue.cpp
@@ -70,8 +70,7 @@
 
     Account &account = this->accounts[request.clientAccount];
     const bool wasEmpty = account.isEmpty();
-    const int flowIndex = request.cost >= this->settings.longRequestCost ? 1 : 0;
-    Flow &flow = account.flows[flowIndex];
+    Flow &flow = account.flows[this->flowIndex(request)];
     // An account that was idle resumes near the current virtual time: idle time earns no more than catchUpTokens.
     if (wasEmpty)
         account.virtualStart = std::max(account.virtualStart, this->virtualTime - this->settings.catchUpTokens);
@@ -80,17 +79,42 @@
     account.weight = request.weight;
     if (request.arrival == 0)
         request.arrival = ++this->arrivalCount;
+    this->insert(std::move(request));
+
+    while (this->locations.size() > this->settings.maxRequests
+           || (this->totalTokens > this->settings.maxTokens && this->locations.size() > 1))
+        refused.push_back(this->displace());
+    return refused;
+}
+
+void FairQueue::insert(QueuedRequest request)
+{
+    const int flowIndex = this->flowIndex(request);
+    Flow &flow = this->accounts[request.clientAccount].flows[flowIndex];
     const Position position{request.priority, request.arrival};
     this->locations[request.requestId] = {request.clientAccount, flowIndex, position};
     flow.tokens += request.cost;
     flow.tokensByPriority[static_cast<std::size_t>(request.priority)] += request.cost;
     this->totalTokens += request.cost;
     flow.requests.emplace(position, std::move(request));
+}
 
-    while (this->locations.size() > this->settings.maxRequests
-           || (this->totalTokens > this->settings.maxTokens && this->locations.size() > 1))
-        refused.push_back(this->displace());
-    return refused;
+int FairQueue::flowIndex(const QueuedRequest &request) const
+{
+    return request.cost >= this->settings.longRequestCost ? 1 : 0;
+}
+
+void FairQueue::putBack(QueuedRequest request)
+{
+    Account &account = this->accounts[request.clientAccount];
+    Flow &flow = account.flows[this->flowIndex(request)];
+    account.virtualStart -= request.cost / request.weight;
+    flow.virtualStart -= request.cost;
+    account.flowVirtualTime = std::min(account.flowVirtualTime, flow.virtualStart);
+    this->virtualTime = std::min(this->virtualTime, request.virtualTimeBefore);
+    const QueuedRequest ended = request;
+    this->insert(std::move(request));
+    this->finished(ended);
 }
 
 void FairQueue::finished(const QueuedRequest &request)
@@ -144,6 +168,7 @@
             this->dropEmptyAccount(location.account);
             continue;
         }
+        request.virtualTimeBefore = this->virtualTime;
         this->virtualTime = std::max(this->virtualTime, account.virtualStart);
         account.virtualStart += request.cost / request.weight;
         account.flowVirtualTime = flow.virtualStart;
--- a/src/libhemlock/fairqueue.h
+++ b/src/libhemlock/fairqueue.h
@@ -35,6 +35,7 @@
     /// The request is refused if it cannot start by then.
     std::chrono::steady_clock::time_point latestStart = std::chrono::steady_clock::time_point::max();
     std::uint64_t arrival = 0; ///< Order of arrival, set by the first push(); a request that is pushed again keeps it.
+    double virtualTimeBefore = 0.0; ///< Virtual time of the queue before pop() returned the request.
 };
 
 struct FairQueueSettings
@@ -87,6 +88,10 @@
     /// of it, so that requests of other accounts need not wait until a request of a flood ends.
     std::optional<QueuedRequest> pop(TimePoint now, std::vector<QueueRefusal> &refused, double freeFraction = 1.0);
 
+    /// Queues a request again that pop() returned and that could not start; its account is not charged. Several are put
+    /// back in the reverse order of their removal.
+    void putBack(QueuedRequest request);
+
     /// Reports the end of a request that pop() returned.
     void finished(const QueuedRequest &request);
 
@@ -139,6 +144,8 @@
     /// Fraction of the capacity that the account must leave free for others.
     double reservedFraction(const Account &account, double totalActiveWeight) const;
     QueuedRequest remove(const Location &location);
+    void insert(QueuedRequest request);
+    int flowIndex(const QueuedRequest &request) const;
     /// Removes the request that a full queue drops.
     QueueRefusal displace();
     /// Forgets an account without requests, unless its virtual time is still needed.
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -1,5 +1,7 @@
 #include "relay/relayscheduler.h"
 
+#include "admission/backfillscan.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -259,7 +261,7 @@
     std::set<std::string> full;
     const CandidateSet &candidates = this->pool.healthy(ticket.service, now);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (this->isFull(candidates.at(i), ticket))
+        if (this->isFull(candidates.at(i), ticket) || candidates.at(i).id == this->reservedUpstream)
             full.insert(candidates.at(i).id);
     }
     return full;
@@ -332,33 +334,38 @@
 
 void RelayScheduler::dispatch(const std::string &service, TimePoint now)
 {
+    BackfillScan scan(this->settings.admission.startsPastBlocked);
+    std::vector<QueueRefusal> refused;
+    std::vector<std::pair<FairQueue *, QueuedRequest>> unplaced;
     for (auto &[rank, queue] : this->queues[service]) {
-        std::vector<QueueRefusal> refused;
-        std::vector<QueuedRequest> unplaced;
-        while (auto queued = queue.pop(now, refused)) {
+        while (!scan.isFinished()) {
+            auto queued = queue.pop(now, refused);
+            if (!queued)
+                break;
             const auto waiting = this->waitingById.find(queued->requestId);
             if (waiting == this->waitingById.end()) {
                 queue.finished(*queued);
                 continue;
             }
-            if (!this->tryStart(waiting->second, *queued, now)) {
+            const RelayTicket &ticket = waiting->second.ticket;
+            const BackfillScan::Need need{ticket.promptTokens, ticket.excluded, ticket.isTrial};
+            this->reservedUpstream = scan.reservedUpstream();
+            if (scan.mayFit(need) && this->tryStart(waiting->second, *queued, now))
+                continue;
+            if (this->pauseLeft(service, need.excluded, now)) {
                 queue.finished(*queued);
-                if (this->pauseLeft(service, waiting->second.ticket.excluded, now)) {
-                    refused.push_back({*queued, "upstreams-paused", "no upstream takes requests for now"});
-                    continue;
-                }
-                unplaced.push_back(*std::move(queued));
-                break;
+                refused.push_back({*queued, "upstreams-paused", "no upstream takes requests for now"});
+                continue;
             }
+            scan.addBlocked(need, this->pool.healthy(service, now), this->upstreamNotices.unavailable(now));
+            unplaced.emplace_back(&queue, *std::move(queued));
         }
-        for (QueuedRequest &queued : unplaced)
-            queue.push(std::move(queued), now);
-        for (const QueueRefusal &refusal : refused)
-            this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
-        // A less urgent request must not take the upstream that a more urgent one waits for.
-        if (!unplaced.empty())
-            return;
     }
+    this->reservedUpstream.clear();
+    for (auto entry = unplaced.rbegin(); entry != unplaced.rend(); ++entry)
+        entry->first->putBack(std::move(entry->second));
+    for (const QueueRefusal &refusal : refused)
+        this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
 }
 
 void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now)
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admissionsettings.h"
 #include "fairqueue.h"
 #include "relay/upstreamnotices.h"
 #include "router.h"
@@ -54,6 +55,7 @@
     /// Maximum number of requests at one transactional upstream, as a multiple of its slots. A short queue at the
     /// upstream keeps its slots busy during the network round trip.
     double slotOvercommit = 1.5;
+    AdmissionSettings admission;
 };
 
 /// Queues requests and assigns them to upstreams.
@@ -170,6 +172,7 @@
     Router plainRouter;
     std::set<std::string> modelServices;
     std::map<std::string, Ranks> queues; ///< By service.
+    std::string reservedUpstream; ///< Set while dispatch() starts requests past one that fits nowhere.
     std::unordered_map<std::string, WaitingRequest> waitingById;
     std::unordered_map<std::string, StartedRequest> startedById;
     std::vector<CachedParts> cachedParts;
--- a/tests/unit/fairqueuetest.cpp
+++ b/tests/unit/fairqueuetest.cpp
@@ -190,3 +190,24 @@
     CHECK(queue.queuedTokens() == 30);
     CHECK(queue.pop(this->now, this->refused)->requestId == "a-2");
 }
+
+// Guards against an account that pays for each time that its request was tried and did not fit anywhere.
+TEST_CASE_METHOD(FairQueueFixture, "FairQueue: request is put back many times: its account keeps its turn")
+{
+    FairQueue queue;
+    queue.push(this->request("blocked", 300), this->now);
+    queue.push(this->request("other", 100), this->now);
+    for (int i = 0; i < 50; ++i) {
+        auto first = queue.pop(this->now, this->refused);
+        auto second = queue.pop(this->now, this->refused);
+        REQUIRE(second);
+        queue.putBack(*std::move(second));
+        queue.putBack(*std::move(first));
+    }
+    CHECK(queue.size() == 2);
+    CHECK(queue.queuedTokens() == 400);
+    CHECK(queue.pop(this->now, this->refused)->clientAccount == "blocked");
+    queue.push(this->request("new", 100), this->now);
+    queue.push(this->request("blocked", 300), this->now);
+    CHECK(this->serve(queue, 2)["blocked"] == 0);
+}
--- a/tests/unit/relayschedulertest.cpp
+++ b/tests/unit/relayschedulertest.cpp
@@ -498,3 +498,61 @@
     this->scheduler.applyUpstreams(this->upstreams, this->now);
     CHECK(this->chosenUpstreams["a"] == "p2");
 }
+
+// Guards against a large prompt at the head of the queue that keeps small ones from upstreams with room for them.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: large prompt fits nowhere: small ones of any rank start at the upstream not reserved")
+{
+    this->submit(this->ticket("a", "model", 20000.0));
+    this->submit(this->ticket("b", "model", 25000.0));
+    this->submit(this->ticket("large", "model", 17000.0));
+    this->submit(this->ticket("equal", "model", 17000.0));
+    RelayTicket small = this->ticket("small", "model", 2000.0);
+    small.rank = 3;
+    this->submit(small);
+    CHECK(this->started == RequestIds{"a", "b", "small"});
+    CHECK(this->chosenUpstreams["small"] == this->chosenUpstreams["b"]);
+    this->scheduler.answerBegan("a", this->now);
+    REQUIRE(this->started.size() >= 4);
+    CHECK(this->started[3] == "large");
+}
+
+// Guards against small prompts that start past a large one until its latest start has passed.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: small prompts keep coming: the large one that waits starts within its target")
+{
+    this->submit(this->ticket("a", "model", 20000.0));
+    this->submit(this->ticket("b", "model", 20000.0));
+    this->submit(this->ticket("large", "model", 17000.0));
+    std::vector<std::string> small;
+    for (int i = 0; i < 90; ++i) {
+        this->now += std::chrono::milliseconds(10);
+        small.push_back("small-" + std::to_string(i));
+        this->submit(this->ticket(small.back(), "model", 500.0));
+        if (i == 40)
+            this->scheduler.answerBegan("a", this->now);
+        if (i == 41)
+            this->scheduler.answerBegan("b", this->now);
+        if (i > 10)
+            this->scheduler.answerBegan(small[static_cast<std::size_t>(i) - 10], this->now);
+    }
+    this->scheduler.tick(this->now);
+    CHECK(this->chosenUpstreams.contains("large"));
+    CHECK(this->refused.empty());
+}
+
+// Guards against a retry that waits for one upstream and blocks first attempts that others can take.
+TEST_CASE_METHOD(RelaySchedulerFixture,
+                 "RelayScheduler: retry waits for the upstream that it has not tried: first attempts start elsewhere")
+{
+    this->upstreams.push_back(this->upstream("p2", "plain", 2));
+    this->scheduler.applyUpstreams(this->upstreams, this->now);
+    for (const char *id : {"a", "b", "c", "retry"}) {
+        RelayTicket ticket = this->ticket(id, "plain");
+        ticket.excluded = {"p1"};
+        this->submit(ticket);
+    }
+    this->submit(this->ticket("first-attempt", "plain"));
+    CHECK(this->chosenUpstreams["first-attempt"] == "p1");
+    CHECK_FALSE(this->chosenUpstreams.contains("retry"));
+}
