Refuse at arrival what cannot start in time; keep shares of ranks

Cause: a request waited until its latency target had passed and then got 503 with a whole number of seconds that came from a constant; ranks were served strictly.

Change: RequestAdmission (src/libhemlock/admission) judges a request by the best usable upstream, with a margin, when it arrives and at each tick. Retry-After is the time of expected room with jitter, in milliseconds, at most a third of the time left. MinimumShares gives waiting ranks a tenth; within an account the earliest latest start goes first. Refusals are counted by code and logged with their inputs. RequestError::retryAfter is in milliseconds; the set of times in intentlogtest.cpp follows that type.

--- a/src/libhemlock/refusal.cpp
+++ b/src/libhemlock/refusal.cpp
@@ -17,7 +17,7 @@
 {
     HttpHeaders headers{{"Content-Type", "application/json"}, {std::string(requestIdField), requestId}};
     if (error.retryAfter)
-        headers.add("Retry-After", std::to_string(error.retryAfter->count()));
+        headers.add("Retry-After", retryAfterText(*error.retryAfter));
     responder.reply(error.status, headers, dumpJson(refusalBody(error, requestId)));
 }
 
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -232,10 +232,10 @@
     ticket.promptTokens = this->request.promptTokens.value_or(0.0);
     ticket.answerTokens = this->request.answerTokens;
     ticket.parts = this->request.parts;
-    ticket.latestStart = std::min(this->answerDeadline, this->arrivalTime + this->route->latencyTarget);
     // A request that was sent before is not refused for a late start: it is retried until its caller's deadline.
-    if (this->attempts > 0)
-        ticket.latestStart = this->answerDeadline;
+    const auto target = this->attempts > 0 ? this->answerDeadline : this->arrivalTime + this->route->latencyTarget;
+    ticket.latestStart = std::min(this->answerDeadline, target);
+    ticket.deadline = this->answerDeadline;
     ticket.excluded = this->triedUpstreams;
     ticket.isTrial = this->suspects.grantedTrial(this->context.now()).has_value();
     RelayTicketHooks hooks;
@@ -708,7 +708,7 @@
 {
     HttpHeaders fields = {{"Content-Type", "application/json"}};
     if (error.retryAfter)
-        fields.add("Retry-After", std::to_string(error.retryAfter->count()));
+        fields.add("Retry-After", retryAfterText(*error.retryAfter));
     const nlohmann::json body = {
         {"error", {{"code", error.code}, {"message", error.message}, {"verdict", verdictName(error.verdict)}}}};
     this->responder->reply(error.status, fields, body.dump());
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -465,6 +465,7 @@
                            "Notices in answers of upstreams whose value was ignored or bounded.",
                            notices.invalid);
     reportRefusedCallers(this->callerServer, this->metrics);
+    reportRefusals(this->scheduler.admission().refusals(), this->metrics);
     logEvent(LogLevel::Info,
              "health",
              {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLateness).count()},
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayscheduler.h"
 
 #include "admission/backfillscan.h"
+#include "admission/usableupstreams.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,9 +18,6 @@
 
 constexpr double tokensPerMs = 50.0;
 
-// Weight of a new sample; averages over about the last 50 prompts.
-constexpr double uncachedShareSmoothing = 0.02;
-
 } // namespace
 
 RelayScheduler::RelayScheduler(AvailabilityZone zone, RandomEngine random, RelaySchedulerSettings settings)
@@ -70,8 +68,14 @@
     queued.clientAccount = ticket.clientAccount;
     queued.cost = std::max(1.0, requestCost(ticket.promptTokens, ticket.answerTokens));
     queued.latestStart = ticket.latestStart;
+    queued.arrival = this->requestAdmission.queueOrder(ticket.excluded.empty() ? ticket.latestStart : now);
     const int rank = ticket.rank;
+    this->requestAdmission.shares(service).arrived(rank, ticket.promptTokens, now);
+    const bool isRefused = this->forecast(ticket, false, now).isTooLate
+        && !this->requestAdmission.shares(service).isShortOfShare(ticket.clientAccount, now);
     this->waitingById[id] = {std::move(ticket), std::move(hooks)};
+    if (isRefused)
+        return this->refuse(id, "no-room", "no upstream is expected to start the request in time", now);
     FairQueue &queue = this->queues[service].try_emplace(rank).first->second;
     for (const QueueRefusal &refusal : queue.push(queued, now))
         this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
@@ -99,6 +103,7 @@
     const auto excess = std::max(std::chrono::milliseconds(0), delay - started.expectedDelay - baselineDelay);
     this->pool.outcomeObserved(started.upstream, false, excess);
     this->pool.addPendingTokens(started.upstream, -std::exchange(started.pendingTokens, 0.0));
+    this->requestAdmission.firstTokenArrived(started.service, now);
     this->dispatch(started.service, now);
 }
 
@@ -129,10 +134,15 @@
     for (const auto &[service, ranks] : this->queues)
         this->dispatch(service, now);
     std::vector<std::string> expired;
+    std::vector<std::string> hopeless;
     for (const auto &[id, waiting] : this->waitingById) {
-        if (now >= waiting.ticket.latestStart)
+        const RelayTicket &ticket = waiting.ticket;
+        if (now >= ticket.latestStart)
             expired.push_back(id);
+        else if (this->modelServices.contains(ticket.service) && this->forecast(ticket, true, now).isTooLate)
+            hopeless.push_back(id);
     }
+    this->refuseQueued(hopeless, "given-up", "no upstream is expected to start the request in time any more", now);
     this->refuseQueued(expired, "overload", "no upstream can start the request in time", now);
 }
 
@@ -167,6 +177,11 @@
     return this->pool;
 }
 
+RequestAdmission &RelayScheduler::admission()
+{
+    return this->requestAdmission;
+}
+
 UpstreamNotices &RelayScheduler::notices()
 {
     return this->upstreamNotices;
@@ -195,32 +210,14 @@
 std::optional<std::chrono::seconds>
 RelayScheduler::pauseLeft(const std::string &service, const std::set<std::string> &excluded, TimePoint now) const
 {
-    TimePoint first = TimePoint::max();
-    bool isAnyPaused = false;
-    for (const auto &[id, upstream] : this->pool.all()) {
-        const bool isUsable = upstream.state == UpstreamState::Serving || upstream.state == UpstreamState::Suspected;
-        if (upstream.service != service || !isUsable)
-            continue;
-        const auto end = this->upstreamNotices.pauseEnd(id, now);
-        if (!end && !excluded.contains(id))
-            return std::nullopt;
-        isAnyPaused = isAnyPaused || end;
-        first = std::min(first, end.value_or(now));
-    }
-    if (!isAnyPaused)
-        return std::nullopt;
-    return std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(first - now));
+    const auto pauseEnd = [this, now](const std::string &id) { return this->upstreamNotices.pauseEnd(id, now); };
+    return pauseLeftOf(this->pool.all(), service, excluded, pauseEnd, now);
 }
 
 std::size_t RelayScheduler::waitingCount(const std::string &service) const
 {
     const auto ranks = this->queues.find(service);
-    if (ranks == this->queues.end())
-        return 0;
-    std::size_t sum = 0;
-    for (const auto &[rank, queue] : ranks->second)
-        sum += queue.size();
-    return sum;
+    return ranks == this->queues.end() ? 0 : queuedRequests(ranks->second);
 }
 
 std::vector<CachedParts> RelayScheduler::takeCachedParts()
@@ -236,7 +233,7 @@
 
 const std::map<std::string, double> &RelayScheduler::demandedTokens() const
 {
-    return this->demandedByService;
+    return this->demand.tokens();
 }
 
 std::map<std::string, double> RelayScheduler::pendingTokens() const
@@ -247,39 +244,13 @@
     return tokens;
 }
 
-bool RelayScheduler::isFull(const UpstreamView &view, const RelayTicket &ticket) const
-{
-    if (!this->modelServices.contains(ticket.service))
-        return view.slots > 0 && view.load() >= view.slots * this->settings.slotOvercommit;
-    if (view.slots > 0 && view.load() >= view.slots)
-        return true;
-    return view.pendingTokens > 0.0 && view.pendingTokens + ticket.promptTokens > this->settings.maxPendingTokens;
-}
-
 std::set<std::string> RelayScheduler::fullUpstreams(const RelayTicket &ticket, TimePoint now)
 {
-    std::set<std::string> full;
-    const CandidateSet &candidates = this->pool.healthy(ticket.service, now);
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (this->isFull(candidates.at(i), ticket) || candidates.at(i).id == this->reservedUpstream)
-            full.insert(candidates.at(i).id);
-    }
-    return full;
-}
-
-void RelayScheduler::excludeLoaded(const std::string &service, std::set<std::string> &excluded, TimePoint now)
-{
-    const CandidateSet &candidates = this->pool.healthy(service, now);
-    const UpstreamView *idlest = nullptr;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const UpstreamView &view = candidates.at(i);
-        if (!excluded.contains(view.id) && (!idlest || view.load() < idlest->load()))
-            idlest = &view;
-    }
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (&candidates.at(i) != idlest)
-            excluded.insert(candidates.at(i).id);
-    }
+    UpstreamLimits limits{this->modelServices.contains(ticket.service), this->settings.slotOvercommit};
+    limits.maxPendingTokens =
+        this->requestAdmission.shares(ticket.service).pendingLimit(ticket.rank, this->settings.maxPendingTokens, now);
+    limits.reservedUpstream = this->reservedUpstream;
+    return hemlock::fullUpstreams(this->pool.healthy(ticket.service, now), ticket.promptTokens, limits);
 }
 
 bool RelayScheduler::tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now)
@@ -290,7 +261,7 @@
     // Also those that failed recently, which are chosen when no healthy one is left.
     excluded.merge(this->upstreamNotices.unavailable(now));
     if (ticket.isTrial)
-        this->excludeLoaded(ticket.service, excluded, now);
+        excludeLoaded(this->pool.healthy(ticket.service, now), excluded);
     const bool isModel = this->modelServices.contains(ticket.service);
     RouteQuery query;
     query.requestId = ticket.id;
@@ -319,11 +290,7 @@
     }
     this->pool.attemptStarted(upstream->id);
     this->upstreamNotices.requestStarted(upstream->id, now);
-    this->demandedByService[ticket.service] += started.pendingTokens;
-    if (isModel && ticket.promptTokens > 0.0) {
-        double &share = this->uncachedShareByService.try_emplace(ticket.service, 1.0).first->second;
-        share += (started.pendingTokens / ticket.promptTokens - share) * uncachedShareSmoothing;
-    }
+    this->demand.started(ticket.service, started.pendingTokens, isModel ? ticket.promptTokens : 0.0);
     this->pool.addPendingTokens(upstream->id, started.pendingTokens);
     this->startedById[ticket.id] = std::move(started);
     const auto start = std::move(waiting.hooks.start);
@@ -337,11 +304,14 @@
     BackfillScan scan(this->settings.admission.startsPastBlocked);
     std::vector<QueueRefusal> refused;
     std::vector<std::pair<FairQueue *, QueuedRequest>> unplaced;
-    for (auto &[rank, queue] : this->queues[service]) {
-        while (!scan.isFinished()) {
-            auto queued = queue.pop(now, refused);
-            if (!queued)
-                break;
+    Ranks &ranks = this->queues[service];
+    MinimumShares &shares = this->requestAdmission.shares(service);
+    while (!scan.isFinished()) {
+        const auto rank = shares.nextRank(waitingRanks(ranks));
+        if (!rank)
+            break;
+        FairQueue &queue = ranks.at(*rank);
+        if (auto queued = queue.pop(now, refused)) {
             const auto waiting = this->waitingById.find(queued->requestId);
             if (waiting == this->waitingById.end()) {
                 queue.finished(*queued);
@@ -350,8 +320,11 @@
             const RelayTicket &ticket = waiting->second.ticket;
             const BackfillScan::Need need{ticket.promptTokens, ticket.excluded, ticket.isTrial};
             this->reservedUpstream = scan.reservedUpstream();
-            if (scan.mayFit(need) && this->tryStart(waiting->second, *queued, now))
+            if (scan.mayFit(need) && this->tryStart(waiting->second, *queued, now)) {
+                shares.started(queued->clientAccount, *rank, queued->cost, waitingRanks(ranks), now);
+                this->requestAdmission.queuedStarted(service, now);
                 continue;
+            }
             if (this->pauseLeft(service, need.excluded, now)) {
                 queue.finished(*queued);
                 refused.push_back({*queued, "upstreams-paused", "no upstream takes requests for now"});
@@ -366,6 +339,29 @@
         entry->first->putBack(std::move(entry->second));
     for (const QueueRefusal &refusal : refused)
         this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
+    this->requestAdmission.setWaiting(service, this->waitingCount(service) > 0, now);
+}
+
+ArrivalForecast RelayScheduler::forecast(const RelayTicket &ticket, bool isQueued, TimePoint now)
+{
+    ArrivalQuery query;
+    query.isModel = this->modelServices.contains(ticket.service);
+    query.tokens = ticket.promptTokens * this->demand.uncachedShare(ticket.service);
+    query.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(ticket.latestStart - now);
+    query.startsPerSecond = this->requestAdmission.roomPerSecond(ticket.service, now);
+    query.slotOvercommit = this->settings.slotOvercommit;
+    // Retries wait until the deadline of their caller, and a trial is granted for a request that is refused otherwise.
+    query.mayBeRefused = ticket.excluded.empty() && !ticket.isTrial;
+    for (const auto &[id, waiting] : this->waitingById) {
+        // A request that is queued is judged as if it were the next one, since its place may still improve.
+        if (isQueued || waiting.ticket.service != ticket.service || waiting.ticket.rank > ticket.rank)
+            continue;
+        ++query.waitingAhead;
+        query.tokensAhead += waiting.ticket.promptTokens;
+    }
+    return this->requestAdmission.forecast(
+        query,
+        usableViews(this->pool.healthy(ticket.service, now), ticket.excluded, this->upstreamNotices.unavailable(now)));
 }
 
 void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now)
@@ -375,24 +371,15 @@
         return;
     const WaitingRequest waiting = std::move(found->second);
     this->waitingById.erase(found);
-    if (this->modelServices.contains(waiting.ticket.service))
-        this->demandedByService[waiting.ticket.service] += waiting.ticket.promptTokens
-            * this->uncachedShareByService.try_emplace(waiting.ticket.service, 1.0).first->second;
-    RequestError error;
-    error.verdict = Verdict::NotRun;
-    error.status = 503;
-    error.code = code;
-    error.message = message;
-    error.retryAfter = this->pauseLeft(waiting.ticket.service, waiting.ticket.excluded, now)
-                           .value_or(this->retryAfter(waiting.ticket.service));
-    waiting.hooks.refuse(error);
-}
-
-std::chrono::seconds RelayScheduler::retryAfter(const std::string &service) const
-{
-    // A short queue drains within about one second; every 20 waiting requests add a second.
-    constexpr std::size_t startedPerSecond = 20;
-    return std::chrono::seconds(1 + this->waitingCount(service) / startedPerSecond);
+    const RelayTicket &ticket = waiting.ticket;
+    if (this->modelServices.contains(ticket.service))
+        this->demand.refused(ticket.service, ticket.promptTokens);
+    AdmissionRefusal refusal{ticket.service, ticket.clientAccount, code, message};
+    refusal.forecast = this->forecast(ticket, false, now);
+    refusal.pauseLeft = this->pauseLeft(ticket.service, ticket.excluded, now);
+    if (ticket.deadline)
+        refusal.deadlineLeft = std::chrono::duration_cast<std::chrono::milliseconds>(*ticket.deadline - now);
+    waiting.hooks.refuse(this->requestAdmission.refuse(refusal, this->random));
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "admission/admissionsettings.h"
+#include "admission/promptdemand.h"
+#include "admission/requestadmission.h"
 #include "fairqueue.h"
 #include "relay/upstreamnotices.h"
 #include "router.h"
@@ -24,11 +25,12 @@
     std::string id; ///< Unique in this process.
     std::string service;
     std::string clientAccount;
-    int rank = 0; ///< Priority class; 0 is the most urgent. Lower ranks always go first.
+    int rank = 0; ///< Priority class; 0 is the most urgent. Lower ranks go first; see MinimumShares.
     double promptTokens = 0.0;
     double answerTokens = 0.0;
     std::vector<PromptPart> parts;
     std::chrono::steady_clock::time_point latestStart; ///< The request is refused if it has not started by then.
+    std::optional<std::chrono::steady_clock::time_point> deadline; ///< Of the caller, if known.
     std::set<std::string> excluded; ///< Identifiers of upstreams that got an earlier attempt.
     bool isTrial = false; ///< The request may crash its upstream, so it gets the one with the least load.
 };
@@ -61,8 +63,8 @@
 /// Queues requests and assigns them to upstreams.
 ///
 /// Requests are queued here rather than at upstreams, so that urgent requests start first and a request that cannot
-/// start in time is refused while it is still certain that it did not run. Ranks are served strictly in order; within a
-/// rank, FairQueue shares the upstreams between client accounts.
+/// start in time is refused while it is still certain that it did not run. RequestAdmission decides on both, and on the
+/// order of ranks; within a rank, FairQueue shares the upstreams between client accounts.
 class RelayScheduler
 {
 public:
@@ -96,6 +98,9 @@
 
     UpstreamPool &upstreams();
 
+    /// Decisions on admission, with their counts.
+    RequestAdmission &admission();
+
     UpstreamNotices &notices();
 
     /// Records what the head of an answer says of @p upstream, as known when the request was sent.
@@ -149,9 +154,8 @@
     /// Takes upstreams that have said so for leaving.
     void applyDepartures(TimePoint now);
     std::set<std::string> fullUpstreams(const RelayTicket &ticket, TimePoint now);
-    /// Excludes all healthy upstreams of a service but the one with the least load of those not yet excluded.
-    void excludeLoaded(const std::string &service, std::set<std::string> &excluded, TimePoint now);
-    bool isFull(const UpstreamView &view, const RelayTicket &ticket) const;
+    /// When a request can be expected to start, if it were queued now or as the next one of those that are.
+    ArrivalForecast forecast(const RelayTicket &ticket, bool isQueued, TimePoint now);
     bool tryStart(WaitingRequest &waiting, const QueuedRequest &queued, TimePoint now);
     void dispatch(const std::string &service, TimePoint now);
     /// Refuses waiting requests whose earlier attempts went to all upstreams that are left.
@@ -161,11 +165,11 @@
                       const std::string &message,
                       TimePoint now);
     void refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now);
-    std::chrono::seconds retryAfter(const std::string &service) const;
 
     AvailabilityZone zone;
     RandomEngine random;
     RelaySchedulerSettings settings;
+    RequestAdmission requestAdmission{this->settings.admission};
     UpstreamPool pool;
     UpstreamNotices upstreamNotices;
     Router modelRouter;
@@ -176,9 +180,7 @@
     std::unordered_map<std::string, WaitingRequest> waitingById;
     std::unordered_map<std::string, StartedRequest> startedById;
     std::vector<CachedParts> cachedParts;
-    std::map<std::string, double> demandedByService;
-    /// Average fraction of a prompt's tokens that no cache holds, 0 to 1.
-    std::map<std::string, double> uncachedShareByService;
+    PromptDemand demand;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/verdict.h
+++ b/src/libhemlock/verdict.h
@@ -20,6 +20,9 @@
 /// Name used in answers and log lines: "not-run", "ran" or "may-have-run".
 std::string_view verdictName(Verdict verdict);
 
+/// Value of a Retry-After field: seconds, with up to three decimals where the time is not whole.
+std::string retryAfterText(std::chrono::milliseconds time);
+
 /// Error that is reported to the caller of a request that got no regular answer.
 struct RequestError
 {
@@ -27,7 +30,7 @@
     int status = 500; ///< HTTP status of the error response.
     std::string code; ///< Machine-readable and stable, such as "unknown-service".
     std::string message; ///< Explanation for a person.
-    std::optional<std::chrono::seconds> retryAfter; ///< Sent as Retry-After.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< Sent as Retry-After.
 };
 
 template <class T>
--- a/tests/unit/intentlogtest.cpp
+++ b/tests/unit/intentlogtest.cpp
@@ -359,7 +359,7 @@
         decisions.push_back(this->submit(a, call));
     }
     this->advance(2s);
-    std::set<std::chrono::seconds> times;
+    std::set<std::chrono::milliseconds> times;
     for (const PendingDecision &decision : decisions)
         times.insert(*(*decision)->refusal.retryAfter);
     CHECK(times.size() >= 3);
