--- a/src/libhemlock/admission/minimumshares.cpp
+++ b/src/libhemlock/admission/minimumshares.cpp
@@ -78,6 +78,16 @@
     prompts.latest = now;
 }
 
+void MinimumShares::contended(TimePoint now)
+{
+    this->lastContention = now;
+}
+
+bool MinimumShares::isContended(TimePoint now) const
+{
+    return this->isEnabled && this->lastContention && now - *this->lastContention < urgentPromptMemory;
+}
+
 double MinimumShares::pendingLimit(int rank, double maxPendingTokens, TimePoint now) const
 {
     double reserve = 0.0;
@@ -85,7 +95,7 @@
         if (other < rank && now - prompts.latest < urgentPromptMemory)
             reserve = std::max(reserve, prompts.meanTokens);
     }
-    return this->isEnabled && rank != this->dueRank
+    return this->isContended(now) && rank != this->dueRank
         ? std::max(maxPendingTokens - reserve, maxPendingTokens * minPendingShare)
         : maxPendingTokens;
 }
--- a/src/libhemlock/admission/minimumshares.h
+++ b/src/libhemlock/admission/minimumshares.h
@@ -37,6 +37,10 @@
     /// Records the arrival of a prompt.
     void arrived(int rank, double promptTokens, TimePoint now);
 
+    /// Records that a request had to wait or was refused. Room is kept free only for some time after that.
+    void contended(TimePoint now);
+    bool isContended(TimePoint now) const;
+
     /// Maximum number of pending tokens at an upstream that gets a prompt of this rank.
     double pendingLimit(int rank, double maxPendingTokens, TimePoint now) const;
 
@@ -58,6 +62,7 @@
     std::map<int, RecentPrompts> promptsByRank;
     std::map<std::string, double> startedByAccount; ///< Cost of recent starts.
     double startCount = 0.0; ///< Recent starts of all accounts.
+    std::optional<TimePoint> lastContention;
     TimePoint lastDecay;
 };
 
--- a/src/libhemlock/admission/requestadmission.cpp
+++ b/src/libhemlock/admission/requestadmission.cpp
@@ -73,6 +73,8 @@
     ServiceState &state = this->state(service);
     state.starts.setWaiting(isWaiting, now);
     state.firstTokens.setWaiting(isWaiting, now);
+    if (isWaiting)
+        state.shares.contended(now);
 }
 
 void RequestAdmission::queuedStarted(const std::string &service, TimePoint now)
@@ -92,6 +94,18 @@
     return result;
 }
 
+bool RequestAdmission::isTimely(const ArrivalQuery &query, const UpstreamView &upstream) const
+{
+    const FirstTokenForecast expected = this->firstToken(upstream, query.tokens);
+    if (expected.delay + expected.deviation <= query.timeLeft)
+        return true;
+    UpstreamView idle = upstream;
+    idle.pendingTokens = 0.0;
+    idle.inFlight = 0;
+    idle.reportedLoad = 0.0;
+    return this->firstToken(idle, query.tokens).delay > query.timeLeft;
+}
+
 std::chrono::milliseconds RequestAdmission::retryAfter(const AdmissionRefusal &refusal, double fraction)
 {
     const ArrivalQuery &query = refusal.forecast.query;
--- a/src/libhemlock/admission/requestadmission.h
+++ b/src/libhemlock/admission/requestadmission.h
@@ -55,6 +55,10 @@
     /// Judges a request by the upstreams that may take it; never too late when the rule is switched off.
     ArrivalForecast forecast(const ArrivalQuery &query, const std::vector<UpstreamView> &upstreams) const;
 
+    /// Whether an upstream is expected to give the first token in time, with a margin, or no upstream could. Prompts
+    /// beyond that would be late themselves and delay others.
+    bool isTimely(const ArrivalQuery &query, const UpstreamView &upstream) const;
+
     /// Time after which a refused caller should return. @p fraction is random, 0 to 1.
     static std::chrono::milliseconds retryAfter(const AdmissionRefusal &refusal, double fraction);
 
--- a/src/libhemlock/admission/usableupstreams.cpp
+++ b/src/libhemlock/admission/usableupstreams.cpp
@@ -12,6 +12,8 @@
         return true;
     if (view.slots > 0 && view.load() >= view.slots * (limits.isModel ? 1.0 : limits.slotOvercommit))
         return true;
+    if (limits.isTimely && view.pendingTokens > 0.0 && !limits.isTimely(view))
+        return true;
     return limits.isModel && view.pendingTokens > 0.0 && view.pendingTokens + promptTokens > limits.maxPendingTokens;
 }
 
--- a/src/libhemlock/admission/usableupstreams.h
+++ b/src/libhemlock/admission/usableupstreams.h
@@ -31,6 +31,7 @@
     double slotOvercommit = 1.0; ///< Requests at an upstream without a model, as a multiple of its slots.
     double maxPendingTokens = 0.0; ///< Prompt tokens without a first token, at an upstream with a model.
     std::string reservedUpstream; ///< Takes nothing; empty for none.
+    std::function<bool(const UpstreamView &upstream)> isTimely; ///< Whether it answers in time; empty: not asked.
 };
 
 /// The candidates that have no room for a request.
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -69,14 +69,15 @@
     queued.cost = std::max(1.0, requestCost(ticket.promptTokens, ticket.answerTokens));
     queued.latestStart = ticket.latestStart;
     queued.arrival = this->requestAdmission.queueOrder(ticket.excluded.empty() ? ticket.latestStart : now);
-    const int rank = ticket.rank;
-    this->requestAdmission.shares(service).arrived(rank, ticket.promptTokens, now);
-    const bool isRefused = this->forecast(ticket, false, now).isTooLate
-        && !this->requestAdmission.shares(service).isShortOfShare(ticket.clientAccount, now);
+    FairQueue &queue = this->queues[service].try_emplace(ticket.rank).first->second;
+    MinimumShares &shares = this->requestAdmission.shares(service);
+    shares.arrived(ticket.rank, ticket.promptTokens, now);
+    const bool isTooLate = this->forecast(ticket, false, now).isTooLate;
     this->waitingById[id] = {std::move(ticket), std::move(hooks)};
-    if (isRefused)
+    if (isTooLate)
+        shares.contended(now);
+    if (isTooLate && !shares.isShortOfShare(queued.clientAccount, now))
         return this->refuse(id, "no-room", "no upstream is expected to start the request in time", now);
-    FairQueue &queue = this->queues[service].try_emplace(rank).first->second;
     for (const QueueRefusal &refusal : queue.push(queued, now))
         this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
     this->dispatch(service, now);
@@ -136,10 +137,9 @@
     std::vector<std::string> expired;
     std::vector<std::string> hopeless;
     for (const auto &[id, waiting] : this->waitingById) {
-        const RelayTicket &ticket = waiting.ticket;
-        if (now >= ticket.latestStart)
+        if (now >= waiting.ticket.latestStart)
             expired.push_back(id);
-        else if (this->modelServices.contains(ticket.service) && this->forecast(ticket, true, now).isTooLate)
+        else if (this->forecast(waiting.ticket, true, now).isTooLate)
             hopeless.push_back(id);
     }
     this->refuseQueued(hopeless, "given-up", "no upstream is expected to start the request in time any more", now);
@@ -246,10 +246,18 @@
 
 std::set<std::string> RelayScheduler::fullUpstreams(const RelayTicket &ticket, TimePoint now)
 {
+    MinimumShares &shares = this->requestAdmission.shares(ticket.service);
     UpstreamLimits limits{this->modelServices.contains(ticket.service), this->settings.slotOvercommit};
-    limits.maxPendingTokens =
-        this->requestAdmission.shares(ticket.service).pendingLimit(ticket.rank, this->settings.maxPendingTokens, now);
+    limits.maxPendingTokens = this->settings.maxPendingTokens;
     limits.reservedUpstream = this->reservedUpstream;
+    // A reserved upstream already keeps room for the more urgent request that waits.
+    if (limits.reservedUpstream.empty())
+        limits.maxPendingTokens = shares.pendingLimit(ticket.rank, limits.maxPendingTokens, now);
+    ArrivalQuery query;
+    query.tokens = ticket.promptTokens * this->demand.uncachedShare(ticket.service);
+    query.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(ticket.latestStart - now);
+    if (limits.isModel && ticket.excluded.empty() && shares.isContended(now))
+        limits.isTimely = [&](const UpstreamView &view) { return this->requestAdmission.isTimely(query, view); };
     return hemlock::fullUpstreams(this->pool.healthy(ticket.service, now), ticket.promptTokens, limits);
 }
 
@@ -306,10 +314,8 @@
     std::vector<std::pair<FairQueue *, QueuedRequest>> unplaced;
     Ranks &ranks = this->queues[service];
     MinimumShares &shares = this->requestAdmission.shares(service);
-    while (!scan.isFinished()) {
-        const auto rank = shares.nextRank(waitingRanks(ranks));
-        if (!rank)
-            break;
+    const auto nextRank = [&] { return scan.isFinished() ? std::nullopt : shares.nextRank(waitingRanks(ranks)); };
+    while (const auto rank = nextRank()) {
         FairQueue &queue = ranks.at(*rank);
         if (auto queued = queue.pop(now, refused)) {
             const auto waiting = this->waitingById.find(queued->requestId);
@@ -351,7 +357,7 @@
     query.startsPerSecond = this->requestAdmission.roomPerSecond(ticket.service, now);
     query.slotOvercommit = this->settings.slotOvercommit;
     // Retries wait until the deadline of their caller, and a trial is granted for a request that is refused otherwise.
-    query.mayBeRefused = ticket.excluded.empty() && !ticket.isTrial;
+    query.mayBeRefused = ticket.excluded.empty() && !ticket.isTrial && (query.isModel || !isQueued);
     for (const auto &[id, waiting] : this->waitingById) {
         // A request that is queued is judged as if it were the next one, since its place may still improve.
         if (isQueued || waiting.ticket.service != ticket.service || waiting.ticket.rank > ticket.rank)
@@ -359,9 +365,9 @@
         ++query.waitingAhead;
         query.tokensAhead += waiting.ticket.promptTokens;
     }
-    return this->requestAdmission.forecast(
-        query,
-        usableViews(this->pool.healthy(ticket.service, now), ticket.excluded, this->upstreamNotices.unavailable(now)));
+    const auto unavailable = this->upstreamNotices.unavailable(now);
+    const auto views = usableViews(this->pool.healthy(ticket.service, now), ticket.excluded, unavailable);
+    return this->requestAdmission.forecast(query, views);
 }
 
 void RelayScheduler::refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now)
