--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -341,8 +341,8 @@
         }
     }
     this->reservedUpstream.clear();
-    for (auto entry = unplaced.rbegin(); entry != unplaced.rend(); ++entry)
-        entry->first->putBack(std::move(entry->second));
+    std::for_each(
+        unplaced.rbegin(), unplaced.rend(), [](auto &entry) { entry.first->putBack(std::move(entry.second)); });
     for (const QueueRefusal &refusal : refused)
         this->refuse(refusal.request.requestId, refusal.code, refusal.message, now);
     this->requestAdmission.setWaiting(service, this->waitingCount(service) > 0, now);
