--- a/tests/unit/admissionloadtest.cpp
+++ b/tests/unit/admissionloadtest.cpp
@@ -338,7 +338,7 @@
 // Guards against a change of decisions where nothing is overloaded.
 TEST_CASE("AdmissionLoad: no overload: callers get the same as by the former decision")
 {
-    const Comparison runs({.seed = GENERATE(1, 2, 3), .requestsPerSecond = 15.0}, "calm");
+    const Comparison runs({.seed = static_cast<std::uint64_t>(GENERATE(1, 2, 3)), .requestsPerSecond = 15.0}, "calm");
     CHECK(runs.present.refusals == 0);
     for (const Kind &kind : kinds) {
         CHECK(runs.present.byKind.at(kind.name).inTime == runs.former.byKind.at(kind.name).inTime);
