Follow roll-outs in hemlock-relay where the settings have their bounds

Cause: operators order roll-outs under op/rollout/; nothing followed them, and upstreams of every version got requests.

Change: RelayRollouts joins the decision code with the scheduler (one hook that excludes upstreams by version), the store, the duty holder and the peers. Reports and answers travel in usage messages, which earlier versions read as ones without usage. The part is on only where the bounds have expose-share, expose-slack and rollback-ms. The version in use is recorded while there is no order.

--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -216,6 +216,13 @@
     this->holderRevision = 0;
 }
 
+std::optional<KvCompare> LeaderRole::holderCondition() const
+{
+    if (!this->isHeld())
+        return std::nullopt;
+    return KvCompare{this->holderKey(), this->holderRevision};
+}
+
 void LeaderRole::commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done)
 {
     KvTxn txn;
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
     /// Increases with each holder; 0 while this node does not hold the role.
     std::int64_t fencingToken() const;
 
+    /// Condition of a transaction that is to succeed only while this node holds the role; empty while it does not.
+    std::optional<KvCompare> holderCondition() const;
+
     /// Writes @p puts in one transaction that succeeds only while this node holds the role.
     void commit(const std::vector<KvPut> &puts, std::function<void(CommitResult)> done);
 
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -71,6 +71,16 @@
     this->ordersUpstreams = upstreamOrders;
 }
 
+void DutyRunner::setDecidesRollouts(bool decides)
+{
+    this->decidesRollouts = decides;
+}
+
+std::optional<KvCompare> DutyRunner::holderCondition(TimePoint at) const
+{
+    return this->isActing(at) ? this->role.holderCondition() : std::nullopt;
+}
+
 void DutyRunner::setClaimsRole(bool claims)
 {
     this->claimsRole = claims;
@@ -115,7 +125,7 @@
 {
     this->now = time;
     this->wallTime = timeOfDay;
-    if (!this->reportsUsage && !this->ordersUpstreams)
+    if (!this->reportsUsage && !this->ordersUpstreams && !this->decidesRollouts)
         return;
     // Claims of other nodes arrive as store changes, so only the holder, or any node while there is none, calls the
     // store. A restored store may still hold the claim of this node.
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -58,6 +58,12 @@
     /// Sets which duties this node performs while it holds the role.
     void setEnabledDuties(bool reportsUsage, bool ordersUpstreams);
 
+    /// Sets whether this node takes the role for roll-outs, even if it performs none of the other duties.
+    void setDecidesRollouts(bool decides);
+
+    /// Condition of a transaction that is to succeed only while this node holds the role; empty while it may not act.
+    std::optional<KvCompare> holderCondition(TimePoint now) const;
+
     /// Sets whether this node claims the role while there is no holder. Initially it does.
     void setClaimsRole(bool claims);
 
@@ -120,6 +126,7 @@
     LeaderRole role;
     bool reportsUsage = false;
     bool ordersUpstreams = false;
+    bool decidesRollouts = false;
     bool claimsRole = true;
     bool hasHolder = false;
     std::string currentHolder;
--- a/src/libhemlock/relay/peerexchange.cpp
+++ b/src/libhemlock/relay/peerexchange.cpp
@@ -107,6 +107,36 @@
     this->dutyHolder = node;
 }
 
+void PeerExchange::setRolloutHooks(RolloutHooks hooks)
+{
+    this->rolloutHooks = std::move(hooks);
+}
+
+void PeerExchange::sendRolloutReport(const nlohmann::json &report)
+{
+    if (this->dutyHolder == this->settings.node) {
+        if (const auto answer = this->rolloutHooks.answer(report); !answer.is_null())
+            this->rolloutHooks.answered(answer);
+        return;
+    }
+    const std::string address = this->shared.registry.addressOf(this->dutyHolder);
+    if (!address.empty())
+        this->link.send(encode("usage", UsageUpdate{this->settings.runId, {}, report, nullptr, this->settings.node}),
+                        {address});
+}
+
+void PeerExchange::applyRolloutMessage(const UsageUpdate &update)
+{
+    if (!update.rolloutAnswer.is_null())
+        this->rolloutHooks.answered(update.rolloutAnswer);
+    if (update.rolloutReport.is_null())
+        return;
+    const auto answer = this->rolloutHooks.answer(update.rolloutReport);
+    const std::string address = this->shared.registry.addressOf(update.node);
+    if (!answer.is_null() && !address.empty())
+        this->link.send(encode("usage", UsageUpdate{this->settings.runId, {}, nullptr, answer, {}}), {address});
+}
+
 const std::map<std::string, double> &PeerExchange::demand() const
 {
     return this->totalDemand;
@@ -267,6 +297,8 @@
         } else {
             const auto update = message.at(1).get<UsageUpdate>();
             this->shared.usage.mergePeerCounts(update.runId, update.usage);
+            if (this->rolloutHooks.answer && this->rolloutHooks.answered)
+                this->applyRolloutMessage(update);
         }
     } catch (const std::exception &error) {
         logEvent(LogLevel::Warning, "peer-news", {{"error", error.what()}});
--- a/src/libhemlock/relay/peerexchange.h
+++ b/src/libhemlock/relay/peerexchange.h
@@ -71,6 +71,18 @@
     /// usage is sent to it alone.
     void setDutyHolder(const std::string &node);
 
+    struct RolloutHooks
+    {
+        std::function<nlohmann::json(const nlohmann::json &report)> answer; ///< As by RolloutDecider::answer().
+        std::function<void(const nlohmann::json &answer)> answered; ///< As by RolloutGate::applyAnswer().
+    };
+
+    /// Sets the functions that handle messages of roll-outs; without them such messages are ignored.
+    void setRolloutHooks(RolloutHooks hooks);
+
+    /// Sends a report to the duty holder, or has it answered here if that is this node.
+    void sendRolloutReport(const nlohmann::json &report);
+
     /// Prompt tokens that requests at other entry VMs needed computed, by service. A VM (in another zone: the zone)
     /// counts from the first update that this process received of it.
     const std::map<std::string, double> &demand() const;
@@ -113,6 +125,7 @@
 
     void handleDatagram(std::string_view datagram);
     void applyPeerUpdate(const PeerUpdate &update, TimePoint now);
+    void applyRolloutMessage(const UsageUpdate &update);
     void applyZoneUpdate(const ZoneUpdate &update, std::string_view datagram, bool isForwarded, TimePoint now);
 
     asio::io_context &loop;
@@ -123,6 +136,7 @@
     PeerLink link;
     asio::steady_timer timer;
     std::string dutyHolder;
+    RolloutHooks rolloutHooks;
 
     std::int64_t sequence = 0;
     TimePoint lastUpdateSent;
--- a/src/libhemlock/relay/peerupdate.cpp
+++ b/src/libhemlock/relay/peerupdate.cpp
@@ -133,12 +133,21 @@
 void to_json(nlohmann::json &json, const UsageUpdate &update)
 {
     json = {{"run", update.runId}, {"usage", encodeUsage(update.usage)}};
+    if (!update.rolloutReport.is_null()) {
+        json["rolloutReport"] = update.rolloutReport;
+        json["node"] = update.node;
+    }
+    if (!update.rolloutAnswer.is_null())
+        json["rolloutAnswer"] = update.rolloutAnswer;
 }
 
 void from_json(const nlohmann::json &json, UsageUpdate &update)
 {
     json.at("run").get_to(update.runId);
     update.usage = decodeUsage(json.at("usage"));
+    update.rolloutReport = json.value("rolloutReport", nlohmann::json());
+    update.rolloutAnswer = json.value("rolloutAnswer", nlohmann::json());
+    update.node = json.value("node", std::string());
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/peerupdate.h
+++ b/src/libhemlock/relay/peerupdate.h
@@ -56,11 +56,16 @@
     nlohmann::json upstreamNotices; ///< As by UpstreamNotices::encode(); earlier versions lack some kinds.
 };
 
-/// Usage counts that an entry VM of a large fleet sends to the duty holder only.
+/// Usage counts that an entry VM of a large fleet sends to the duty holder only. While a roll-out runs, VMs of any
+/// fleet send reports to the holder in such messages, which earlier versions read as ones without usage, and get its
+/// answers.
 struct UsageUpdate
 {
     std::string runId; ///< Of the sender.
     std::map<std::int64_t, UsageCounts> usage; ///< By index of the wall clock window.
+    nlohmann::json rolloutReport = nullptr; ///< As by RolloutGate::report().
+    nlohmann::json rolloutAnswer = nullptr; ///< As by RolloutDecider::answer().
+    std::string node = {}; ///< Sender of a report.
 };
 
 void to_json(nlohmann::json &json, const PeerUpdate &update);
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -287,7 +287,6 @@
         this->context.retryBudget.recordRequest({}, this->service, this->context.now());
     if (std::exchange(this->holdsRetry, false))
         this->context.retryBudget.commitRetry({}, this->service, this->context.now());
-
     RelayAttempt attempt;
     attempt.upstreamId = chosen.id;
     attempt.address = chosen.address;
@@ -324,7 +323,7 @@
               {"reason", decision.reason}});
 
     this->context.promptSent(decision.tokensToCompute);
-
+    this->context.attemptStarted(this->id, chosen, this->attempts == 1);
     HttpCallHooks hooks;
     hooks.sending = [weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
@@ -540,6 +539,7 @@
     end.endsWithConnection = outcome.bodyEnd == BodyEnd::Connection;
     end.isAborted = this->isAborted || outcome.isRejected;
     end.isUpstreamLeaving = this->context.scheduler.upstreams().isLeaving(this->upstream.id);
+    this->context.attemptEnded(this->id, this->route->name, end);
     const CrashEvidence evidence = crashEvidence(end);
     if (!outcome.isComplete() || evidence == CrashEvidence::BrokeAtAnswerStart)
         this->logFailedAttempt(outcome, evidence);
--- a/src/libhemlock/relay/relaycontext.h
+++ b/src/libhemlock/relay/relaycontext.h
@@ -5,6 +5,7 @@
 #include "metrics.h"
 #include "quarantine.h"
 #include "relay/accountquota.h"
+#include "relay/crashevidence.h"
 #include "relay/relayscheduler.h"
 #include "relay/relaytransport.h"
 #include "relay/repeatedanswers.h"
@@ -65,6 +66,14 @@
     /// Called when a prompt was sent, with the number of its tokens that the upstream has to compute.
     std::function<void(double tokens)> promptSent;
 
+    /// Called when an attempt of a request is sent.
+    std::function<void(const std::string &request, const Upstream &upstream, bool isFirst)> attemptStarted =
+        [](const std::string &, const Upstream &, bool) {};
+
+    /// Called when an attempt of a request has ended, with the end as it is evidence of a crash.
+    std::function<void(const std::string &request, const std::string &route, const AttemptEnd &end)> attemptEnded =
+        [](const std::string &, const std::string &, const AttemptEnd &) {};
+
     /// Bytes that the answers of upstreams may take together.
     static constexpr std::size_t answerBufferCapacity = std::size_t{32} * 1024 * 1024;
     std::shared_ptr<BufferPool> answerBuffers = std::make_shared<BufferPool>(answerBufferCapacity);
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -9,6 +9,7 @@
 
 #include <cmath>
 #include <csignal>
+#include <functional>
 
 namespace hemlock {
 
@@ -98,6 +99,19 @@
                this->settings.controlAddress,
                {this->settings.cpuShare, std::chrono::system_clock::now()})
     , duties(this->kv, dutySettings(this->settings, this->runId, this->storeEra), this->transport, this->usage)
+    , rollouts({this->settings.rolloutPrefix,
+                this->settings.rolloutStatusPrefix,
+                std::string(ownKeyPrefix) + "rollouts/",
+                this->settings.exposure},
+               this->kv,
+               this->transport,
+               this->scheduler,
+               this->runId,
+               RandomEngine(this->random()),
+               {[this] { return this->now(); },
+                [this] { return this->peerCount(this->now()) + 1; },
+                [this] { this->applyUpstreams(); },
+                [this](const nlohmann::json &report) { this->peerExchange.sendRolloutReport(report); }})
     , context{loop,
               http,
               this->transport,
@@ -123,7 +137,9 @@
               [this](double tokens) {
                   if (tokens >= longPromptTokens)
                       this->peerExchange.expedite();
-              }}
+              },
+              std::bind_front(&RelayRollouts::attemptStarted, &this->rollouts),
+              std::bind_front(&RelayRollouts::attemptEnded, &this->rollouts)}
     , store(loop,
             http,
             this->kv,
@@ -169,6 +185,9 @@
         });
     });
     this->duties.setEnabledDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
+    this->duties.setDecidesRollouts(this->rollouts.isEnabled());
+    this->peerExchange.setRolloutHooks({std::bind_front(&RelayRollouts::answer, &this->rollouts),
+                                        std::bind_front(&RelayRollouts::answered, &this->rollouts)});
     this->duties.setOrderRefusedHandler([this](const UpstreamOrder &order) {
         if (order.isReclaimable)
             this->planner.recordRefusal(order.service, order.zone, this->now());
@@ -297,6 +316,7 @@
     this->duties.storeRestored(this->now());
     this->registry.storeRestored();
     this->suspectRecords.storeRestored();
+    this->rollouts.storeRestored();
     this->store.reload();
 }
 
@@ -348,6 +368,8 @@
         this->registry.recordChanged(key, value, this->now());
     else if (key.starts_with(this->suspectRecords.prefix()))
         this->suspectRecords.recordChanged(key, value);
+    else if (key.starts_with(this->rollouts.prefix()))
+        this->rollouts.applyRecord(key, value);
 }
 
 void RelayProcess::removeEntry(const std::string &key)
@@ -430,7 +452,7 @@
                      {{"upstream", id}, {"state", "gone"}, {"revision", this->store.upstreams().revision()}});
     }
     this->upstreamStates = std::move(states);
-    this->scheduler.applyUpstreams(upstreams, this->now());
+    this->scheduler.applyUpstreams(this->rollouts.usable(upstreams), this->now());
 }
 
 void RelayProcess::reportHealth(TimePoint now, std::chrono::nanoseconds lateness)
@@ -465,6 +487,7 @@
                            "Notices in answers of upstreams whose value was ignored or bounded.",
                            notices.invalid);
     reportRefusedCallers(this->callerServer, this->metrics);
+    this->rollouts.reportMetrics(this->metrics);
     logEvent(LogLevel::Info,
              "health",
              {{"loopLateMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLateness).count()},
@@ -503,6 +526,9 @@
         this->duties.setClaimsRole(this->claimsDuties(now));
         this->duties.tick(now, this->wallTime(), this->randomFraction());
     }
+    // A VM that stops does not renew its lease, so that it must not decide any more.
+    this->rollouts.tick(
+        this->shutdown.hasBegun() ? std::nullopt : this->duties.holderCondition(now), now, this->wallTime());
     this->tickTimer.expires_after(tickInterval);
     this->tickTimer.async_wait([this, alive = std::weak_ptr<bool>(this->alive)](const asio::error_code &error) {
         if (!error && !alive.expired())
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -11,6 +11,7 @@
 #include "relay/peerexchange.h"
 #include "relay/peerregistry.h"
 #include "relay/relaycall.h"
+#include "relay/relayrollouts.h"
 #include "relay/retrycapacity.h"
 #include "relay/shutdownprogress.h"
 #include "relay/storeera.h"
@@ -23,6 +24,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -41,6 +43,9 @@
     std::string peerAddress; ///< "IP:PORT" for datagrams of other entry VMs.
     std::string configKey; ///< Key of the operators' configuration in the store.
     std::string upstreamPrefix; ///< Prefix of the keys under which upstreams register.
+    std::string rolloutPrefix; ///< Prefix of the keys of the operators' orders for roll-outs.
+    std::string rolloutStatusPrefix; ///< Prefix of the keys under which operators read the state of roll-outs.
+    std::optional<ExposureSettings> exposure; ///< Roll-outs are followed only if it is set.
     bool reportsUsage = false;
     bool ordersUpstreams = false;
     std::chrono::milliseconds usageWindow{5000};
@@ -134,6 +139,7 @@
     PeerRegistry registry;
     DutyRunner duties;
     FleetPlanner planner;
+    RelayRollouts rollouts;
     RelayContext context;
     StoreSubscriptions store;
     HttpServer callerServer;
--- a/src/libhemlock/relay/relayscheduler.cpp
+++ b/src/libhemlock/relay/relayscheduler.cpp
@@ -12,7 +12,6 @@
 
 // Tolerated time to the first byte on top of the expected delay; only time beyond it counts as excess delay.
 constexpr std::chrono::milliseconds baselineDelay{30};
-
 constexpr double tokensPerMs = 50.0;
 
 // Weight of a new sample; averages over about the last 50 prompts.
@@ -287,6 +286,7 @@
     excluded.insert(ticket.excluded.begin(), ticket.excluded.end());
     // Also those that failed recently, which are chosen when no healthy one is left.
     excluded.merge(this->upstreamNotices.unavailable(now));
+    this->excludeMore(ticket, excluded, now);
     if (ticket.isTrial)
         this->excludeLoaded(ticket.service, excluded, now);
     const bool isModel = this->modelServices.contains(ticket.service);
--- a/src/libhemlock/relay/relayscheduler.h
+++ b/src/libhemlock/relay/relayscheduler.h
@@ -74,6 +74,15 @@
     /// Sets the services whose upstreams run a language model and compute prompts.
     void setModelServices(std::set<std::string> services);
 
+    using ExclusionHook =
+        std::function<void(const RelayTicket &ticket, std::set<std::string> &excluded, TimePoint now)>;
+
+    /// Sets a function that adds upstreams to those that a request is not sent to.
+    void setExclusionHook(ExclusionHook hook)
+    {
+        this->excludeMore = std::move(hook);
+    }
+
     /// Queues a request and starts it at once if an upstream is free.
     void submit(RelayTicket ticket, RelayTicketHooks hooks, TimePoint now);
 
@@ -161,6 +170,7 @@
     void refuse(const std::string &id, const std::string &code, const std::string &message, TimePoint now);
     std::chrono::seconds retryAfter(const std::string &service) const;
 
+    ExclusionHook excludeMore = [](const RelayTicket &, std::set<std::string> &, TimePoint) {};
     AvailabilityZone zone;
     RandomEngine random;
     RelaySchedulerSettings settings;
--- a/src/libhemlock/relay/relaytransport.h
+++ b/src/libhemlock/relay/relaytransport.h
@@ -5,6 +5,7 @@
 #include "relay/relayconfig.h"
 #include "relay/relayrequest.h"
 #include "relay/usageledger.h"
+#include "rollout/rolloutrecord.h"
 #include "upstream.h"
 #include "verdict.h"
 
@@ -58,6 +59,11 @@
     /// Throws std::exception with a message for the log when the value is invalid.
     std::function<RelayConfig(const std::string &value)> decodeConfig;
     std::function<Upstream(const std::string &id, const std::string &value)> decodeUpstream;
+    /// Version of an upstream by its entry; empty if it has none.
+    std::function<std::string(const std::string &value)> decodeVersion;
+    std::function<RolloutOrder(const std::string &value)> decodeRollout;
+
+    std::function<std::string(RolloutPhase phase, const std::string &target)> encodeRolloutStatus;
 
     std::function<void(
         const DutyLease &lease, std::int64_t window, const UsageCounts &counts, std::function<void(DutyResult)> done)>
--- a/src/libhemlock/rollout/rolloutdecider.cpp
+++ b/src/libhemlock/rollout/rolloutdecider.cpp
@@ -130,14 +130,23 @@
         service.order = {};
     for (auto &[name, order] : orders)
         this->services[name].order = order;
+    for (const auto &[name, version] : this->hooks.versionsInUse())
+        this->services.try_emplace(name);
     for (auto &[name, service] : this->services)
         this->follow(name, service);
 }
 
 void RolloutDecider::follow(const std::string &name, Service &service)
 {
-    if (service.order.revision == 0 || service.isWriting || !this->holder)
+    if (service.isWriting || !this->holder)
         return;
+    if (service.order.revision == 0) {
+        RolloutRecord record = this->hooks.knownRecord(name).value_or(RolloutRecord());
+        record.versionInUse = this->hooks.versionInUse(name);
+        if (service.record.revision == 0 && record.phase == RolloutPhase::None && !record.versionInUse.empty())
+            this->write(name, service, record, "no order yet");
+        return;
+    }
     RolloutRecord next;
     try {
         next.order = this->hooks.decodeOrder(service.order.value);
@@ -238,7 +247,7 @@
                     {recordKey, service.record.revision},
                     {statusKey, service.status.revision}};
     txn.puts = {{recordKey, encodeRolloutRecord(record), 0}};
-    if (status != service.status.value)
+    if (status != service.status.value && record.phase != RolloutPhase::None)
         txn.puts.push_back({statusKey, status, 0});
     service.isWriting = true;
     // A store that is away gets the same write again and again.
--- a/src/libhemlock/rollout/rolloutdecider.h
+++ b/src/libhemlock/rollout/rolloutdecider.h
@@ -43,6 +43,8 @@
     std::function<RolloutUpstreams(const std::string &service, const std::string &target, const std::string &inUse)>
         upstreams;
     std::function<std::string(const std::string &service)> versionInUse;
+    /// Versions in use by service; recorded while there is no order, so that a VM that starts later knows them.
+    std::function<std::map<std::string, std::string>()> versionsInUse;
     /// The latest record that this VM knows, which a restored store may have lost.
     std::function<std::optional<RolloutRecord>(const std::string &service)> knownRecord;
     std::function<void(const std::string &service, const RolloutRecord &record)> recordWritten;
--- a/src/libhemlock/rollout/rolloutgate.cpp
+++ b/src/libhemlock/rollout/rolloutgate.cpp
@@ -82,6 +82,16 @@
     return found == this->services.end() ? std::string() : found->second.versions.version();
 }
 
+std::map<std::string, std::string> RolloutGate::versionsInUse() const
+{
+    std::map<std::string, std::string> versionsInUse;
+    for (const auto &[name, service] : this->services) {
+        if (!service.versions.version().empty())
+            versionsInUse[name] = service.versions.version();
+    }
+    return versionsInUse;
+}
+
 std::vector<Upstream> RolloutGate::usable(const std::vector<Upstream> &listed)
 {
     std::map<std::string, std::map<std::string, std::size_t>> serving;
--- a/src/libhemlock/rollout/rolloutgate.h
+++ b/src/libhemlock/rollout/rolloutgate.h
@@ -41,6 +41,9 @@
     /// Version in use of a service; empty if none is known.
     std::string versionInUse(const std::string &service) const;
 
+    /// Versions in use of all services that have one.
+    std::map<std::string, std::string> versionsInUse() const;
+
     /// The upstreams that may get requests: those of the version in use, and of the target while it is exposed.
     std::vector<Upstream> usable(const std::vector<Upstream> &listed);
 
--- a/tests/unit/peerupdatetest.cpp
+++ b/tests/unit/peerupdatetest.cpp
@@ -43,3 +43,17 @@
     json.erase("quota");
     CHECK_THROWS_AS(json.get<PeerUpdate>(), nlohmann::json::exception);
 }
+
+// Guards against messages of roll-outs that earlier versions reject: they read the run and the usage only.
+TEST_CASE("UsageUpdate: message of a roll-out: has the fields of earlier versions, and theirs can be read")
+{
+    const nlohmann::json json = UsageUpdate{"run-1", {}, {{"sequence", 3}}, nullptr, "vm-1"};
+    CHECK(json.at("run") == "run-1");
+    CHECK(json.at("usage").empty());
+    const auto update = json.get<UsageUpdate>();
+    CHECK(update.rolloutReport.at("sequence") == 3);
+    CHECK(update.node == "vm-1");
+    const auto earlier = nlohmann::json({{"run", "run-2"}, {"usage", nlohmann::json::object()}}).get<UsageUpdate>();
+    CHECK(earlier.rolloutReport.is_null());
+    CHECK(earlier.rolloutAnswer.is_null());
+}
--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -1,6 +1,7 @@
 #include "operatorconfig.h"
 #include "platformsettings.h"
 #include "relayheaders.h"
+#include "rolloutmessages.h"
 #include "settings.h"
 #include "upstreamentry.h"
 
@@ -330,3 +331,38 @@
     CHECK_FALSE(answer.isSigned);
     CHECK(answer.keepAlive == std::chrono::seconds(7));
 }
+
+// Guards against roll-outs in deployments that have no bounds for them.
+TEST_CASE_METHOD(PlatformAdapterFixture, "parsePlatformSettings: bounds of roll-outs: only all three switch them on")
+{
+    json json = settings();
+    CHECK_FALSE(platform::parsePlatformSettings(json).relay.exposure);
+    json["bounds"]["expose-share"] = 0.1;
+    json["bounds"]["expose-slack"] = 50;
+    CHECK_FALSE(platform::parsePlatformSettings(json).relay.exposure);
+    json["bounds"]["rollback-ms"] = 4000;
+    const auto exposure = platform::parsePlatformSettings(json).relay.exposure;
+    REQUIRE(exposure);
+    CHECK(exposure->share == 0.1);
+    CHECK(exposure->slack == 50.0);
+    CHECK(exposure->rollbackTime == std::chrono::milliseconds(4000));
+}
+
+// Guards against orders and entries that stop the process.
+TEST_CASE("decodeRolloutOrder: order and entries: are decoded, and malformed ones are refused or have no version")
+{
+    const auto order = platform::decodeRolloutOrder(R"({"service":"s","target":"v2","duration-s":12.5})");
+    CHECK(order.target == "v2");
+    CHECK(order.duration == std::chrono::milliseconds(12500));
+    CHECK_THROWS(platform::decodeRolloutOrder("{}"));
+    CHECK_THROWS(platform::decodeRolloutOrder(R"({"service":"s","target":"","duration-s":12})"));
+    CHECK_THROWS(platform::decodeRolloutOrder(R"({"service":"s","target":"v2","duration-s":-1})"));
+    CHECK(platform::decodeUpstreamVersion(R"({"version":"v1"})") == "v1");
+    CHECK(platform::decodeUpstreamVersion(R"({"version":7})") == "7");
+    CHECK(platform::decodeUpstreamVersion(R"({"version":[]})").empty());
+    CHECK(platform::decodeUpstreamVersion("{}").empty());
+    CHECK(json::parse(platform::encodeRolloutStatus(RolloutPhase::Probe, "v2"))
+          == json({{"state", "in_progress"}, {"target", "v2"}}));
+    CHECK(json::parse(platform::encodeRolloutStatus(RolloutPhase::RolledBack, "v2"))["state"] == "rolled_back");
+    CHECK(json::parse(platform::encodeRolloutStatus(RolloutPhase::Completed, "v2"))["state"] == "completed");
+}
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -1,4 +1,5 @@
 #include "relay/relayprocess.h"
+#include "memorystore.h"
 #include "relay/upstreamdirectory.h"
 #include "relayheaders.h"
 
@@ -125,6 +126,9 @@
         settings.configUpdateDeadline = this->updateDeadline;
         settings.drainTime = this->drainTime;
         settings.startsWithRetries = this->isFirstStart;
+        settings.rolloutPrefix = "orders/";
+        settings.rolloutStatusPrefix = "status/";
+        settings.exposure = this->exposure;
         this->settings = settings;
         this->process = std::make_unique<RelayProcess>(this->loop, settings, this->http, this->kv, this->transport);
         this->process->start();
@@ -218,6 +222,7 @@
     std::chrono::milliseconds drainTime{8000};
     std::chrono::milliseconds updateDeadline{2000};
     bool isFirstStart = true; ///< Of the whole system.
+    std::optional<ExposureSettings> exposure; ///< Empty where roll-outs are off.
     std::string configVersion = "5";
     std::int64_t revision = 10;
     std::int64_t era = 0; ///< Of the store.
@@ -548,3 +553,196 @@
     this->runUntil([&received] { return received.has_value(); });
     CHECK(received->body == "whole");
 }
+
+namespace {
+
+/// The process with a store that executes writes, and two upstreams of which each has another version.
+class RolloutProcessFixture : public RelayProcessFixture
+{
+protected:
+    RolloutProcessFixture()
+    {
+        const KvAccess access = this->store.access();
+        this->kv.range =
+            [this, access](const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done) {
+                access.range(key, prefix, std::move(done));
+                this->runStore();
+            };
+        this->kv.txn = [this, access](const KvTxn &txn, const std::function<void(const KvTxnResult &)> &done) {
+            access.txn(txn, [this, txn, done](const KvTxnResult &result) {
+                done(result);
+                if (result.succeeded)
+                    this->noteChanges(txn);
+            });
+            this->runStore();
+        };
+        this->kv.grantLease = [this, access](std::chrono::seconds ttl,
+                                             std::function<void(const KvLeaseResult &)> done) {
+            access.grantLease(ttl, std::move(done));
+            this->runStore();
+        };
+        this->kv.keepLeaseAlive = [this, access](std::int64_t lease, std::function<void(const KvLeaseResult &)> done) {
+            access.keepLeaseAlive(lease, std::move(done));
+            this->runStore();
+        };
+        this->kv.waitForChanges = [this](const std::string &prefix,
+                                         std::int64_t,
+                                         std::chrono::milliseconds,
+                                         std::function<void(const KvChanges &)> done) -> std::function<void()> {
+            if (prefix == "hemlock/")
+                this->ownKeysDone = std::move(done);
+            asio::post(this->loop, [this] { this->deliverOwnKeys(); });
+            return [] {};
+        };
+        this->transport.decodeUpstream = [this](const std::string &id, const std::string &) {
+            Upstream upstream;
+            upstream.id = id;
+            upstream.service = "service";
+            upstream.zone = {"zone-a"};
+            upstream.state = UpstreamState::Serving;
+            upstream.slots = 4;
+            // The fixture lists the same value for both upstreams.
+            const bool isOld = id == "upstream-1";
+            upstream.address = isOld ? this->upstreamAddress : this->targetAddress;
+            this->decodedVersion = isOld ? "v1" : "v2";
+            return upstream;
+        };
+        this->transport.decodeVersion = [this](const std::string &) { return this->decodedVersion; };
+        this->transport.decodeRollout = [](const std::string &value) {
+            RolloutOrder order;
+            order.target = value;
+            order.duration = std::chrono::milliseconds(4000);
+            return order;
+        };
+        this->transport.encodeRolloutStatus = [](RolloutPhase phase, const std::string &target) {
+            return target + " " + (isVerdict(phase) ? rolloutPhaseName(phase) : "in-progress");
+        };
+        this->upstreamServer = this->makeUpstream(this->oldRequests, 200);
+        this->upstreamAddress = this->upstreamServer->start();
+    }
+
+    void startWithTarget(int status)
+    {
+        this->targetServer = this->makeUpstream(this->targetRequests, status);
+        this->targetAddress = this->targetServer->start();
+        this->start();
+        while (this->readinessStatus() != 200)
+            continue;
+    }
+
+    std::unique_ptr<HttpServer> makeUpstream(int &requests, int status)
+    {
+        return std::make_unique<HttpServer>(
+            this->loop, HttpServerSettings{}, [&requests, status](const HttpRequest &, const HttpResponderPtr &answer) {
+                ++requests;
+                answer->reply(
+                    status, {{"X-Hemlockflow-Attempt-Id", "a"}, {"X-Hemlockflow-Response-Signature", "signed"}}, "x");
+            });
+    }
+
+    void order(const std::string &target)
+    {
+        KvTxn txn;
+        txn.puts = {{"orders/service", target, 0}};
+        this->store.executeTxn(txn);
+    }
+
+    std::string status() const
+    {
+        const auto found = this->store.entries.find("status/service");
+        return found == this->store.entries.end() ? std::string() : found->second.value;
+    }
+
+    /// Sends requests, about 200 a second, until @p condition holds; fails after @p limit.
+    void sendUntil(std::chrono::milliseconds limit, const std::function<bool()> &condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            this->requestStatus(this->settings.callerAddress, routeHeaders);
+            const auto next = std::chrono::steady_clock::now() + std::chrono::milliseconds(5);
+            this->loop.run_until(next);
+            this->loop.restart();
+        }
+        CHECK(condition());
+    }
+
+    void runStore()
+    {
+        asio::post(this->loop, [this] { this->store.runAll(); });
+    }
+
+    void noteChanges(const KvTxn &txn)
+    {
+        for (const KvPut &put : txn.puts) {
+            if (put.key.starts_with("hemlock/"))
+                this->ownEvents.push_back({false, this->store.entries.at(put.key)});
+        }
+        asio::post(this->loop, [this] { this->deliverOwnKeys(); });
+    }
+
+    void deliverOwnKeys()
+    {
+        if (!this->ownKeysDone || this->ownEvents.empty())
+            return;
+        KvChanges changes;
+        changes.status = KvStatus::Ok;
+        changes.revision = ++this->revision;
+        changes.events = std::exchange(this->ownEvents, {});
+        std::exchange(this->ownKeysDone, nullptr)(changes);
+    }
+
+    MemoryStore store;
+    std::unique_ptr<HttpServer> targetServer;
+    std::string targetAddress;
+    std::string decodedVersion;
+    int oldRequests = 0;
+    int targetRequests = 0;
+    std::function<void(const KvChanges &)> ownKeysDone;
+    std::vector<KvEvent> ownEvents;
+};
+
+} // namespace
+
+// Guards against requests to a version that nothing names, and against an order that is not followed.
+TEST_CASE_METHOD(RolloutProcessFixture, "RelayProcess: order for a good version: its upstream gets all requests")
+{
+    this->exposure = ExposureSettings();
+    this->startWithTarget(200);
+    this->sendUntil(std::chrono::milliseconds(6000),
+                    [this] { return this->store.entries.contains("hemlock/rollouts/service"); });
+    CHECK(this->targetRequests == 0);
+    CHECK(this->oldRequests > 0);
+    this->order("v2");
+    this->sendUntil(std::chrono::milliseconds(6000), [this] { return this->status() == "v2 completed"; });
+    const int before = this->oldRequests;
+    const int target = this->targetRequests;
+    this->sendUntil(std::chrono::milliseconds(1000), [this, target] { return this->targetRequests >= target + 10; });
+    CHECK(this->oldRequests == before);
+}
+
+// Guards against a version whose responses are failures and that goes on getting requests.
+TEST_CASE_METHOD(RolloutProcessFixture, "RelayProcess: order for a bad version: its upstream gets no more requests")
+{
+    this->exposure = ExposureSettings();
+    this->startWithTarget(500);
+    this->sendUntil(std::chrono::milliseconds(6000),
+                    [this] { return this->store.entries.contains("hemlock/rollouts/service"); });
+    this->order("v2");
+    this->sendUntil(std::chrono::milliseconds(6000), [this] { return this->status() == "v2 rolled-back"; });
+    CHECK(this->targetRequests > 0);
+    CHECK(this->targetRequests <= 50);
+    const int before = this->targetRequests;
+    const int old = this->oldRequests;
+    this->sendUntil(std::chrono::milliseconds(1000), [this, old] { return this->oldRequests >= old + 10; });
+    CHECK(this->targetRequests == before);
+}
+
+// Guards against deployments without the bounds of roll-outs that are served in another way than before.
+TEST_CASE_METHOD(RolloutProcessFixture, "RelayProcess: no bounds for roll-outs: versions are ignored")
+{
+    this->startWithTarget(200);
+    this->order("v2");
+    this->sendUntil(std::chrono::milliseconds(3000),
+                    [this] { return this->targetRequests > 0 && this->oldRequests > 0; });
+    CHECK(this->status().empty());
+}
--- a/tests/unit/rolloutdecidertest.cpp
+++ b/tests/unit/rolloutdecidertest.cpp
@@ -61,6 +61,7 @@
                 return RolloutUpstreams{serving, 2, 16.0 * static_cast<double>(serving), 32.0};
             };
             hooks.versionInUse = [this](const std::string &service) { return this->gate.versionInUse(service); };
+            hooks.versionsInUse = [this] { return this->gate.versionsInUse(); };
             hooks.knownRecord = [this](const std::string &service) { return this->gate.record(service); };
             hooks.recordWritten = [this, &fixture](const std::string &service, const RolloutRecord &record) {
                 this->gate.applyRecord(service, record);
