Wait for both crashes before a fleet test sends its request again

Cause: the test waited until the other entry VM knew of any crash of the request. If the exchange falls between the two crashes, that VM knows one and may still run the request, so that its answer does not say not-run.

Change: it waits for two crashes; the assertions are unchanged.

--- a/tests/failure/fleettest.cpp
+++ b/tests/failure/fleettest.cpp
@@ -26,11 +26,19 @@
         this->http.waitFor([&] { return node.entry->output().find(part) != std::string::npos; });
     }
 
-    /// Polls a node's entry process until it knows of a quarantined request.
+    /// Polls the entry process of a node until it knows of a request that crashed two upstreams.
     void waitForQuarantine(const Node &node)
     {
+        // The first crash may arrive by itself, and the request is refused only after the second.
+        constexpr std::size_t crashes = 2;
+        const auto isRefused = [this, &node] {
+            const json entries = this->rpc(node.entryControlAddress, "quarantineDelta", {{"after", 0}}).at("entries");
+            return std::any_of(entries.begin(), entries.end(), [](const json &entry) {
+                return entry.at("crashes").size() >= crashes;
+            });
+        };
         const auto end = std::chrono::steady_clock::now() + eventTimeout;
-        while (this->rpc(node.entryControlAddress, "quarantineDelta", {{"after", 0}}).at("entries").empty())
+        while (!isRefused())
             REQUIRE(std::chrono::steady_clock::now() < end);
     }
 
