Look for a crash in an entry of the quarantine in one place

Two decisions had the same loop, and countedCrashes() had become crashCount() of all crashes. No change of behaviour; the tests of Quarantine, the suspects and RelayCall give the same result.

--- a/src/libhemlock/quarantine.cpp
+++ b/src/libhemlock/quarantine.cpp
@@ -180,9 +180,7 @@
     return std::all_of(entry.crashes.begin(), entry.crashes.end(), [&](const Crash &crash) {
         return crash.isExcused || std::any_of(this->entries.begin(), this->entries.end(), [&](const auto &other) {
                    return other.first != subject && other.second.provenAt.has_value() == entry.provenAt.has_value()
-                       && std::any_of(other.second.crashes.begin(),
-                                      other.second.crashes.end(),
-                                      [&](const Crash &known) { return this->isSameCrash(crash, known); });
+                       && this->hasCrash(other.second, crash);
                });
     });
 }
@@ -211,6 +209,13 @@
     });
 }
 
+bool Quarantine::hasCrash(const Entry &entry, const Crash &crash) const
+{
+    return std::any_of(entry.crashes.begin(), entry.crashes.end(), [&](const Crash &known) {
+        return this->isSameCrash(crash, known);
+    });
+}
+
 bool Quarantine::isSameCrash(const Crash &a, const Crash &b) const
 {
     return a.upstream == b.upstream && std::chrono::abs(a.time - b.time) < this->settings.minRestartTime;
@@ -252,11 +257,7 @@
     if (entry.trials == 0 || entry.crashes.empty() || entry.crashes.back().time < entry.lastTrial)
         return false;
     const Crash &crash = entry.crashes.back();
-    return this->hasOtherSuspect(subject, [&](const Entry &other) {
-        return std::any_of(other.crashes.begin(), other.crashes.end(), [&](const Crash &known) {
-            return this->isSameCrash(crash, known);
-        });
-    });
+    return this->hasOtherSuspect(subject, [&](const Entry &other) { return this->hasCrash(other, crash); });
 }
 
 bool Quarantine::applyTrial(Entry &entry, int trials, Time at) const
@@ -289,7 +290,7 @@
     std::set<std::string> upstreams;
     for (const auto &[subject, entry] : this->entries) {
         const auto attempts = this->runningAttempts.find(subject);
-        if (attempts != this->runningAttempts.end() && this->countedCrashes(entry) > 0)
+        if (attempts != this->runningAttempts.end() && this->crashCount(entry, Evidence::Presence) > 0)
             upstreams.insert(attempts->second.begin(), attempts->second.end());
     }
     return upstreams;
@@ -353,11 +354,6 @@
         this->evaluateAllCrashes(now);
 }
 
-std::size_t Quarantine::countedCrashes(const Entry &entry) const
-{
-    return this->crashCount(entry, Evidence::Presence);
-}
-
 void Quarantine::addCrash(const std::string &subject, Crash crash, Time now)
 {
     Entry &entry = this->entries[subject];
@@ -465,7 +461,7 @@
 
 void Quarantine::updateSuspicion(const std::string &subject, const Entry &entry)
 {
-    const std::size_t crashes = this->countedCrashes(entry);
+    const std::size_t crashes = this->crashCount(entry, Evidence::Presence);
     const bool isStrong = this->isStrongSuspect(entry);
     const bool hasChanged =
         isStrong ? this->strongSuspects.insert(subject).second : this->strongSuspects.erase(subject) > 0;
@@ -501,8 +497,12 @@
     while (this->entries.size() > this->settings.maxEntries) {
         const auto oldest =
             std::min_element(this->entries.begin(), this->entries.end(), [this](const auto &a, const auto &b) {
-                return std::tuple(this->isStrongSuspect(a.second), this->countedCrashes(a.second), a.second.updated)
-                    < std::tuple(this->isStrongSuspect(b.second), this->countedCrashes(b.second), b.second.updated);
+                return std::tuple(this->isStrongSuspect(a.second),
+                                  this->crashCount(a.second, Evidence::Presence),
+                                  a.second.updated)
+                    < std::tuple(this->isStrongSuspect(b.second),
+                                 this->crashCount(b.second, Evidence::Presence),
+                                 b.second.updated);
             });
         this->forget(oldest->first, oldest->second);
         this->entries.erase(oldest);
--- a/src/libhemlock/quarantine.h
+++ b/src/libhemlock/quarantine.h
@@ -191,6 +191,8 @@
     bool includesCrash(const Entry &entry, const Crash &crash, Evidence evidence) const;
     bool includesCrashes(const Entry &entry, const Entry &included, Evidence evidence) const;
     bool isSameCrash(const Crash &a, const Crash &b) const;
+    /// Whether an entry has a crash, in whatever strength.
+    bool hasCrash(const Entry &entry, const Crash &crash) const;
     /// Whether an entry reaches the limits of a subject that is not proven.
     bool isStrongSuspect(const Entry &entry) const;
     std::size_t crashCount(const Entry &entry, Evidence evidence) const;
@@ -207,7 +209,6 @@
     bool applyProof(Entry &entry, Time at) const;
     bool applyTrial(Entry &entry, int trials, Time at) const;
     void updateSuspicion(const std::string &subject, const Entry &entry);
-    std::size_t countedCrashes(const Entry &entry) const;
     void addCrash(const std::string &subject, Crash crash, Time now);
     /// Drops the crash that tells least.
     void dropCrash(Entry &entry) const;
