--- a/src/libhemlock/relay/requestsuspects.cpp
+++ b/src/libhemlock/relay/requestsuspects.cpp
@@ -78,6 +78,11 @@
     return permission == Quarantine::Permission::Refused || permission == Quarantine::Permission::Trial;
 }
 
+std::span<const std::string> RequestSuspects::partSubjects() const
+{
+    return std::span(this->subjects).first(this->subjects.empty() ? 0 : this->subjects.size() - 1);
+}
+
 std::optional<RequestSuspects::Refusal> RequestSuspects::refusal(Time now) const
 {
     if (this->grantedTrial(now))
@@ -133,8 +138,8 @@
         return;
     case CrashEvidence::Answered:
         this->quarantine.clearSuspicion(this->subjects.back(), now, now);
-        for (std::size_t part = 0; part + 1 < this->subjects.size(); ++part)
-            this->quarantine.recordSuccess(this->subjects[part], answerStart, now);
+        for (const std::string &part : this->partSubjects())
+            this->quarantine.recordSuccess(part, answerStart, now);
         return;
     case CrashEvidence::BrokeAtAnswerStart:
         for (const std::string &subject : this->subjects)
@@ -142,8 +147,8 @@
         return;
     case CrashEvidence::BrokeBeforeAnswer:
         // Parts are shared by requests that waited beside the one that crashed the upstream.
-        for (std::size_t part = 0; part + 1 < this->subjects.size(); ++part)
-            this->quarantine.recordPresence(this->subjects[part], upstream, now);
+        for (const std::string &part : this->partSubjects())
+            this->quarantine.recordPresence(part, upstream, now);
         this->quarantine.recordCrash(this->subjects.back(), upstream, now);
         return;
     case CrashEvidence::BrokeInAnswer:
@@ -158,8 +163,8 @@
     if (now - answerStart < provenAnswerTime || answerStart == this->recordedAnswerStart)
         return;
     this->recordedAnswerStart = answerStart;
-    for (std::size_t part = 0; part + 1 < this->subjects.size(); ++part)
-        this->quarantine.recordProgress(this->subjects[part], answerStart, now);
+    for (const std::string &part : this->partSubjects())
+        this->quarantine.recordProgress(part, answerStart, now);
 }
 
 } // namespace hemlock
--- a/src/libhemlock/relay/requestsuspects.h
+++ b/src/libhemlock/relay/requestsuspects.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
 
 private:
     bool isRefused(const std::string &subject, Time now) const;
+    /// The subjects without the request as a whole.
+    std::span<const std::string> partSubjects() const;
 
     Quarantine &quarantine;
     std::vector<std::string> subjects; ///< The parts of the prompt, then the request; empty until they are known.
