--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -925,7 +925,7 @@
                           {{"front", "127.0.0.1:" + std::to_string(frontPort)},
                            {"ready", "127.0.0.1:" + std::to_string(readyPort)},
                            {"control", "127.0.0.1:" + std::to_string(controlPort)}}},
-                         {"limits", {{"cpu-share", 0.25}, {"cpu-cores", 1}, {"memory-mb", 260}, {"max-fds", 4100}}},
+                         {"limits", limits},
                          {"bounds", allBounds},
                          {"platform", {{"address", storeAddress}, {"form", "kv"}}}};
         if (!cloudAddress.empty())
@@ -990,6 +990,7 @@
     std::string name;
     std::string folder;
     std::string zone;
+    json limits = {{"cpu-share", 0.25}, {"cpu-cores", 1}, {"memory-mb", 260}, {"max-fds", 4100}};
     int frontPort;
     int readyPort;
     int controlPort;
