Learn of a restore before its answer is used, and continue no earlier claim

Cause: StoreEra posted its hook to the loop, so that the answer that tells a restore was handled before it. The answer to a renewal confirmed the old claim, and the VM took itself for the last holder that knows all reports. Any VM that thought it held the role also took up its claim in the copy again, with the old token. A VM that had asked for the records before the restore claimed the role without waiting for a lease time.

Change: the hook runs before the answer is passed on, for all users of the store. A claim of an earlier era is never continued: the last holder replaces its claim in the copy by one with a token of the new era, others wait. A follower whose reader tells of a restore drops the poll that the full read has replaced. The last holder waits again before its first call, as calls with the earlier token may be in flight.

--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -82,78 +82,74 @@
 {
     const bool isLastHolder = this->isLeaseCurrent(now);
     this->claimsFrom = isLastHolder ? now : now + this->settings.ttl;
-    this->isResuming = this->isHeld();
+    this->isClaimReplaceable = isLastHolder;
     this->resetClaim();
     this->claimTask.expedite();
     return isLastHolder;
 }
 
-bool LeaderRole::mayResume() const
+bool LeaderRole::mayReplaceClaim() const
 {
-    return this->isResuming;
+    return this->isClaimReplaceable;
 }
 
 void LeaderRole::readRecords()
 {
     this->kv.range(
-        this->settings.key + "/", true, [this, alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
+        this->settings.key + "/",
+        true,
+        [this, era = this->storeEra(), alive = std::weak_ptr<bool>(this->alive)](const KvRangeResult &result) {
             if (alive.expired())
                 return;
             this->isCallPending = false;
-            if (result.status != KvStatus::Ok)
-                return;
-            const bool wasResuming = std::exchange(this->isResuming, false);
-            std::int64_t tokenRevision = 0;
-            std::int64_t lastToken = 0;
-            for (const KvEntry &entry : result.entries) {
-                if (entry.key == this->holderKey() && wasResuming)
-                    return this->resumeClaim(entry);
-                if (entry.key == this->holderKey())
-                    return;
-                if (entry.key != this->tokenKey())
-                    continue;
-                tokenRevision = entry.modRevision;
-                lastToken = parseToken(entry.value);
-            }
-            // A malformed token is not overwritten: restarting the count could reuse a fencing token.
-            if (lastToken < 0)
-                return;
-            const std::int64_t era = this->storeEra();
-            const std::int64_t token = std::max(lastToken, era << tokenBitsPerEra) + 1;
-            this->grantLease({makeUniqueId(), 0, token, era}, tokenRevision);
+            // The delay of claims after a restore may not have passed if the call was sent before.
+            if (result.status == KvStatus::Ok && era == this->storeEra())
+                this->recordsRead(result.entries);
         });
 }
 
-void LeaderRole::resumeClaim(const KvEntry &holder)
+void LeaderRole::recordsRead(const std::vector<KvEntry> &entries)
 {
-    if (claimIdOf(holder.value) != this->ownClaim.id)
+    const bool mayReplace = std::exchange(this->isClaimReplaceable, false);
+    RecordRevisions replaced;
+    std::int64_t lastToken = 0;
+    for (const KvEntry &entry : entries) {
+        if (entry.key == this->holderKey()) {
+            if (!mayReplace || claimIdOf(entry.value) != this->ownClaim.id)
+                return;
+            replaced.holder = entry.modRevision;
+        }
+        if (entry.key == this->tokenKey()) {
+            replaced.token = entry.modRevision;
+            lastToken = parseToken(entry.value);
+        }
+    }
+    // A malformed token is not overwritten: restarting the count could reuse a fencing token.
+    if (lastToken < 0)
         return;
-    this->ownClaim.era = this->storeEra();
-    this->becomeHolder(holder.modRevision, this->ownClaim);
-    // The record shows that the lease exists, but not for how long.
-    this->leaseSentAt = {};
-    this->claimTask.expedite();
+    const std::int64_t era = this->storeEra();
+    const std::int64_t token = std::max(lastToken, era << tokenBitsPerEra) + 1;
+    this->grantLease({makeUniqueId(), 0, token, era}, replaced);
 }
 
-void LeaderRole::grantLease(const Claim &claim, std::int64_t tokenRevision)
+void LeaderRole::grantLease(const Claim &claim, const RecordRevisions &replaced)
 {
     this->isCallPending = true;
-    this->kv.grantLease(
-        this->settings.ttl,
-        [this, claim, tokenRevision, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
-            if (alive.expired())
-                return;
-            this->isCallPending = false;
-            if (result.status == KvStatus::Ok && result.lease != 0)
-                this->sendClaim({claim.id, result.lease, claim.token, claim.era}, tokenRevision);
-        });
+    this->kv.grantLease(this->settings.ttl,
+                        [this, claim, replaced, alive = std::weak_ptr<bool>(this->alive)](const KvLeaseResult &result) {
+                            if (alive.expired())
+                                return;
+                            this->isCallPending = false;
+                            if (result.status == KvStatus::Ok && result.lease != 0)
+                                this->sendClaim({claim.id, result.lease, claim.token, claim.era}, replaced);
+                        });
 }
 
-void LeaderRole::sendClaim(const Claim &claim, std::int64_t tokenRevision)
+void LeaderRole::sendClaim(const Claim &claim, const RecordRevisions &replaced)
 {
     const nlohmann::json record = {{"holder", this->settings.holder}, {"token", claim.token}, {"claim", claim.id}};
     KvTxn txn;
-    txn.compares = {{this->holderKey(), 0}, {this->tokenKey(), tokenRevision}};
+    txn.compares = {{this->holderKey(), replaced.holder}, {this->tokenKey(), replaced.token}};
     txn.puts = {{this->holderKey(), record.dump(), claim.lease}, {this->tokenKey(), std::to_string(claim.token), 0}};
     this->isCallPending = true;
     this->kv.txn(txn, [this, claim, alive = std::weak_ptr<bool>(this->alive)](const KvTxnResult &result) {
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -64,15 +64,17 @@
     /// Sends @p txn, which succeeds only while this node holds the role.
     void commit(KvTxn txn, std::function<void(CommitResult)> done);
 
-    /// Called when the store was restored. Returns whether this node is certain to be the last holder. It then claims
-    /// the role at once; other nodes wait for a lease duration, as a holder whose claim was lost may act for so long.
+    /// Called when the store was restored, before any answer of the new era is handled. Returns whether this node is
+    /// certain to be the last holder. It then claims the role anew at once; other nodes wait for a lease duration, as a
+    /// holder whose claim was lost may act for so long.
     bool storeRestored(TimePoint now);
 
     /// Era of the store; 0 when unknown.
     std::int64_t storeEra() const;
 
-    /// Whether the restored store may still hold the claim of this node, which the next ticks find out.
-    bool mayResume() const;
+    /// Whether the restored store may still hold the claim of this node as the last holder, which the next ticks
+    /// replace.
+    bool mayReplaceClaim() const;
 
     /// Releases the role so that another node can claim it immediately.
     void release();
@@ -87,14 +89,20 @@
         std::int64_t era = 0; ///< Era of the store whose records led to the claim.
     };
 
+    /// Revisions of the records that a claim replaces; 0 where there is none.
+    struct RecordRevisions
+    {
+        std::int64_t holder = 0;
+        std::int64_t token = 0;
+    };
+
     void readRecords();
-    void grantLease(const Claim &claim, std::int64_t tokenRevision);
-    void sendClaim(const Claim &claim, std::int64_t tokenRevision);
+    void recordsRead(const std::vector<KvEntry> &entries);
+    void grantLease(const Claim &claim, const RecordRevisions &replaced);
+    void sendClaim(const Claim &claim, const RecordRevisions &replaced);
     /// Reads whether a claim took effect after its transaction ended with an unknown result.
     void resolveClaim(const Claim &claim);
     void becomeHolder(std::int64_t holderRevision, const Claim &claim);
-    /// Continues the claim of this node that the restored store still holds.
-    void resumeClaim(const KvEntry &holder);
     void renew();
     void resetClaim();
 
@@ -107,7 +115,7 @@
     bool isCallPending = false;
     std::int64_t holderRevision = 0; ///< Store revision of this node's claim; 0 while it does not hold the role.
     Claim ownClaim; ///< The latest that took effect.
-    bool isResuming = false; ///< See mayResume().
+    bool isClaimReplaceable = false; ///< See mayReplaceClaim().
     TimePoint claimsFrom; ///< The role is not claimed before.
     TimePoint leaseSentAt; ///< When the grant or last successful renewal of the current lease was sent.
     TimePoint callSentAt;
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -105,10 +105,15 @@
 
 void DutyRunner::storeRestored(TimePoint at)
 {
-    const bool wereRecordsLoaded = this->areRecordsLoaded;
-    this->knowsAllReports = this->role.storeRestored(at) && wereRecordsLoaded;
+    const bool isLastHolder = this->role.storeRestored(at);
+    this->knowsAllReports = isLastHolder && this->areRecordsLoaded;
+    // A new claim waits for the calls that bear the token of the earlier one.
+    this->roleHeldSince.reset();
+    this->areRecordsLoaded = false;
     this->savedCounts.clear();
-    logEvent(LogLevel::Info, "duty-store-restored", {{"knowsAllReports", this->knowsAllReports}});
+    logEvent(LogLevel::Info,
+             "duty-store-restored",
+             {{"lastHolder", isLastHolder}, {"knowsAllReports", this->knowsAllReports}});
 }
 
 void DutyRunner::tick(TimePoint time, WallTime timeOfDay, double random)
@@ -119,7 +124,7 @@
         return;
     // Claims of other nodes arrive as store changes, so only the holder, or any node while there is none, calls the
     // store. A restored store may still hold the claim of this node.
-    if (this->role.isHeld() || this->role.mayResume() || (this->claimsRole && !this->hasHolder))
+    if (this->role.isHeld() || this->role.mayReplaceClaim() || (this->claimsRole && !this->hasHolder))
         this->role.tick(time, random);
     if (!this->role.isHeld()) {
         if (this->roleHeldSince)
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -161,13 +161,7 @@
     this->quarantine.setSuspicionHook([](const std::string &subject, bool isStrong, std::size_t crashes) {
         logEvent(LogLevel::Warning, "quarantine", {{"subject", subject}, {"strong", isStrong}, {"crashes", crashes}});
     });
-    this->storeEra.setRestoredHook([this](std::int64_t, std::int64_t) {
-        // The answer that told the era is still being handled.
-        asio::post(this->loop, [this, alive = std::weak_ptr<bool>(this->alive)] {
-            if (!alive.expired())
-                this->storeRestored();
-        });
-    });
+    this->storeEra.setRestoredHook([this](std::int64_t, std::int64_t) { this->storeRestored(); });
     this->duties.setEnabledDuties(this->settings.reportsUsage, this->settings.ordersUpstreams);
     this->duties.setOrderRefusedHandler([this](const UpstreamOrder &order) {
         if (order.isReclaimable)
--- a/src/libhemlock/relay/storeera.h
+++ b/src/libhemlock/relay/storeera.h
@@ -15,7 +15,8 @@
 class StoreEra
 {
 public:
-    /// Called when the store turns out to have been restored; @p before is the era of all earlier answers.
+    /// Called when the store turns out to have been restored, before the answer that tells so is passed on; @p before
+    /// is the era of all earlier answers.
     using RestoredHook = std::function<void(std::int64_t before, std::int64_t era)>;
 
     void setRestoredHook(RestoredHook hook);
--- a/src/libhemlock/relay/storepollrouter.cpp
+++ b/src/libhemlock/relay/storepollrouter.cpp
@@ -168,9 +168,12 @@
 {
     if (result.status == PeerPollResult::Status::Answered) {
         const bool isCurrent = !this->hooks.eraTold || this->hooks.eraTold(result.changes.era);
+        // A later era has made this VM read everything anew.
+        if (poll->isCancelled)
+            return;
         if (isCurrent && result.changes.era == poll->request.era)
             return poll->done(result.changes);
-        // The reader is in another era than this poll. A reader in a later one has made this VM read everything anew.
+        // The reader is in another era than this poll.
         KvChanges failure;
         failure.error = "the peer answered from another era of the store";
         return poll->done(failure);
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -347,6 +347,69 @@
     CHECK(holder.runner.isActing(this->now));
 }
 
+// Guards against calls with the token of a claim that the copy holds although another VM has acted since.
+TEST_CASE_METHOD(
+    DutyRunnerFixture,
+    "DutyRunner: holder stood still until a copy with its claim was restored: it does not act on the claim")
+{
+    this->store.era = 1;
+    Node paused(*this, "a", "run-a");
+    Node successor(*this, "b", "run-b");
+    this->advance(paused, std::chrono::seconds(6));
+    const auto copy = this->store.copy();
+    this->store.entries.erase("duties/holder");
+    successor.usage.count("account", this->wallTime);
+    this->advance(successor, std::chrono::seconds(12));
+    REQUIRE(this->reports.back().lease.holder == "b");
+    const std::size_t reportsBefore = this->reports.size();
+    this->restore(copy, {&paused, &successor});
+    this->advance(paused, std::chrono::seconds(12));
+    CHECK(this->reports.size() == reportsBefore);
+    CHECK_FALSE(paused.runner.isActing(this->now));
+
+    // The claim in the copy ends with its lease.
+    this->store.entries.erase("duties/holder");
+    this->advance(paused, std::chrono::seconds(12));
+    REQUIRE(this->reports.back().lease.holder == "a");
+    CHECK(this->reports.back().lease.fencingToken > this->reports[reportsBefore - 1].lease.fencingToken);
+    CHECK(this->contradictions().empty());
+}
+
+// Guards against tokens of lost claims that are higher than that of the holder.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: restored store still holds the claim: the holder claims anew, with a higher token")
+{
+    this->store.era = 1;
+    Node holder(*this, "a", "run-a");
+    this->advance(holder, std::chrono::seconds(9));
+    REQUIRE_FALSE(this->reports.empty());
+    const std::int64_t token = this->reports.back().lease.fencingToken;
+    const std::size_t reportsBefore = this->reports.size();
+    this->restore(this->store.copy(), {&holder});
+    this->advance(holder, std::chrono::milliseconds(300));
+    CHECK_FALSE(holder.runner.isActing(this->now));
+    this->advance(holder, std::chrono::seconds(9));
+    REQUIRE(this->reports.size() > reportsBefore);
+    for (std::size_t i = reportsBefore; i < this->reports.size(); ++i)
+        CHECK(this->reports[i].lease.fencingToken > token);
+}
+
+// Guards against a claim beside a holder that does not know yet that its claim was lost.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: store is restored while the records are read: the claim waits for a lease time")
+{
+    this->store.era = 1;
+    Node other(*this, "b", "run-b");
+    other.runner.tick(this->now, this->wallTime, 0.5);
+    REQUIRE(this->store.queue.size() == 1);
+    this->restore(this->store.copy(), {&other});
+    this->store.runAll();
+    this->advance(other, std::chrono::milliseconds(2900));
+    CHECK(this->store.entries.count("duties/holder") == 0);
+    this->advance(other, std::chrono::seconds(3));
+    CHECK(other.runner.isActing(this->now));
+}
+
 // Guards against a holder that goes on with what it knew although another one has reported since.
 TEST_CASE_METHOD(
     DutyRunnerFixture,
--- a/tests/unit/memorystore.h
+++ b/tests/unit/memorystore.h
@@ -112,7 +112,7 @@
     {
         if (this->isUnavailable)
             return {KvStatus::NotApplied, 0, std::chrono::seconds(0), "outage"};
-        return {KvStatus::Ok, lease, ttl, {}};
+        return {KvStatus::Ok, lease, ttl, {}, this->era};
     }
 
     /// Content of the store, for restore().
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -1,4 +1,5 @@
 #include "relay/relayprocess.h"
+#include "memorystore.h"
 #include "relay/upstreamdirectory.h"
 #include "relayheaders.h"
 
@@ -125,6 +126,7 @@
         settings.configUpdateDeadline = this->updateDeadline;
         settings.drainTime = this->drainTime;
         settings.startsWithRetries = this->isFirstStart;
+        settings.reportsUsage = this->reportsUsage;
         this->settings = settings;
         this->process = std::make_unique<RelayProcess>(this->loop, settings, this->http, this->kv, this->transport);
         this->process->start();
@@ -218,6 +220,7 @@
     std::chrono::milliseconds drainTime{8000};
     std::chrono::milliseconds updateDeadline{2000};
     bool isFirstStart = true; ///< Of the whole system.
+    bool reportsUsage = false;
     std::string configVersion = "5";
     std::int64_t revision = 10;
     std::int64_t era = 0; ///< Of the store.
@@ -548,3 +551,84 @@
     this->runUntil([&received] { return received.has_value(); });
     CHECK(received->body == "whole");
 }
+
+namespace {
+
+/// A process that holds the duties. The renewals of its lease are answered when the test says so.
+class DutyHolderFixture : public RelayProcessFixture
+{
+protected:
+    DutyHolderFixture()
+    {
+        this->reportsUsage = true;
+        this->era = 1;
+        this->memory.era = 1;
+        this->transport.reportUsage =
+            [](const DutyLease &, std::int64_t, const UsageCounts &, const std::function<void(DutyResult)> &done) {
+                done(DutyResult::Accepted);
+            };
+        const KvAccess access = this->memory.access();
+        this->kv.range = [this, access](const std::string &key, bool prefix, const auto &done) {
+            access.range(key, prefix, done);
+            this->runStore();
+        };
+        this->kv.txn = [this, access](const KvTxn &txn, const auto &done) {
+            for (const KvCompare &compare : txn.compares)
+                this->holderWrites += compare.key == holderKey && compare.modRevision != 0 ? 1 : 0;
+            access.txn(txn, done);
+            this->runStore();
+        };
+        this->kv.grantLease = [this, access](std::chrono::seconds ttl, const auto &done) {
+            access.grantLease(ttl, done);
+            this->runStore();
+        };
+        this->kv.keepLeaseAlive = [this](std::int64_t lease, const auto &done) {
+            KvLeaseResult result{KvStatus::Ok, lease, std::chrono::seconds(3), {}, 0};
+            const auto holder = this->memory.entries.find(holderKey);
+            if (holder == this->memory.entries.end() || holder->second.lease != lease)
+                return asio::post(this->loop, [done, result] { done(result); });
+            this->renewals.push_back([this, done, result]() mutable {
+                result.era = this->era;
+                done(result);
+            });
+            if (this->answersRenewals)
+                this->answerRenewals();
+        };
+    }
+
+    void runStore()
+    {
+        asio::post(this->loop, [this] { this->memory.runAll(); });
+    }
+
+    void answerRenewals()
+    {
+        for (const auto &renewal : std::exchange(this->renewals, {}))
+            asio::post(this->loop, renewal);
+    }
+
+    static constexpr const char *holderKey = "hemlock/duties/holder";
+    MemoryStore memory; ///< Of all that is written.
+    std::vector<std::function<void()>> renewals; ///< Not yet answered.
+    bool answersRenewals = false; ///< Whether later renewals are answered at once.
+    int holderWrites = 0; ///< Transactions on condition that this process holds the duties.
+};
+
+} // namespace
+
+// Guards against a holder that stood still and takes the first answer of a restored store for the renewal of its claim.
+TEST_CASE_METHOD(DutyHolderFixture,
+                 "RelayProcess: answer to a late renewal tells of a restore: the process does not act on its old claim")
+{
+    this->start();
+    this->runUntil([this] { return this->memory.entries.contains(holderKey); });
+    this->loop.run_for(std::chrono::seconds(3));
+    REQUIRE(this->renewals.size() == 1);
+    this->era = 2;
+    this->memory.era = 2;
+    this->holderWrites = 0;
+    this->answersRenewals = true;
+    this->answerRenewals();
+    this->loop.run_for(std::chrono::seconds(2));
+    CHECK(this->holderWrites == 0);
+}
--- a/tests/unit/storepollroutertest.cpp
+++ b/tests/unit/storepollroutertest.cpp
@@ -52,7 +52,10 @@
         };
         hooks.era = [this] { return this->era; };
         hooks.eraTold = [this](std::int64_t told) {
+            const bool isRestore = told > this->era;
             this->era = std::max(this->era, told);
+            if (isRestore && this->restored)
+                this->restored();
             return told >= this->era;
         };
         hooks.restartPolls = [this] {
@@ -120,6 +123,7 @@
     std::vector<KvChanges> results;
     std::function<void()> cancelPoll;
     int restarts = 0;
+    std::function<void()> restored; ///< Called when a peer tells a later era; may be unset.
     std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
     std::unique_ptr<StorePollRouter> router;
     KvAccess access;
@@ -295,3 +299,17 @@
     CHECK(this->results.front().status == KvStatus::Unknown);
     CHECK(this->era == std::max(std::int64_t{2}, told));
 }
+
+// Guards against a poll that goes on beside the full read which replaces it.
+TEST_CASE_METHOD(StorePollRouterFixture,
+                 "StorePollRouter: reader tells of a restore that cancels the poll: the poll ends without an answer")
+{
+    this->era = 2;
+    this->readers = {"reader"};
+    this->restored = [this] { std::exchange(this->cancelPoll, nullptr)(); };
+    this->poll();
+    PeerPollResult result = answered(12);
+    result.changes.era = 3;
+    this->calls.back().peerDone(result);
+    CHECK(this->results.empty());
+}
