Let a new process wait for a holder whose claim a restore has lost

Change: a process that finds no claim of the current era waits for a lease time, unless the whole system starts for the first time. Restarts without a restore are not delayed, as the latest token is of the current era.

--- a/src/libhemlock/leaderrole.cpp
+++ b/src/libhemlock/leaderrole.cpp
@@ -82,6 +82,7 @@
 {
     const bool isLastHolder = this->isLeaseCurrent(now);
     this->claimsFrom = isLastHolder ? now : now + this->settings.ttl;
+    this->awaitedEra = this->storeEra();
     this->isClaimReplaceable = isLastHolder;
     this->resetClaim();
     this->claimTask.expedite();
@@ -125,13 +126,25 @@
         }
     }
     // A malformed token is not overwritten: restarting the count could reuse a fencing token.
-    if (lastToken < 0)
+    if (lastToken < 0 || this->mustAwaitLostHolder(lastToken))
         return;
     const std::int64_t era = this->storeEra();
     const std::int64_t token = std::max(lastToken, era << tokenBitsPerEra) + 1;
     this->grantLease({makeUniqueId(), 0, token, era}, replaced);
 }
 
+bool LeaderRole::mustAwaitLostHolder(std::int64_t lastToken)
+{
+    const std::int64_t era = this->storeEra();
+    const bool isLatestClaimKnown =
+        lastToken >> tokenBitsPerEra >= era || (lastToken == 0 && this->settings.isFirstStart);
+    if (isLatestClaimKnown || this->awaitedEra == era)
+        return false;
+    this->awaitedEra = era;
+    this->claimsFrom = this->callSentAt + this->settings.ttl;
+    return true;
+}
+
 void LeaderRole::grantLease(const Claim &claim, const RecordRevisions &replaced)
 {
     this->isCallPending = true;
--- a/src/libhemlock/leaderrole.h
+++ b/src/libhemlock/leaderrole.h
@@ -20,6 +20,8 @@
     std::chrono::seconds ttl{15}; ///< Duration of the lease.
     /// Returns the era of the store, as by StoreEra::current(). Unset for a store that is never restored.
     std::function<std::int64_t()> storeEra;
+    /// Whether the whole system starts for the first time, so that a store without records of the role has lost none.
+    bool isFirstStart = false;
 };
 
 /// A role that at most one node holds at a time, by leader election through the key-value store.
@@ -98,6 +100,8 @@
 
     void readRecords();
     void recordsRead(const std::vector<KvEntry> &entries);
+    /// Whether a holder whose claim was lost may still act. Delays the claims of this node in that case.
+    bool mustAwaitLostHolder(std::int64_t lastToken);
     void grantLease(const Claim &claim, const RecordRevisions &replaced);
     void sendClaim(const Claim &claim, const RecordRevisions &replaced);
     /// Reads whether a claim took effect after its transaction ended with an unknown result.
@@ -117,6 +121,7 @@
     Claim ownClaim; ///< The latest that took effect.
     bool isClaimReplaceable = false; ///< See mayReplaceClaim().
     TimePoint claimsFrom; ///< The role is not claimed before.
+    std::int64_t awaitedEra = 0; ///< Era in which claims were delayed for the sake of a holder whose claim was lost.
     TimePoint leaseSentAt; ///< When the grant or last successful renewal of the current lease was sent.
     TimePoint callSentAt;
     /// Expires with this object, so that late callbacks return at once.
--- a/src/libhemlock/relay/dutyrunner.cpp
+++ b/src/libhemlock/relay/dutyrunner.cpp
@@ -61,7 +61,8 @@
     , settings(settings)
     , transport(transport)
     , usage(usage)
-    , role(std::move(kv), {settings.keyPrefix, settings.holder, settings.leaseTtl, settings.storeEra})
+    , role(std::move(kv),
+           {settings.keyPrefix, settings.holder, settings.leaseTtl, settings.storeEra, settings.isFirstStart})
 {
 }
 
--- a/src/libhemlock/relay/dutyrunner.h
+++ b/src/libhemlock/relay/dutyrunner.h
@@ -36,6 +36,7 @@
     std::chrono::milliseconds saveInterval{400};
     /// As by LeaderRoleSettings.
     std::function<std::int64_t()> storeEra;
+    bool isFirstStart = false; ///< As by LeaderRoleSettings.
 };
 
 /// Performs the duties that only one node at a time may perform, while this node holds the leader role: reporting usage
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -63,6 +63,7 @@
     duties.countsKey = std::string(countsKey);
     duties.leaseTtl = std::chrono::ceil<std::chrono::seconds>(settings.dutyLease);
     duties.storeEra = [&era] { return era.current(); };
+    duties.isFirstStart = settings.isFirstStart;
     return duties;
 }
 
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -55,6 +55,7 @@
     double totalRetryCapacity = 30.0; ///< Retries that all entry VMs together may save up.
     std::chrono::milliseconds retryWindow{10000}; ///< Retries count against their limit for this long.
     bool startsWithRetries = true; ///< False after a restart, since retries may have been sent shortly before it.
+    bool isFirstStart = true; ///< The whole system starts for the first time.
     std::size_t expectedVms = 6; ///< Entry VMs assumed to share a limit until more are known.
 };
 
--- a/tests/unit/dutyrunnertest.cpp
+++ b/tests/unit/dutyrunnertest.cpp
@@ -39,6 +39,7 @@
             settings.keyPrefix = "duties";
             settings.countsKey = "counts";
             settings.storeEra = [&fixture] { return fixture.store.era; };
+            settings.isFirstStart = fixture.isFirstStart;
             return settings;
         }
 
@@ -122,6 +123,7 @@
     std::vector<UpstreamOrder> orders;
     std::set<std::string> refusedZones;
     bool platformIsDown = false;
+    bool isFirstStart = true; ///< Of the whole system, for nodes that are made later.
     std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
     std::chrono::system_clock::time_point wallTime{std::chrono::seconds(1000)};
 };
@@ -394,6 +396,26 @@
         CHECK(this->reports[i].lease.fencingToken > token);
 }
 
+// Guards against tokens that fall, as a process that has just started does not know of the claim that was lost.
+TEST_CASE_METHOD(DutyRunnerFixture,
+                 "DutyRunner: process starts after the store lost a claim: it claims the role a lease time later")
+{
+    this->store.era = 1;
+    auto copy = this->store.copy();
+    Node holder(*this, "a", "run-a");
+    this->advance(holder, std::chrono::seconds(6));
+    if (GENERATE(true, false))
+        copy = this->store.copy();
+    copy.entries.erase("duties/holder");
+    this->restore(copy, {});
+    this->isFirstStart = false;
+    Node started(*this, "b", "run-b");
+    this->advance(started, std::chrono::milliseconds(2900));
+    CHECK(this->store.entries.count("duties/holder") == 0);
+    this->advance(started, std::chrono::seconds(3));
+    CHECK(started.runner.isActing(this->now));
+}
+
 // Guards against a claim beside a holder that does not know yet that its claim was lost.
 TEST_CASE_METHOD(DutyRunnerFixture,
                  "DutyRunner: store is restored while the records are read: the claim waits for a lease time")
