Expect lapsed entries only after an outage in which they can lapse

Cause: two failed reads in a row counted as an outage of the store, and upstreams whose entries are missing after one stay in use for 2.2 s, as lapsed entries come back within 2 s. The log shows store-lost, 0.3 s later store-regained with a full read that lacks the upstream, and 2.3 s later that it is gone, while other calls were answered all the time. The second poll waited like the first, so that it could not confirm that the store works. A reader that is cut off alone made its followers lose the store too.

Change: StoreOutages looks at all calls of a VM. An entry lapses after three heartbeats without a write, so that only a silence of a heartbeat or more starts the grace. The poll after a failed one does not wait. A follower whose reader has lost the store asks the store at once.

The test "StorePollRouter: the reader has lost the store: counts as a failed read" demanded the fault: it is replaced by one that demands that the store is asked at once, that a failure there counts as before, and that an answer counts.

--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -72,12 +72,13 @@
 RelayProcess::RelayProcess(asio::io_context &loop,
                            RelaySettings relaySettings,
                            HttpClient &http,
-                           KvAccess storeAccess,
+                           const KvAccess &storeAccess,
                            RelayTransport relayTransport)
     : loop(loop)
     , settings(std::move(relaySettings))
     , transport(std::move(relayTransport))
-    , kv(this->writeGuard.guarded(this->storeEra.observed(std::move(storeAccess))))
+    , storeOutages(this->settings.upstreamHeartbeat, bootTimeNow)
+    , kv(this->writeGuard.guarded(this->storeEra.observed(this->storeOutages.observed(storeAccess))))
     , runId(makeUniqueId())
     , random(std::random_device()())
     , scheduler(this->settings.zone, RandomEngine(this->random()))
@@ -281,10 +282,14 @@
 
 void RelayProcess::storeReachabilityChanged(bool reachable, const std::string &error)
 {
+    const bool hadOutage = reachable && this->storeOutages.hasEndedAfter(this->lastReadBeforeLoss);
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
              reachable ? "store-regained" : "store-lost",
-             {{"error", error}, {"revision", this->store.upstreams().revision()}});
-    if (reachable)
+             {{"error", error}, {"revision", this->store.upstreams().revision()}, {"outage", hadOutage}});
+    if (!reachable)
+        this->lastReadBeforeLoss = this->store.upstreams().lastRead().answered;
+    // Entries lapse only if the store itself was out of reach.
+    if (hadOutage)
         this->directory.storeRecovered(this->now());
 }
 
--- a/src/libhemlock/relay/relayprocess.h
+++ b/src/libhemlock/relay/relayprocess.h
@@ -14,6 +14,7 @@
 #include "relay/retrycapacity.h"
 #include "relay/shutdownprogress.h"
 #include "relay/storeera.h"
+#include "relay/storeoutages.h"
 #include "relay/storesubscriptions.h"
 #include "relay/suspectrecords.h"
 #include "relay/upstreamdirectory.h"
@@ -50,6 +51,8 @@
     std::chrono::milliseconds upstreamUpdateDeadline{2000};
     /// Time after which a new configuration must be applied.
     std::chrono::milliseconds configUpdateDeadline{2000};
+    /// Upstreams write their entries once in this time; an entry lapses after three times as long without a write.
+    std::chrono::milliseconds upstreamHeartbeat{1200};
     QuotaSettings quota;
     RetryBudgetSettings retries; ///< Of one entry VM; maxRetries follows from totalRetryCapacity.
     double totalRetryCapacity = 30.0; ///< Retries that all entry VMs together may save up.
@@ -65,7 +68,7 @@
 public:
     /// @p kv and the functions of @p transport use @p http.
     RelayProcess(
-        asio::io_context &loop, RelaySettings settings, HttpClient &http, KvAccess kv, RelayTransport transport);
+        asio::io_context &loop, RelaySettings settings, HttpClient &http, const KvAccess &kv, RelayTransport transport);
 
     void start();
 
@@ -116,6 +119,7 @@
     asio::io_context &loop;
     RelaySettings settings;
     RelayTransport transport;
+    StoreOutages storeOutages;
     StoreEra storeEra;
     LateWriteGuard writeGuard;
     KvAccess kv;
@@ -151,6 +155,7 @@
     std::map<std::string, std::string> unreadableEntries; ///< Invalid values that were logged, by key.
     PeriodicTask planTask;
     TimePoint startTime;
+    TimePoint lastReadBeforeLoss; ///< Latest successful read of the upstreams before the store counted as lost.
     TimePoint firstClaimTime; ///< The duties are not claimed before.
     TimePoint lastHealthReport;
     std::chrono::nanoseconds maxLateness{0}; ///< Of the event loop since lastHealthReport.
--- a/src/libhemlock/relay/storeera.cpp
+++ b/src/libhemlock/relay/storeera.cpp
@@ -1,5 +1,6 @@
 #include "relay/storeera.h"
 
+#include "kvanswers.h"
 #include "logger.h"
 
 #include <nlohmann/json.hpp>
@@ -73,44 +74,21 @@
     };
 }
 
-KvAccess StoreEra::observed(KvAccess kv)
+KvAccess StoreEra::observed(const KvAccess &kv)
 {
-    KvAccess access = kv;
-    access.range =
-        [this, call = kv.range](const std::string &key, bool prefix, std::function<void(const KvRangeResult &)> done) {
-            call(key, prefix, this->observing(std::move(done)));
-        };
-    access.txn = [this, call = kv.txn](const KvTxn &txn, std::function<void(const KvTxnResult &)> done) {
-        call(txn, this->observing(std::move(done)));
-    };
-    access.grantLease = [this, call = kv.grantLease](std::chrono::seconds ttl,
-                                                     std::function<void(const KvLeaseResult &)> done) {
-        call(ttl, this->observing(std::move(done)));
-    };
-    access.keepLeaseAlive = [this, call = kv.keepLeaseAlive](std::int64_t lease,
-                                                             std::function<void(const KvLeaseResult &)> done) {
-        call(lease, this->observing(std::move(done)));
-    };
-    access.readPage = [this, call = kv.readPage](const std::string &prefix,
-                                                 const std::string &after,
-                                                 std::function<void(const KvPage &)> done) {
-        call(prefix, after, this->observing(std::move(done)));
-    };
-    access.waitForChanges = [this, call = kv.waitForChanges](const std::string &prefix,
-                                                             std::int64_t revision,
-                                                             std::chrono::milliseconds wait,
-                                                             std::function<void(const KvChanges &)> done) {
+    KvAccess access = withWrappedAnswers(kv, [this](auto done) { return this->observing(std::move(done)); });
+    access.waitForChanges = [this, call = access.waitForChanges](const std::string &prefix,
+                                                                 std::int64_t revision,
+                                                                 std::chrono::milliseconds wait,
+                                                                 std::function<void(const KvChanges &)> done) {
         return call(
-            prefix,
-            revision,
-            wait,
-            this->observing<KvChanges>([done = std::move(done), begun = this->currentEra](const KvChanges &changes) {
+            prefix, revision, wait, [done = std::move(done), begun = this->currentEra](const KvChanges &changes) {
                 if (begun == 0 || changes.era == 0 || changes.era == begun)
                     return done(changes);
                 KvChanges failure;
                 failure.error = "the store was restored";
                 done(failure);
-            }));
+            });
     };
     return access;
 }
--- a/src/libhemlock/relay/storeera.h
+++ b/src/libhemlock/relay/storeera.h
@@ -29,7 +29,7 @@
 
     /// Calls of @p kv whose answers are observed. Outdated answers fail, and so does a wait for changes that began in
     /// an earlier era, since its revision does not belong to the era of its answer. Must outlive the result.
-    KvAccess observed(KvAccess kv);
+    KvAccess observed(const KvAccess &kv);
 
 private:
     template <class Result>
--- a/src/libhemlock/relay/storepollrouter.cpp
+++ b/src/libhemlock/relay/storepollrouter.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Wait of a poll whose answer is needed at once: the first one of a VM that starts to read the store for others, and
-/// one that a peer did not answer.
+/// one that a peer could not answer.
 constexpr std::chrono::milliseconds confirmingWait{1};
 
 /// Time after the wait of a poll by which its answer has arrived: the longest delay before the poll and the grace
@@ -28,7 +28,7 @@
     std::function<void(const KvChanges &)> done;
     std::function<void()> cancel; ///< Of the call in progress.
     bool isCancelled = false;
-    bool isFallback = false; ///< Sent to the store because a peer did not answer.
+    bool isFallback = false; ///< Sent to the store because a peer could not answer.
 };
 
 StorePollRouter::StorePollRouter(KvAccess kv, StorePollRouterHooks hooks, StorePollRouterSettings settings)
@@ -182,14 +182,10 @@
     logEvent(LogLevel::Info,
              "store-reader-failed",
              {{"reader", node}, {"prefix", poll->request.prefix}, {"error", result.error}});
-    if (result.status == PeerPollResult::Status::NoAnswer) {
-        poll->isFallback = true;
-        ++this->fallbackPolls;
-        return this->askStore(poll, confirmingWait);
-    }
-    KvChanges failure;
-    failure.error = result.error;
-    poll->done(failure);
+    // A reader that has lost the store may be cut off alone.
+    poll->isFallback = true;
+    ++this->fallbackPolls;
+    this->askStore(poll, confirmingWait);
 }
 
 bool StorePollRouter::needsConfirmation(const std::string &prefix) const
--- a/src/libhemlock/relay/storepollrouter.h
+++ b/src/libhemlock/relay/storepollrouter.h
@@ -47,9 +47,9 @@
 /// Sends the long polls of this VM to the store, or to the entry VM that reads the store for its neighbours.
 ///
 /// One VM of each availability zone of a large fleet reads the store, so that the calls to the store grow with the
-/// number of zones instead of VMs. A poll that the reader does not answer is sent to the store at once, without a wait:
-/// a VM then learns of a change no later than if the store itself had not answered. Full reads and writes always go to
-/// the store.
+/// number of zones instead of VMs. A poll that the reader does not answer, or whose reader has lost the store, is sent
+/// to the store at once, without a wait: a VM then learns of a change no later than if the store itself had not
+/// answered, and of an outage only by its own calls. Full reads and writes always go to the store.
 class StorePollRouter
 {
 public:
@@ -99,7 +99,7 @@
     std::map<std::string, std::chrono::milliseconds> waits; ///< Latest wait of the polls, by prefix.
     std::uint64_t storePolls = 0;
     std::uint64_t peerPolls = 0;
-    int fallbackPolls = 0; ///< Polls at the store in progress that a peer did not answer.
+    int fallbackPolls = 0; ///< Polls at the store in progress that a peer could not answer.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Lets pending callbacks detect the destruction.
 };
 
--- a/src/libhemlock/relay/storewatcher.cpp
+++ b/src/libhemlock/relay/storewatcher.cpp
@@ -20,6 +20,9 @@
 
 constexpr std::chrono::milliseconds minPollTimeout{300};
 
+/// Wait of the poll after a failed one. Its answer tells at once whether the store works.
+constexpr std::chrono::milliseconds confirmingWait{1};
+
 } // namespace
 
 std::chrono::milliseconds longPollTimeout(std::chrono::milliseconds bound, std::chrono::milliseconds batchDelay)
@@ -89,7 +92,7 @@
         this->readStarted = bootTimeNow();
         this->cancelPoll = this->kv.waitForChanges(this->settings.prefix,
                                                    this->revision,
-                                                   this->settings.pollTimeout,
+                                                   this->lastReadFailed ? confirmingWait : this->settings.pollTimeout,
                                                    [weak = this->weak_from_this()](const KvChanges &changes) {
                                                        if (const auto self = weak.lock())
                                                            self->pollFinished(changes);
--- a/tests/unit/relayprocesstest.cpp
+++ b/tests/unit/relayprocesstest.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+const HttpHeaders routeHeaders = {{"X-Hemlockflow-Attempt-Id", "a"}, {"Host", "h.example"}};
+
 /// One entry process with a store that answers at once or, while it is down, reports a failure.
 class RelayProcessFixture
 {
@@ -84,6 +86,7 @@
                                          std::int64_t,
                                          std::chrono::milliseconds wait,
                                          std::function<void(const KvChanges &)> done) -> std::function<void()> {
+            this->pollsDone[prefix] = done;
             this->changesDone = std::move(done);
             this->pollTimeouts[prefix] = wait;
             return [] {};
@@ -189,6 +192,32 @@
             this->loop.run_one();
     }
 
+    /// Waits for a long poll of the upstreams and lets it fail.
+    void failUpstreamPoll()
+    {
+        this->runUntil([this] { return this->pollsDone["servers/"] != nullptr; });
+        std::exchange(this->pollsDone["servers/"], nullptr)(KvChanges{});
+    }
+
+    /// Takes the entries of all upstreams out of the store, and waits until they are read.
+    void removeUpstreams()
+    {
+        this->upstreamAddress.clear();
+        this->runUntil([this, known = this->readTimes["servers/"].size()] {
+            return this->readTimes["servers/"].size() > known && !this->storeIsDown;
+        });
+        this->loop.run_for(std::chrono::milliseconds(50));
+    }
+
+    /// Whether a request of a caller reaches an upstream.
+    bool reachesUpstream()
+    {
+        std::optional<HttpOutcome> result;
+        this->startRequest(this->settings.callerAddress, routeHeaders, result);
+        this->runUntil([this, &result] { return result || !this->openRequests.empty(); });
+        return !this->openRequests.empty();
+    }
+
     void deliverChanges(const std::vector<std::string> &keys, const std::string &value)
     {
         KvChanges changes;
@@ -210,7 +239,8 @@
     RelayTransport transport;
     RelaySettings settings;
     std::unique_ptr<RelayProcess> process;
-    std::function<void(const KvChanges &)> changesDone;
+    std::function<void(const KvChanges &)> changesDone; ///< Of the latest long poll.
+    std::map<std::string, std::function<void(const KvChanges &)>> pollsDone; ///< Of the latest long polls, by prefix.
     std::map<std::string, std::chrono::milliseconds> pollTimeouts; ///< Of the latest long polls, by prefix.
     std::unique_ptr<HttpServer> upstreamServer;
     UpstreamState upstreamState = UpstreamState::Serving;
@@ -230,8 +260,6 @@
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> readTimes; ///< By prefix.
 };
 
-const HttpHeaders routeHeaders = {{"X-Hemlockflow-Attempt-Id", "a"}, {"Host", "h.example"}};
-
 } // namespace
 
 TEST_CASE_METHOD(RelayProcessFixture,
@@ -432,6 +460,29 @@
     CHECK(longestGap + UpstreamDirectorySettings().outageGracePeriod + readAndTickTime < contactTime);
 }
 
+// Guards against requests to an upstream that has left, as two cut long polls count as an outage of the store.
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: two long polls fail while the store works: an upstream that left gets no request")
+{
+    this->startWithUpstream();
+    this->failUpstreamPoll();
+    this->failUpstreamPoll();
+    this->removeUpstreams();
+    CHECK_FALSE(this->reachesUpstream());
+}
+
+TEST_CASE_METHOD(RelayProcessFixture,
+                 "RelayProcess: store was silent for seconds: an upstream whose entry is missing is still in use")
+{
+    this->startWithUpstream();
+    this->runUntil([this] { return this->pollsDone["servers/"] != nullptr; });
+    this->storeIsDown = true;
+    this->loop.run_for(std::chrono::milliseconds(2500));
+    this->storeIsDown = false;
+    this->removeUpstreams();
+    CHECK(this->reachesUpstream());
+}
+
 // Guards against a full retry budget after each start: what was spent before it still counts.
 TEST_CASE_METHOD(RelayProcessFixture,
                  "RelayProcess: first request after a start fails: is retried only in the first start of the system")
--- a/tests/unit/storepollroutertest.cpp
+++ b/tests/unit/storepollroutertest.cpp
@@ -200,16 +200,22 @@
     CHECK(this->lastReceiver() == "vm-2");
 }
 
-// Guards against entries that expired in an outage being taken for removed upstreams: an outage counts as such only
-// after failed reads.
-TEST_CASE_METHOD(StorePollRouterFixture, "StorePollRouter: the reader has lost the store: counts as a failed read")
+// Guards against readers that are cut off alone and make others take the store for lost, and against entries that
+// expired in an outage being taken for removed upstreams: an outage counts as such only after failed reads.
+TEST_CASE_METHOD(StorePollRouterFixture,
+                 "StorePollRouter: the reader has lost the store: the store is asked at once, and its answer counts")
 {
     this->readers = {"vm-2"};
     this->pass(std::chrono::milliseconds(100));
     this->poll();
     this->calls.back().peerDone({PeerPollResult::Status::StoreLost, {}, "lost"});
+    CHECK(this->results.empty());
+    REQUIRE(this->lastReceiver() == "store");
+    CHECK(this->calls.back().wait < std::chrono::milliseconds(100));
+    const bool isLostHere = GENERATE(true, false);
+    this->calls.back().storeDone(isLostHere ? KvChanges{} : changes(12));
     REQUIRE(this->results.size() == 1);
-    CHECK(this->results.front().status != KvStatus::Ok);
+    CHECK((this->results.front().status != KvStatus::Ok) == isLostHere);
     this->poll();
     CHECK(this->lastReceiver() == "store");
 }
--- a/tests/unit/storewatchertest.cpp
+++ b/tests/unit/storewatchertest.cpp
@@ -22,9 +22,10 @@
         };
         kv.waitForChanges = [this](const std::string &,
                                    std::int64_t revision,
-                                   std::chrono::milliseconds,
+                                   std::chrono::milliseconds wait,
                                    std::function<void(const KvChanges &)> done) -> std::function<void()> {
             this->polledRevisions.push_back(revision);
+            this->pollWaits.push_back(wait);
             this->changesDone = std::move(done);
             return [this] { ++this->cancelledPolls; };
         };
@@ -80,6 +81,7 @@
     std::function<void(const KvChanges &)> changesDone;
     std::vector<std::string> pagesAfter;
     std::vector<std::int64_t> polledRevisions;
+    std::vector<std::chrono::milliseconds> pollWaits;
     std::vector<std::map<std::string, std::string>> snapshots;
     std::size_t eventCount = 0;
     int cancelledPolls = 0;
@@ -162,6 +164,20 @@
     CHECK(this->watcher->revision() == 12);
 }
 
+// Guards against a store that is taken as unreachable because it ends two long polls in a row.
+TEST_CASE_METHOD(StoreWatcherFixture, "StoreWatcher: one poll fails: the next one does not wait for changes")
+{
+    this->watcher->start();
+    this->pageDone(page(10, {"a"}));
+    this->changesDone(KvChanges{});
+    this->runTimer();
+    REQUIRE(this->pollWaits.size() == 2);
+    CHECK(this->pollWaits.back() < std::chrono::milliseconds(100));
+    this->changesDone(changes(10, 0));
+    REQUIRE(this->pollWaits.size() == 3);
+    CHECK(this->pollWaits.back() == this->pollWaits.front());
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture,
                  "StoreWatcher: three reads fail: the store is reported unreachable once and reachable once")
 {
