Take an answer without a length as whole only if its request was received

Reported from other systems (MIXED): an upstream answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection during the upload; the caller gets the part as a complete answer.

Here it happened where the upstream ends its side of the connection before the reset: libcurl takes that for the end of the answer, stops the upload and reports no error. A reset alone was a failure before, and so were the statuses 000, 001, 099, 0200, 2000, 20, 999, 1000, -20 and texts.

Change: HttpClient looks at how much of the request libcurl has written and at what the kernel still holds, when it reads a part of such an answer and before it reads the end. The answer is complete only if the peer had acknowledged the whole request; otherwise the attempt has failed and may have run. It applies to upstreams, the store, the cloud and peers, which are read by the same client.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -13,11 +13,21 @@
 #include <unistd.h>
 
 #include <unordered_map>
+#include <utility>
 
 namespace hemlock {
 
 namespace {
 
+/// Bytes in the socket's send queue, including those that the peer has not acknowledged.
+std::optional<std::size_t> unsentBytes(curl_socket_t socket)
+{
+    int bytes = 0;
+    if (socket == CURL_SOCKET_BAD || ioctl(socket, SIOCOUTQ, &bytes) != 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(bytes);
+}
+
 struct Transfer
 {
     Transfer(HttpClient::CallId id, HttpCall call, HttpCallHooks hooks)
@@ -38,6 +48,7 @@
     curl_socket_t socket = CURL_SOCKET_BAD;
     AnswerFraming framing;
     bool cancelled = false;
+    bool isRequestReceived = true; ///< See checkRequestReceived().
     BufferPool::Share buffered; ///< Fields, and the body if there is no data hook.
     std::string rejection; ///< Why this client broke the answer off; empty if it did not.
 
@@ -63,6 +74,7 @@
         if (!this->framing.isHeadComplete())
             return true;
         this->permitReuse();
+        this->checkRequestReceived();
         if (this->hooks.head && !this->cancelled)
             this->hooks.head(this->framing.status(), this->framing.headers());
         return true;
@@ -76,6 +88,7 @@
         if (!isSound && !this->cancelled && this->rejection.empty())
             this->rejection = this->framing.error();
         this->permitReuse();
+        this->checkRequestReceived();
         return isSound;
     }
 
@@ -97,6 +110,18 @@
         return true;
     }
 
+    /// Called when bytes were read, and before the end of the connection is. libcurl does not tell a peer that has
+    /// received the whole request and ends its answer from one that breaks off in between.
+    void checkRequestReceived()
+    {
+        if (this->framing.bodyEnd() != BodyEnd::Connection)
+            return;
+        curl_off_t uploaded = 0;
+        curl_easy_getinfo(this->easyHandle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+        this->isRequestReceived =
+            std::cmp_greater_equal(uploaded, this->call.body.size()) && unsentBytes(this->socket).value_or(0) == 0;
+    }
+
     /// Lets libcurl keep the connection after a whole answer.
     void permitReuse()
     {
@@ -145,15 +170,6 @@
     return !transfer->cancelled && transfer->takeBody(std::string_view(bytes, length)) ? length : 0;
 }
 
-/// Bytes in the socket's send queue, including those that the peer has not acknowledged.
-std::optional<std::size_t> unsentBytes(curl_socket_t socket)
-{
-    int bytes = 0;
-    if (socket == CURL_SOCKET_BAD || ioctl(socket, SIOCOUTQ, &bytes) != 0)
-        return std::nullopt;
-    return static_cast<std::size_t>(bytes);
-}
-
 /// Closes a socket for libcurl. Bytes that the peer has not acknowledged belong to a request that was given up. A reset
 /// discards them; otherwise the kernel would still deliver them after a network failure.
 int closeSocket(void *, curl_socket_t socket)
@@ -186,6 +202,7 @@
     }
 
     asio::posix::stream_descriptor descriptor;
+    HttpClient::CallId transfer = 0; ///< That uses the socket.
     int requestedEvents = CURL_POLL_NONE;
     bool readPending = false;
     bool writePending = false;
@@ -279,6 +296,7 @@
         if (!watched)
             watched = std::make_shared<WatchedSocket>(self->loop, socket);
         watched->requestedEvents = pollAction;
+        watched->transfer = transfer ? transfer->id : 0;
         self->watch(socket, watched);
         return 0;
     }
@@ -327,6 +345,9 @@
                 const int flag = isRead ? CURL_POLL_IN : CURL_POLL_OUT;
                 if (error || !(watched->requestedEvents & flag))
                     return;
+                const auto transfer = client->transfers.find(watched->transfer);
+                if (isRead && transfer != client->transfers.end())
+                    transfer->second->checkRequestReceived();
                 client->performSocketAction(socket, isRead ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
                 const auto current = client->sockets.find(socket);
                 if (current != client->sockets.end() && current->second == watched)
@@ -371,7 +392,7 @@
         curl_off_t expectedBytes = -1;
         curl_easy_getinfo(transfer.easyHandle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &expectedBytes);
         // Without a length, libcurl reads until the peer ends the connection.
-        if (code == CURLE_OK && expectedBytes < 0)
+        if (code == CURLE_OK && expectedBytes < 0 && transfer.isRequestReceived)
             framing.connectionEnded();
         transfer.outcome.status = framing.status();
         transfer.outcome.headers = framing.headers();
@@ -383,6 +404,8 @@
         }
         transfer.outcome.verdict = transfer.sendAttempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
         transfer.outcome.error = code == CURLE_OK ? framing.error() : curl_easy_strerror(code);
+        if (code == CURLE_OK && !transfer.isRequestReceived)
+            transfer.outcome.error = "the connection ended before the peer had received the request";
         if (!transfer.rejection.empty()) {
             transfer.outcome.isRejected = true;
             transfer.outcome.error = transfer.rejection;
