Register anew if the store is restored during a registration

While the hook of a restore ran after the answer, it made the VM register again; now that it runs before, PeerRegistry has to notice. By reading; not seen with processes.

"PeerRegistry: store is restored while this VM registers*" fails without the comparison and passes with it.

--- a/src/libhemlock/relay/peerregistry.cpp
+++ b/src/libhemlock/relay/peerregistry.cpp
@@ -208,11 +208,12 @@
             {"address", this->address}, {"zone", this->zone}, {"control", this->controlAddress}};
         txn.puts.push_back({this->keyPrefix + this->node, record.dump(), grant.lease});
         this->isCallPending = true;
-        this->kv.txn(txn, [this, alive, lease = grant.lease](const KvTxnResult &result) {
+        this->kv.txn(txn, [this, alive, lease = grant.lease, begun = this->restores](const KvTxnResult &result) {
             if (alive.expired())
                 return;
             this->isCallPending = false;
-            if (result.status == KvStatus::Ok)
+            // Identifiers of lost leases may be given out again, to another owner.
+            if (result.status == KvStatus::Ok && begun == this->restores)
                 this->lease = lease;
             else
                 this->task.expedite();
@@ -237,6 +238,7 @@
 void PeerRegistry::storeRestored()
 {
     this->lease = 0;
+    ++this->restores;
     this->task.expedite();
 }
 
--- a/src/libhemlock/relay/peerregistry.h
+++ b/src/libhemlock/relay/peerregistry.h
@@ -120,6 +120,7 @@
     PeriodicTask task;
     std::map<std::string, Peer> peers;
     std::int64_t lease = 0;
+    int restores = 0; ///< Number of calls of storeRestored().
     bool isCallPending = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Lets pending callbacks detect the destruction.
 };
--- a/tests/unit/peerregistrytest.cpp
+++ b/tests/unit/peerregistrytest.cpp
@@ -105,3 +105,21 @@
     store.runAll();
     CHECK(store.entries.count("nodes/vm-1") == 1);
 }
+
+// Guards against a record under the lease of another VM, as the store gives the identifiers of lost leases out again.
+TEST_CASE("PeerRegistry: store is restored while this VM registers: it registers under a new lease")
+{
+    MemoryStore store;
+    PeerRegistry registry(store.access(), "nodes/", "vm-1", "vm-1:1", "zone-a", "vm-1:2", {});
+    const std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+    const auto copy = store.copy();
+    registry.tick(now, 0.5);
+    REQUIRE(store.runNext());
+    store.restore(copy);
+    registry.storeRestored();
+    store.runAll();
+    const std::int64_t lost = store.entries.at("nodes/vm-1").lease;
+    registry.tick(now, 0.5);
+    store.runAll();
+    CHECK(store.entries.at("nodes/vm-1").lease != lost);
+}
