--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -23,6 +23,7 @@
                 {"ip", "10.1.0.14"},
                 {"port-range", {7600, 7615}},
                 {"bootstrap", true},
+                {"heartbeat-ms", 1500},
                 {"listen", {{"front", "10.1.0.14:8221"}, {"ready", "10.1.0.14:8224"}, {"control", "10.1.0.14:8229"}}},
                 {"bounds", {{"retry-slack", 60}, {"retry-ratio", 0.2}, {"usage-window-s", 5}, {"grace-s", 8}}},
                 {"platform", {{"address", "10.200.1.7:8225"}}},
@@ -137,6 +138,8 @@
     CHECK(parsed.relay.reportsUsage);
     CHECK_FALSE(parsed.relay.ordersUpstreams);
     CHECK(parsed.relay.drainTime == std::chrono::seconds(8));
+    CHECK(parsed.relay.upstreamHeartbeat == std::chrono::milliseconds(1500));
+    CHECK(parsed.relay.isFirstStart);
 }
 
 // Guards against restarted processes that retry as if nothing had been spent before.
