--- a/tests/failure/boundlesscallertest.cpp
+++ b/tests/failure/boundlesscallertest.cpp
@@ -1,15 +1,11 @@
-#include "processes.h"
-#include "soakstore.h"
-#include "testhttp.h"
+#include "relayvm.h"
 
 #include <asio.hpp>
 
 #include <catch2/catch.hpp>
 
-#include <filesystem>
 #include <fstream>
 #include <list>
-#include <map>
 
 using namespace hemlock;
 using asio::ip::tcp;
@@ -44,56 +40,15 @@
     return result;
 }
 
-/// A relay process with little memory and few descriptors, a store, an upstream, and raw connections to the process.
-class BoundlessCallerFixture
+/// A relay process with little memory and few descriptors, and raw connections to it.
+class BoundlessCallerFixture : public RelayVm
 {
 protected:
     BoundlessCallerFixture()
+        : RelayVm({memoryMb, maxDescriptors}, [](const HttpRequest &request, const HttpResponderPtr &responder) {
+            answerWhole(request, responder, "answer");
+        })
     {
-        for (const char *name : {"front", "ready", "control", "peers"}) {
-            const tcp::acceptor acceptor(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-            this->ports[name] = acceptor.local_endpoint().port();
-        }
-        this->relay = &this->processes.start("hemlock-relay",
-                                             "relay",
-                                             {{"node-name", "vm"},
-                                              {"zone", "zone-a"},
-                                              {"ip", "127.0.0.1"},
-                                              {"listen",
-                                               {{"front", this->address("front")},
-                                                {"ready", this->address("ready")},
-                                                {"control", this->address("control")}}},
-                                              {"port-range", {this->ports["peers"]}},
-                                              {"limits", {{"memory-mb", memoryMb}, {"max-fds", maxDescriptors}}},
-                                              {"platform", {{"address", this->store.start()}}}});
-        const nlohmann::json route = {{"name", "lookup"},
-                                      {"hostname", "test.example"},
-                                      {"path-prefix", "/"},
-                                      {"kind", "idempotent"},
-                                      {"service", "lookup"},
-                                      {"timeout-ms", 20000},
-                                      {"target-latency-ms", 10000},
-                                      {"public", true}};
-        const nlohmann::json config = {{"version", 1},
-                                       {"routes", {route}},
-                                       {"services", {{{"name", "lookup"}}}},
-                                       {"limits", {{"max-header-bytes", 16384}, {"header-timeout-ms", 60000}}}};
-        const nlohmann::json entry = {{"service", "lookup"},
-                                      {"address", this->upstream.start()},
-                                      {"zone", "zone-a"},
-                                      {"state", "ready"},
-                                      {"slots", 16},
-                                      {"born", 1}};
-        this->store.put("op/config", config.dump());
-        this->store.put("servers/upstream", entry.dump());
-        this->relay->waitForEvent("start");
-        const auto end = std::chrono::steady_clock::now() + eventTimeout;
-        while (this->requestStatus("front") != 200 && std::chrono::steady_clock::now() < end) {}
-    }
-
-    std::string address(const std::string &listener)
-    {
-        return "127.0.0.1:" + std::to_string(this->ports.at(listener));
     }
 
     /// Opens connections that each send @p bytes and then stay open. The relay may close them.
@@ -107,19 +62,6 @@
         }
     }
 
-    /// Status of an ordinary request to a listener; 0 if it is not answered.
-    int requestStatus(const std::string &listener)
-    {
-        HttpCall call;
-        call.url = "http://" + this->address(listener) + "/metrics";
-        call.headers = {{"Host", "test.example"},
-                        {"X-Hemlockflow-Attempt-Id", "attempt-" + std::to_string(++this->requests)},
-                        {"X-Hemlockflow-Deadline-Ms", "20000"}};
-        call.forcesNewConnection = true;
-        call.closesConnection = true;
-        return this->http.call(std::move(call)).status;
-    }
-
     /// The greatest resident memory of the process so far.
     long peakMb() const
     {
@@ -131,17 +73,6 @@
         return kilobytes / 1000;
     }
 
-    long openSockets() const
-    {
-        long count = 0;
-        for (const auto &entry :
-             std::filesystem::directory_iterator("/proc/" + std::to_string(this->relay->id()) + "/fd")) {
-            std::error_code ignored;
-            count += std::filesystem::read_symlink(entry, ignored).string().starts_with("socket:") ? 1 : 0;
-        }
-        return count;
-    }
-
     void checkHealth()
     {
         for (int i = 0; i < requestsUntilRead; ++i)
@@ -154,19 +85,6 @@
     }
 
     asio::io_context loop{1};
-    Processes processes;
-    TestHttp http;
-    SoakStore store{this->http.loop()};
-    HttpServer upstream{this->http.loop(), {}, [](const HttpRequest &request, const HttpResponderPtr &responder) {
-                            const std::string id = request.headers.value("X-Hemlockflow-Attempt-Id");
-                            responder->reply(200,
-                                             {{"X-Hemlockflow-Attempt-Id", id},
-                                              {"X-Hemlockflow-Response-Signature", "signature of " + id}},
-                                             "answer");
-                        }};
-    int requests = 0;
-    std::map<std::string, std::uint16_t> ports;
-    Process *relay = nullptr;
     std::list<tcp::socket> callers;
 };
 
