Take bodies out of requests before RESTinio's parser sees them

What callers saw: 413 for a body within the limits in small chunks, from 100,000 bytes in chunks of one byte on. 413 is not repeated, so that they never got an answer.

Cause: RESTinio keeps a record of 72 bytes of each chunk in a vector that doubles, so that each chunk was counted with 300 bytes. A record that is counted refuses sound requests; one that is not lets a crowd take the memory. RESTinio also reserved what Content-Length announced, and refused a body above its limit only with 400.

Change: RequestDecoder, in place of RequestScanner, takes the body out of the received bytes, and MeteredSocket gives RESTinio a head once its request is whole, without the fields that frame the body. Chunks leave nothing beside their bytes, trailers are dropped, and a body takes memory as it arrives. Where a request ends is decided in one place: repeated or contradicting framing fields, chunk sizes with other line ends than CRLF, and lone carriage returns in a head get 400, and so does a head in which RESTinio still finds such a field. A body above max-body-bytes gets 413 as soon as it is announced. A body in which nothing arrives for 60 s gets 408; before, only 180 s for a whole request bounded it. Offers to upgrade a connection are not passed to RESTinio, which would give up its time limits for the connection and handle the request outside of a read.

The tests of RequestScanner are replaced by those of RequestDecoder, which ask the same of whole requests and of heads, and more: what the body is, which framing is refused, and that small chunks take no more memory than one large chunk. The count of chunks was the fault, so that test is replaced by the one for the memory of small chunks. MeteredSocket and its limits move to files of their own.

--- a/src/libhemlock/connectionbudget.cpp
+++ b/src/libhemlock/connectionbudget.cpp
@@ -54,4 +54,11 @@
         && connection.isInHead && now - connection.since > this->headTimeout;
 }
 
+bool ConnectionBudget::isBodyOverdue(const ConnectionProgress &connection, TimePoint now) const
+{
+    return this->bodyTimeout.count() > 0 && connection.stage == ConnectionProgress::Stage::Reading
+        && !connection.isInHead && connection.requestBytes > 0 && connection.received < now
+        && now - connection.received > this->bodyTimeout;
+}
+
 } // namespace hemlock
--- a/src/libhemlock/connectionbudget.h
+++ b/src/libhemlock/connectionbudget.h
@@ -21,8 +21,9 @@
 
     Stage stage = Stage::Reading;
     bool isInHead = false; ///< Part of a head has arrived.
-    std::size_t requestBytes = 0; ///< Received bytes of the incomplete request.
+    std::size_t requestBytes = 0; ///< Memory of the incomplete request.
     TimePoint since; ///< Start of the connection, of the incomplete request, of the response, or of the idle time.
+    TimePoint received = TimePoint::max(); ///< When bytes of the incomplete request last arrived.
 };
 
 /// Chooses the connections that are closed when all of a process exceed their common limits.
@@ -34,6 +35,7 @@
     std::size_t maxConnections = SIZE_MAX;
     std::size_t maxBytes = SIZE_MAX; ///< For buffers and connections together.
     std::chrono::milliseconds headTimeout{0}; ///< From the first byte of a head to its end; 0 for no limit.
+    std::chrono::milliseconds bodyTimeout{0}; ///< Between two reads of a body; 0 for no limit.
 
     /// Whether this number of connections, and what their requests and responses take, exceed the limits.
     bool isExceeded(std::size_t connections, std::size_t bufferedBytes) const;
@@ -47,6 +49,9 @@
     static std::size_t choose(const std::vector<ConnectionProgress> &connections, TimePoint now);
 
     bool isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const;
+
+    /// Whether an incomplete body or trailer has stopped.
+    bool isBodyOverdue(const ConnectionProgress &connection, TimePoint now) const;
 };
 
 } // namespace hemlock
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -60,6 +60,8 @@
     std::size_t maxConnections = 0; ///< 0 for no limit.
     std::size_t maxHeadBytes = 0; ///< For a head, its trailer and empty lines before it; 0 for that of http_parser.
     std::chrono::milliseconds headTimeout{0}; ///< From the first byte of a head to its end; 0 for no limit.
+    std::size_t maxBodyBytes = 0; ///< 0 for that of the server's settings alone.
+    std::chrono::milliseconds bodyTimeout{0}; ///< Between two reads of a body; 0 for no limit.
 };
 
 /// Connections and requests that were refused since the start, of all servers on a loop.
@@ -67,6 +69,8 @@
 {
     std::uint64_t largeHeads = 0; ///< Answered 431.
     std::uint64_t slowHeads = 0; ///< Answered 408.
+    std::uint64_t largeBodies = 0; ///< Answered 413.
+    std::uint64_t slowBodies = 0; ///< Answered 408.
     std::uint64_t closedConnections = 0; ///< Closed because all together exceeded a limit.
 };
 
--- a/src/libhemlock/relay/callerlimits.cpp
+++ b/src/libhemlock/relay/callerlimits.cpp
@@ -23,17 +23,22 @@
 /// The platform's limit until a configuration was read.
 constexpr std::size_t defaultMaxHeadBytes = 16384;
 
+/// A body in which nothing arrives for this long is given up. Callers' deadlines are shorter.
+constexpr std::chrono::milliseconds bodyTimeout{60000};
+
 } // namespace
 
 IncomingLimits callerLimits(const RelaySettings &settings, const RelayConfig *config)
 {
     IncomingLimits limits;
     limits.memoryBytes = settings.memoryBytes;
+    limits.bodyTimeout = bodyTimeout;
     if (settings.maxSockets > 0) {
         const std::size_t callerSockets = settings.maxSockets - std::min(settings.maxSockets, otherSockets);
         limits.maxConnections = std::max(minCallers, callerSockets / socketsPerCaller);
     }
     if (config) {
+        limits.maxBodyBytes = config->maxBodyBytes;
         limits.maxHeadBytes = config->maxHeadBytes;
         limits.headTimeout = config->headTimeout;
     }
@@ -62,6 +67,10 @@
     metrics.setTotal("hemlock_slow_heads_total",
                      "Requests whose head took longer than the configuration allows.",
                      refused.slowHeads);
+    metrics.setTotal("hemlock_large_bodies_total",
+                     "Requests whose body was longer than the configuration allows.",
+                     refused.largeBodies);
+    metrics.setTotal("hemlock_slow_bodies_total", "Requests whose body stopped for too long.", refused.slowBodies);
     metrics.setTotal(
         "hemlock_closed_callers_total",
         "Connections of callers that were closed because all together exceeded the memory or the descriptors.",
--- /dev/null
+++ b/src/libhemlock/serverbuffers.cpp
@@ -0,0 +1,94 @@
+#include "serverbuffers.h"
+
+#include "meteredsocket.h"
+
+#include <algorithm>
+
+namespace hemlock {
+
+namespace {
+
+/// Bytes that the requests and responses of all servers on a loop may take together.
+constexpr std::size_t bufferCapacity = std::size_t{32} * 1024 * 1024;
+
+/// Share of the memory of a process for connections, requests and responses of callers. The rest is for the process
+/// itself (15 MB), answers of upstreams, and copies of the requests that are relayed.
+constexpr double callerMemoryShare = 0.35;
+
+/// Interval of the check for requests that take too long.
+constexpr std::chrono::milliseconds overdueCheckInterval{250};
+
+} // namespace
+
+ServerBuffers::ServerBuffers(asio::execution_context &context)
+    : asio::execution_context::service(context)
+    , pool(std::make_shared<BufferPool>(bufferCapacity))
+    , timer(static_cast<asio::io_context &>(context))
+{
+}
+
+void ServerBuffers::setLimits(const IncomingLimits &changed)
+{
+    this->limits = changed;
+    this->budget.headTimeout = changed.headTimeout;
+    this->budget.bodyTimeout = changed.bodyTimeout;
+    if (changed.maxConnections > 0)
+        this->budget.maxConnections = changed.maxConnections;
+    if (changed.memoryBytes > 0) {
+        this->budget.maxBytes = static_cast<std::size_t>(static_cast<double>(changed.memoryBytes) * callerMemoryShare);
+        this->pool->setCapacity(std::min(bufferCapacity, this->budget.maxBytes));
+    }
+    this->timer.cancel();
+    if (changed.headTimeout.count() > 0 || changed.bodyTimeout.count() > 0)
+        this->closeOverdue();
+}
+
+std::vector<ConnectionProgress> ServerBuffers::progress() const
+{
+    std::vector<ConnectionProgress> connections;
+    connections.reserve(this->sockets.size());
+    for (const MeteredSocket *socket : this->sockets)
+        connections.push_back(socket->progress());
+    return connections;
+}
+
+bool ServerBuffers::enforceLimits(MeteredSocket &current)
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (this->budget.isExceeded(this->sockets.size(), this->pool->usedBytes())) {
+        const std::size_t chosen = ConnectionBudget::choose(this->progress(), now);
+        MeteredSocket *const closed = chosen < this->sockets.size() ? this->sockets[chosen] : &current;
+        ++this->refused.closedConnections;
+        closed->refuse(503, "too-many-callers", true);
+        if (closed == &current)
+            return false;
+    }
+    return true;
+}
+
+void ServerBuffers::closeOverdue()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (MeteredSocket *socket : std::vector(this->sockets)) {
+        const ConnectionProgress progress = socket->progress();
+        if (this->budget.isHeadOverdue(progress, now)) {
+            ++this->refused.slowHeads;
+            socket->refuse(408, "head-too-slow", false);
+        } else if (this->budget.isBodyOverdue(progress, now)) {
+            ++this->refused.slowBodies;
+            socket->refuse(408, "body-too-slow", false);
+        }
+    }
+    this->timer.expires_after(overdueCheckInterval);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            this->closeOverdue();
+    });
+}
+
+void ServerBuffers::shutdown()
+{
+    this->timer.cancel();
+}
+
+} // namespace hemlock
--- a/tests/unit/connectionbudgettest.cpp
+++ b/tests/unit/connectionbudgettest.cpp
@@ -48,3 +48,19 @@
     CHECK_FALSE(budget.isHeadOverdue(reading(5, std::chrono::milliseconds(4999)), now));
     CHECK_FALSE(budget.isHeadOverdue(reading(0, std::chrono::milliseconds(50000)), now));
 }
+
+// Guards against a body that stops and holds its memory for minutes, and against one that is slow but goes on.
+TEST_CASE("ConnectionBudget: body has stopped: it is overdue, one that goes on is not")
+{
+    ConnectionBudget budget;
+    ConnectionProgress body{Stage::Reading, false, 5, now - std::chrono::minutes(10)};
+    body.received = now - std::chrono::milliseconds(5001);
+    CHECK_FALSE(budget.isBodyOverdue(body, now));
+    budget.bodyTimeout = std::chrono::milliseconds(5000);
+    CHECK(budget.isBodyOverdue(body, now));
+    body.received = now - std::chrono::milliseconds(4999);
+    CHECK_FALSE(budget.isBodyOverdue(body, now));
+    body.received = now - std::chrono::minutes(1);
+    body.isInHead = true;
+    CHECK_FALSE(budget.isBodyOverdue(body, now));
+}
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -347,3 +347,75 @@
     CHECK(received.find("second") != std::string::npos);
     CHECK(received.find("second") < received.find(" 408 "));
 }
+
+// Guards against a body that is read although its length is announced to be above the limit.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: announced body is above the limit: status 413 at once")
+{
+    this->startServer([](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, ""); });
+    IncomingLimits limits;
+    limits.maxBodyBytes = 1000;
+    this->server->setLimits(limits);
+    this->send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1001\r\n\r\n");
+    const std::string received = this->readToEnd();
+    CHECK(received.starts_with("HTTP/1.1 413"));
+    CHECK(received.find("not-run") != std::string::npos);
+    CHECK(this->server->refusedCallers().largeBodies == 1);
+}
+
+// Guards against a body that holds its memory for minutes.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: body stops: status 408 after the time limit")
+{
+    this->startServer([](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, ""); });
+    IncomingLimits limits;
+    limits.bodyTimeout = std::chrono::milliseconds(300);
+    this->server->setLimits(limits);
+    this->send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1000\r\n\r\nx");
+    CHECK(this->readToEnd().starts_with("HTTP/1.1 408"));
+    CHECK(this->server->refusedCallers().slowBodies == 1);
+}
+
+// Guards against bodies of pipelined requests that are given to each other's handlers.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: pipelined requests have bodies: each handler gets its own")
+{
+    std::vector<std::string> requests;
+    this->startServer([&requests](const HttpRequest &request, const HttpResponderPtr &responder) {
+        requests.push_back(request.path + " " + request.body);
+        responder->reply(200, {}, request.body);
+    });
+    this->send("POST /a HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n\r\none"
+               "GET /b HTTP/1.1\r\nHost: t\r\n\r\n"
+               "POST /c HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+               "POST /d HTTP/1.1\r\nHost: t\r\nConnection: close\r\nContent-Length: 5\r\n\r\nthree");
+    this->readToEnd();
+    CHECK(requests == std::vector<std::string>{"/a one", "/b ", "/c two", "/d three"});
+}
+
+// Guards against a head that is longer than what is read at once.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: head is longer than one read: its request is handled with its body")
+{
+    HttpRequest received;
+    this->startServer([&received](HttpRequest request, const HttpResponderPtr &responder) {
+        received = std::move(request);
+        responder->reply(200, {}, "");
+    });
+    const std::string value(15000, 'v');
+    this->send("POST / HTTP/1.1\r\nHost: t\r\nX: " + value
+               + "\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    CHECK(this->readToEnd().starts_with("HTTP/1.1 200"));
+    CHECK(received.headers.value("X") == value);
+    CHECK(received.body == "body");
+}
+
+// Guards against a request that gives up the time limits of its connection by an offer to upgrade it.
+TEST_CASE_METHOD(HttpServerFixture, "HttpServer: requests offer an upgrade: they are handled like others")
+{
+    std::vector<std::string> bodies;
+    this->startServer([&bodies](const HttpRequest &request, const HttpResponderPtr &responder) {
+        bodies.push_back(request.body);
+        responder->reply(200, {}, "");
+    });
+    const std::string upgrade = "POST / HTTP/1.1\r\nHost: t\r\nUpgrade: websocket\r\nContent-Length: 4\r\nConnection: ";
+    this->send(upgrade + "Upgrade\r\n\r\nbody" + upgrade + "Upgrade, close\r\n\r\nrest");
+    CHECK(this->readToEnd().starts_with("HTTP/1.1 200"));
+    CHECK(bodies == std::vector<std::string>{"body", "rest"});
+}
