Close requests that do not advance for others that do

What callers saw: after a crowd whose bodies stop short of their end, each ordinary upload of 4 MiB got 503 until the crowd's connections timed out, up to three minutes.

Cause: BufferPool refuses a newcomer whatever the others do. A few stalled bodies hold the pool, and nothing takes it from them; the same holds for answers that are not read.

Change: a request advances when 16 KiB of it have arrived, a response when part of it was written. If there is no room, connections that have not advanced for 2 s are closed with 503 and Retry-After, the one with the most memory first, incomplete requests before unread responses; a request that is being run is never closed. A body that sends a byte now and then does not advance either. Without any such connection the newcomer is refused as before, so that uploads that advance do not displace each other.

--- a/src/libhemlock/bufferpool.cpp
+++ b/src/libhemlock/bufferpool.cpp
@@ -50,6 +50,13 @@
     return true;
 }
 
+void BufferPool::Share::resizeBeyondLimit(std::size_t newBytes)
+{
+    if (this->pool)
+        this->pool->used += newBytes - this->bytes;
+    this->bytes = newBytes;
+}
+
 void BufferPool::Share::shrink(std::size_t removed)
 {
     this->bytes -= removed;
--- a/src/libhemlock/bufferpool.h
+++ b/src/libhemlock/bufferpool.h
@@ -31,6 +31,9 @@
         /// Changes the size to @p bytes, as by grow() if it is larger than before.
         bool resize(std::size_t bytes);
 
+        /// Changes the size to @p bytes for which others are about to make room.
+        void resizeBeyondLimit(std::size_t bytes);
+
         void shrink(std::size_t bytes);
 
         std::size_t size() const;
--- a/src/libhemlock/connectionbudget.cpp
+++ b/src/libhemlock/connectionbudget.cpp
@@ -14,6 +14,14 @@
 /// Ordinary requests are complete within this time.
 constexpr std::chrono::seconds arrivalTime{1};
 
+/// A request or response that did not advance for this long is taken to have stopped.
+constexpr std::chrono::seconds stallTime{2};
+
+bool isStalled(ConnectionProgress::TimePoint advanced, ConnectionProgress::TimePoint now)
+{
+    return advanced < now && now - advanced >= stallTime;
+}
+
 } // namespace
 
 bool ConnectionBudget::isExceeded(std::size_t connections, std::size_t bufferedBytes) const
@@ -48,6 +56,27 @@
     return chosen;
 }
 
+std::size_t ConnectionBudget::chooseStalled(const std::vector<ConnectionProgress> &connections, TimePoint now)
+{
+    using Stage = ConnectionProgress::Stage;
+    using Rank = std::tuple<int, std::size_t>;
+    std::size_t chosen = connections.size();
+    Rank greatest{0, 0};
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        const ConnectionProgress &connection = connections[i];
+        Rank rank{0, 0};
+        if (connection.stage == Stage::Reading && isStalled(connection.advanced, now))
+            rank = {1, connection.requestBytes};
+        else if (connection.stage == Stage::Writing && isStalled(connection.since, now))
+            rank = {0, connection.responseBytes};
+        if (std::get<std::size_t>(rank) == 0 || rank <= greatest)
+            continue;
+        greatest = rank;
+        chosen = i;
+    }
+    return chosen;
+}
+
 bool ConnectionBudget::isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const
 {
     return this->headTimeout.count() > 0 && connection.stage == ConnectionProgress::Stage::Reading
--- a/src/libhemlock/connectionbudget.h
+++ b/src/libhemlock/connectionbudget.h
@@ -23,7 +23,10 @@
     bool isInHead = false; ///< Part of a head has arrived.
     std::size_t requestBytes = 0; ///< Memory of the incomplete request.
     TimePoint since; ///< Start of the connection, of the incomplete request, of the response, or of the idle time.
+    /// When the incomplete request last advanced by as much as one that is sent without a pause does in a moment.
+    TimePoint advanced = TimePoint::max();
     TimePoint received = TimePoint::max(); ///< When bytes of the incomplete request last arrived.
+    std::size_t responseBytes = 0; ///< Of responses that are not written.
 };
 
 /// Chooses the connections that are closed when all of a process exceed their common limits.
@@ -48,6 +51,13 @@
     /// longest for its caller to read it. A request that is not answered yet is never closed.
     static std::size_t choose(const std::vector<ConnectionProgress> &connections, TimePoint now);
 
+    /// Returns the index of the connection to close so that a request or response that advances finds room in the
+    /// buffers; the size of @p connections if all advance.
+    ///
+    /// Of the incomplete requests that do not advance, the one with the most memory; without any, the same of responses
+    /// that their callers do not read.
+    static std::size_t chooseStalled(const std::vector<ConnectionProgress> &connections, TimePoint now);
+
     bool isHeadOverdue(const ConnectionProgress &connection, TimePoint now) const;
 
     /// Whether an incomplete body or trailer has stopped.
--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -131,11 +131,12 @@
               std::shared_ptr<ConnectionTable> table,
               std::shared_ptr<BufferPool::Share> requestBytes,
               std::shared_ptr<OpenResponses> responses,
-              const std::shared_ptr<BufferPool> &buffers)
+              ServerBuffers &buffers)
         : request(std::move(request))
         , table(std::move(table))
         , requestBytes(std::move(requestBytes))
-        , output(std::make_shared<Output>(buffers, this->table, std::move(responses)))
+        , buffers(buffers)
+        , output(std::make_shared<Output>(buffers.pool, this->table, std::move(responses)))
         , keepAlive(this->request->header().should_keep_alive())
         , connectionId(this->request->connection_id())
         , connection(restinio::impl::access_req_connection(*this->request))
@@ -166,10 +167,10 @@
             return;
         auto response = this->request->create_response(statusLine(status));
         this->appendHeaders(response, headers);
-        if (!this->output->bytes.grow(body.size()))
+        if (!this->growOutput(body.size()))
             return this->dropConnection();
         response.set_body(std::move(body));
-        response.done([output = this->output](const asio::error_code &) { output->bytes.resize(0); });
+        response.done([output = this->output](const asio::error_code &) { output->shrink(output->bytes.size()); });
         this->releaseRequest();
     }
 
@@ -209,11 +210,11 @@
         if (!this->stream || chunk.empty())
             return;
         const std::size_t size = chunk.size();
-        if (!this->output->bytes.grow(size))
+        if (!this->growOutput(size))
             return this->dropConnection();
         this->stream->append_chunk(std::move(chunk));
         this->stream->flush([output = this->output, size](const asio::error_code &) {
-            output->bytes.shrink(size);
+            output->shrink(size);
             if (output->bytes.size() == 0 && output->onDrained)
                 std::exchange(output->onDrained, nullptr)();
         });
@@ -267,11 +268,20 @@
 
         ~Output()
         {
+            this->shrink(this->bytes.size());
             --this->table->openResponses;
             --this->responses->unwritten;
             this->responses->since = std::chrono::steady_clock::now();
         }
 
+        /// Called when bytes were written, or will not be.
+        void shrink(std::size_t size)
+        {
+            this->bytes.shrink(size);
+            this->responses->pendingBytes -= size;
+            this->responses->since = std::chrono::steady_clock::now();
+        }
+
         Output(const Output &) = delete;
         Output &operator=(const Output &) = delete;
 
@@ -281,6 +291,14 @@
         std::function<void()> onDrained;
     };
 
+    bool growOutput(std::size_t size)
+    {
+        if (!this->buffers.resize(this->output->bytes, this->output->bytes.size() + size))
+            return false;
+        this->output->responses->pendingBytes += size;
+        return true;
+    }
+
     /// Closes the connection of a caller that does not read while the pending output of all takes too much memory.
     void dropConnection()
     {
@@ -339,6 +357,7 @@
     restinio::request_handle_t request;
     std::shared_ptr<ConnectionTable> table;
     std::shared_ptr<BufferPool::Share> requestBytes;
+    ServerBuffers &buffers;
     std::shared_ptr<Output> output;
     bool keepAlive;
     restinio::connection_id_t connectionId;
@@ -403,7 +422,7 @@
             return restinio::request_rejected();
         MeteredSocket::Request received = buffers.readingSocket->takeRequest();
         auto responder = std::make_shared<Responder>(
-            request, this->table, std::move(received.share), buffers.readingSocket->openResponses(), buffers.pool);
+            request, this->table, std::move(received.share), buffers.readingSocket->openResponses(), buffers);
         this->table->add(request->connection_id(), responder);
         HttpRequest converted = convertRequest(*request);
         converted.body = std::move(received.body);
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -71,6 +71,7 @@
     std::uint64_t slowHeads = 0; ///< Answered 408.
     std::uint64_t largeBodies = 0; ///< Answered 413.
     std::uint64_t slowBodies = 0; ///< Answered 408.
+    std::uint64_t stalledConnections = 0; ///< Closed for others that advance.
     std::uint64_t closedConnections = 0; ///< Closed because all together exceeded a limit.
 };
 
--- a/src/libhemlock/meteredsocket.cpp
+++ b/src/libhemlock/meteredsocket.cpp
@@ -22,6 +22,9 @@
 /// while it grows, and each copy for the handler has 64.
 constexpr std::size_t fieldRecordBytes = 300;
 
+/// A request that is sent without a pause advances by this much within a moment, also on a slow link.
+constexpr std::size_t advanceBytes = std::size_t{16} * 1024;
+
 } // namespace
 
 MeteredSocket::ReadingScope::ReadingScope(MeteredSocket &socket)
@@ -84,8 +87,11 @@
         progress.stage = Stage::Idle;
     progress.isInHead = this->decoder.isInHead();
     progress.requestBytes = this->request ? this->request->size() : 0;
-    if (this->request)
+    progress.responseBytes = this->responses->pendingBytes;
+    if (this->request) {
+        progress.advanced = this->advanced;
         progress.received = this->received;
+    }
     if (progress.stage == Stage::Idle || progress.stage == Stage::Writing)
         progress.since = this->responses->since;
     return progress;
@@ -155,8 +161,16 @@
     if (!this->request) {
         this->request = std::make_shared<BufferPool::Share>(this->buffers->pool);
         this->since = now;
+        this->advanced = now;
+        this->receivedBytes = 0;
+        this->advancedBytes = 0;
     }
     this->received = now;
+    this->receivedBytes += bytes.size();
+    if (this->receivedBytes - this->advancedBytes >= advanceBytes) {
+        this->advancedBytes = this->receivedBytes;
+        this->advanced = now;
+    }
     RequestSizeLimits limits;
     if (this->buffers->limits.maxHeadBytes > 0)
         limits.maxHeadBytes = this->buffers->limits.maxHeadBytes;
@@ -193,7 +207,7 @@
     std::size_t size = this->decoder.heldBytes();
     if (this->buffers->limits.memoryBytes > 0)
         size += this->decoder.lineCount() * fieldRecordBytes;
-    if (this->request->resize(size))
+    if (this->buffers->resize(*this->request, size, this))
         return this->buffers->enforceLimits(*this);
     const bool isTemporary = this->buffers->pool->fits(size);
     this->refuse(isTemporary ? 503 : 413, "too-large", isTemporary);
--- a/src/libhemlock/meteredsocket.h
+++ b/src/libhemlock/meteredsocket.h
@@ -20,6 +20,7 @@
 {
     int unanswered = 0; ///< Requests that the handler has not answered as a whole.
     int unwritten = 0; ///< Responses that are not written as a whole, with those of unanswered requests.
+    std::size_t pendingBytes = 0; ///< Of all responses.
     ConnectionProgress::TimePoint since; ///< End of the latest answer or of the latest write.
 };
 
@@ -64,6 +65,21 @@
         this->readFromNetwork(buffer, std::move(handler));
     }
 
+    /// Records when part of a response was written.
+    template <class Buffers, class Handler>
+    void async_write_some(const Buffers &buffers, Handler handler)
+    {
+        const auto executor = asio::get_associated_executor(handler);
+        asio::ip::tcp::socket::async_write_some(
+            buffers,
+            asio::bind_executor(executor,
+                                [written = this->responses, handler = std::move(handler)](const asio::error_code &error,
+                                                                                          std::size_t size) mutable {
+                                    written->since = std::chrono::steady_clock::now();
+                                    handler(error, size);
+                                }));
+    }
+
     void close();
 
     /// Whether RESTinio has been given the head of a request that was not taken yet.
@@ -166,7 +182,10 @@
     std::string unread; ///< Received bytes after the request that RESTinio gets.
     std::size_t index = notRegistered; ///< In the list of open connections.
     std::size_t maxBodyBytes = 0;
-    TimePoint since; ///< As in ConnectionProgress.
+    std::size_t receivedBytes = 0; ///< Of the incomplete request.
+    std::size_t advancedBytes = 0; ///< Value of receivedBytes at the time of advanced.
+    TimePoint since; ///< As in ConnectionProgress, like the next two.
+    TimePoint advanced;
     TimePoint received;
     bool hadRequest = false; ///< A request was handed over.
     bool isRefused = false;
--- a/src/libhemlock/relay/callerlimits.cpp
+++ b/src/libhemlock/relay/callerlimits.cpp
@@ -71,6 +71,9 @@
                      "Requests whose body was longer than the configuration allows.",
                      refused.largeBodies);
     metrics.setTotal("hemlock_slow_bodies_total", "Requests whose body stopped for too long.", refused.slowBodies);
+    metrics.setTotal("hemlock_stalled_callers_total",
+                     "Connections of callers whose request or response stopped, closed for others that advance.",
+                     refused.stalledConnections);
     metrics.setTotal(
         "hemlock_closed_callers_total",
         "Connections of callers that were closed because all together exceeded the memory or the descriptors.",
--- a/src/libhemlock/serverbuffers.cpp
+++ b/src/libhemlock/serverbuffers.cpp
@@ -66,6 +66,33 @@
     return true;
 }
 
+bool ServerBuffers::resize(BufferPool::Share &share, std::size_t bytes, const MeteredSocket *current)
+{
+    const auto now = std::chrono::steady_clock::now();
+    // Responses are freed only when the loop goes on.
+    std::size_t closedResponseBytes = 0;
+    while (!share.resize(bytes)) {
+        if (!this->pool->fits(bytes))
+            return false;
+        if (closedResponseBytes >= bytes - share.size()) {
+            share.resizeBeyondLimit(bytes);
+            return true;
+        }
+        std::vector<ConnectionProgress> connections = this->progress();
+        for (std::size_t i = 0; i < connections.size(); ++i) {
+            if (this->sockets[i] == current)
+                connections[i] = {};
+        }
+        const std::size_t chosen = ConnectionBudget::chooseStalled(connections, now);
+        if (chosen == this->sockets.size())
+            return false;
+        ++this->refused.stalledConnections;
+        closedResponseBytes += connections[chosen].responseBytes;
+        this->sockets[chosen]->refuse(503, "request-stalled", true);
+    }
+    return true;
+}
+
 void ServerBuffers::closeOverdue()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/libhemlock/serverbuffers.h
+++ b/src/libhemlock/serverbuffers.h
@@ -28,6 +28,10 @@
     /// Closes connections until all are within their limits. Returns false if @p current had to be closed.
     bool enforceLimits(MeteredSocket &current);
 
+    /// Lets @p share have @p bytes, and closes connections that do not advance if there is no room otherwise; never
+    /// @p current. Returns false, and leaves the share as it is, if there is no room.
+    bool resize(BufferPool::Share &share, std::size_t bytes, const MeteredSocket *current = nullptr);
+
     IncomingLimits limits;
     RefusedCallers refused;
     ConnectionBudget budget;
--- a/tests/unit/connectionbudgettest.cpp
+++ b/tests/unit/connectionbudgettest.cpp
@@ -49,6 +49,35 @@
     CHECK_FALSE(budget.isHeadOverdue(reading(0, std::chrono::milliseconds(50000)), now));
 }
 
+// Guards against bodies that do not advance and shut out those that do.
+TEST_CASE("ConnectionBudget: buffers are full: the largest request that does not advance is chosen")
+{
+    using std::chrono::milliseconds;
+    const auto upload = [](std::size_t bytes, milliseconds sinceAdvance) {
+        ConnectionProgress progress = reading(bytes, std::chrono::minutes(1));
+        progress.advanced = now - sinceAdvance;
+        return progress;
+    };
+    const auto unreadResponse = [](std::size_t bytes, milliseconds sinceWrite) {
+        ConnectionProgress progress{Stage::Writing, false, 0, now - sinceWrite};
+        progress.responseBytes = bytes;
+        return progress;
+    };
+    const ConnectionProgress moving = upload(4000000, milliseconds(100));
+    const ConnectionProgress running{Stage::Running, false, 0, now - std::chrono::minutes(5)};
+    const ConnectionProgress idle{Stage::Idle, false, 0, now - std::chrono::minutes(2)};
+
+    CHECK(ConnectionBudget::chooseStalled({}, now) == 0);
+    CHECK(ConnectionBudget::chooseStalled({moving, running, idle, reading(0, milliseconds(5))}, now) == 4);
+    CHECK(ConnectionBudget::chooseStalled({moving, upload(10, milliseconds(3000))}, now) == 1);
+    CHECK(ConnectionBudget::chooseStalled({upload(10, milliseconds(9000)), upload(900, milliseconds(3000))}, now) == 1);
+    CHECK(ConnectionBudget::chooseStalled({unreadResponse(900, milliseconds(100)), moving}, now) == 2);
+    CHECK(ConnectionBudget::chooseStalled({unreadResponse(900, milliseconds(3000)), moving}, now) == 0);
+    CHECK(ConnectionBudget::chooseStalled(
+              {unreadResponse(900, milliseconds(3000)), upload(10, milliseconds(3000)), moving}, now)
+          == 1);
+}
+
 // Guards against a body that stops and holds its memory for minutes, and against one that is slow but goes on.
 TEST_CASE("ConnectionBudget: body has stopped: it is overdue, one that goes on is not")
 {
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <list>
 #include <memory>
 #include <vector>
 
@@ -348,6 +349,99 @@
     CHECK(received.find("second") < received.find(" 408 "));
 }
 
+namespace {
+
+/// A server whose callers may take little memory, and callers that send or read without advancing.
+class StalledCallerFixture : public HttpServerFixture
+{
+protected:
+    static constexpr std::size_t processBytes = std::size_t{12} * 1024 * 1024;
+    static constexpr std::size_t largeBytes = 1900000;
+
+    /// Longer than the time after which a request or response is taken to have stopped.
+    static constexpr std::chrono::milliseconds stopTime{2500};
+
+    void startServer(HttpHandler handler)
+    {
+        HttpServerFixture::startServer(std::move(handler));
+        IncomingLimits limits;
+        limits.memoryBytes = processBytes;
+        this->server->setLimits(limits);
+    }
+
+    tcp::socket &addCaller()
+    {
+        tcp::socket &caller = this->callers.emplace_back(this->loop);
+        caller.connect(this->connection.remote_endpoint());
+        return caller;
+    }
+
+    /// Begins an upload that stays without its last byte.
+    void startUpload()
+    {
+        auto bytes = std::make_shared<std::string>(upload(largeBytes + 1));
+        bytes->pop_back();
+        asio::async_write(this->addCaller(), asio::buffer(*bytes), [bytes](const asio::error_code &, std::size_t) {});
+        const std::size_t used = this->server->buffers().usedBytes();
+        this->runUntil([&] { return this->server->buffers().usedBytes() >= used + largeBytes; });
+    }
+
+    static std::string upload(std::size_t bytes)
+    {
+        return "POST / HTTP/1.1\r\nHost: test\r\nConnection: close\r\nContent-Length: " + std::to_string(bytes)
+            + "\r\n\r\n" + std::string(bytes, 'x');
+    }
+
+    /// Sends a whole request and returns the answer.
+    std::string answer(const std::string &request)
+    {
+        asio::async_write(this->connection, asio::buffer(request), [](const asio::error_code &, std::size_t) {});
+        return this->readToEnd();
+    }
+
+    std::list<tcp::socket> callers;
+};
+
+} // namespace
+
+// Guards against a few bodies that do not advance and shut out all others.
+TEST_CASE_METHOD(StalledCallerFixture, "HttpServer: bodies that stopped hold all room: an upload that advances gets it")
+{
+    this->startServer(
+        [](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, "whole"); });
+    this->startUpload();
+    this->loop.run_for(stopTime);
+    CHECK(this->answer(upload(largeBytes)).starts_with("HTTP/1.1 200"));
+    CHECK(this->server->refusedCallers().stalledConnections == 1);
+}
+
+// Guards against the opposite, uploads that displace each other so that none gets through.
+TEST_CASE_METHOD(StalledCallerFixture, "HttpServer: bodies that advance hold all room: another upload is refused")
+{
+    this->startServer(
+        [](const HttpRequest &, const HttpResponderPtr &responder) { responder->reply(200, {}, "whole"); });
+    this->startUpload();
+    const std::string received = this->answer(upload(largeBytes));
+    CHECK(received.starts_with("HTTP/1.1 503"));
+    CHECK(received.find("Retry-After: 1") != std::string::npos);
+    CHECK(this->server->refusedCallers().stalledConnections == 0);
+}
+
+// Guards against answers that nobody reads and that shut out all others.
+TEST_CASE_METHOD(StalledCallerFixture, "HttpServer: unread answers hold all room: an answer that is read gets it")
+{
+    this->startServer([](const HttpRequest &, const HttpResponderPtr &responder) {
+        responder->reply(200, {}, std::string(largeBytes, 'y'));
+    });
+    tcp::socket &caller = this->addCaller();
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    asio::write(caller, asio::buffer(plainRequest));
+    this->runUntil([this] { return this->server->buffers().usedBytes() > 0; });
+    this->loop.run_for(stopTime);
+    const std::string received = this->answer("GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+    CHECK(received.ends_with(std::string(largeBytes, 'y')));
+}
+
 // Guards against a body that is read although its length is announced to be above the limit.
 TEST_CASE_METHOD(HttpServerFixture, "HttpServer: announced body is above the limit: status 413 at once")
 {
