Limit what the kernel holds for connections that are not read

What callers saw: a process that ran out of memory after it had stood still for some seconds while many callers arrived.

Cause: connections that wait to be accepted, and accepted ones that are not read, hold up to a receive buffer each, which counts as memory of the process. RESTinio listens with the longest queue that the system allows (4,096), and the number of connections followed from the descriptors alone.

Change: the shares of memory are taken of what the process does not need itself (memory-mb less 18 MB): 0.4 for connections, requests and responses (0.35 of all before), 0.3 for received bytes that are not read. The latter limits connections (two thirds) and the queues of the three listeners (one third) at 40 KiB each. The queue of callers has 443 places at 260 MB and 186 at 120 MB (arithmetic). The receive buffer stays as it is, as smaller ones slow down large uploads.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -19,7 +19,6 @@
 class Responder;
 
 /// Buffers of the kernel for each connection. The kernel doubles the values.
-constexpr int receiveBufferBytes = 32 * 1024;
 constexpr int sendBufferBytes = 128 * 1024;
 
 /// Learns from RESTinio's log which requests it does not understand, as it has no other way to tell.
@@ -454,6 +453,7 @@
     constexpr std::size_t pipelinedRequests = 2;
     auto &buffers = asio::use_service<ServerBuffers>(this->d->loop);
     const bool hasMemoryLimit = buffers.limits.memoryBytes > 0;
+    asio::ip::tcp::acceptor *acceptor = nullptr;
     restinio::server_settings_t<ServerTraits> settings;
     settings.logger(buffers)
         .address(httpSettings.address)
@@ -469,11 +469,13 @@
             if (!hasMemoryLimit)
                 return;
             // Connections inherit these before they are accepted.
-            options.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+            options.set_option(asio::socket_base::receive_buffer_size(callerReceiveBufferBytes));
             options.set_option(asio::socket_base::send_buffer_size(sendBufferBytes));
         })
-        .acceptor_post_bind_hook(
-            [this](asio::ip::tcp::acceptor &acceptor) { this->d->boundPort = acceptor.local_endpoint().port(); })
+        .acceptor_post_bind_hook([&](asio::ip::tcp::acceptor &bound) {
+            acceptor = &bound;
+            this->d->boundPort = bound.local_endpoint().port();
+        })
         .socket_options_setter([](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .connection_state_listener(
             std::make_shared<ConnectionListener>(this->d->table, buffers, httpSettings.maxBodyBytes))
@@ -481,6 +483,9 @@
     this->d->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
         restinio::external_io_context(this->d->loop), std::move(settings));
     this->d->server->open_sync();
+    // RESTinio listens with the longest queue.
+    if (httpSettings.maxWaitingConnections > 0)
+        acceptor->listen(static_cast<int>(httpSettings.maxWaitingConnections));
     return httpSettings.address + ":" + std::to_string(this->d->boundPort);
 }
 
--- a/src/libhemlock/httpserver.h
+++ b/src/libhemlock/httpserver.h
@@ -49,14 +49,18 @@
     std::uint16_t port = 0; ///< 0 lets the system choose a free port.
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t maxConnections = 20000;
+    std::size_t maxWaitingConnections = 0; ///< That are not accepted yet; 0 for the limit of the system.
     std::chrono::seconds readTimeout{30}; ///< Limit for reading one request, and for an idle connection.
     std::chrono::seconds handleTimeout{3600}; ///< Limit from a request to the end of its response.
 };
 
+/// Receive buffer of a caller's connection if there is a limit of the memory, in bytes. The kernel doubles the value.
+inline constexpr int callerReceiveBufferBytes = 32 * 1024;
+
 /// Limits for the callers of all servers on a loop together.
 struct IncomingLimits
 {
-    std::size_t memoryBytes = 0; ///< Memory of the process; 0 for no limit that follows from it.
+    std::size_t memoryBytes = 0; ///< For connections, requests and responses; 0 for no limit that follows from it.
     std::size_t maxConnections = 0; ///< 0 for no limit.
     std::size_t maxHeadBytes = 0; ///< For a head, its trailer and empty lines before it; 0 for that of http_parser.
     std::chrono::milliseconds headTimeout{0}; ///< From the first byte of a head to its end; 0 for no limit.
--- a/src/libhemlock/relay/callerlimits.cpp
+++ b/src/libhemlock/relay/callerlimits.cpp
@@ -26,17 +26,47 @@
 /// A body in which nothing arrives for this long is given up. Callers' deadlines are shorter.
 constexpr std::chrono::milliseconds bodyTimeout{60000};
 
+/// Memory of the process without any caller or answer.
+constexpr double processBytes = 18e6;
+
+/// Shares of the remaining memory; what is left over is for copies that exist for a moment and for gaps between blocks.
+constexpr double callerShare = 0.4; ///< Connections, requests and responses of callers.
+constexpr double unreadShare = 0.3; ///< Received bytes in the kernel, which count as memory of the process.
+
+/// Share of the unread bytes that is for connections that are not accepted yet.
+constexpr double waitingShare = 1.0 / 3.0;
+
+/// Share of the connections that are not accepted yet that is for one of the listeners beside that of callers.
+constexpr double otherListenerShare = 1.0 / 8.0;
+
+constexpr double minWaitingConnections = 16.0;
+
+/// The most that the kernel keeps for a connection with callerReceiveBufferBytes that is not read.
+constexpr double unreadConnectionBytes = 1.25 * callerReceiveBufferBytes;
+
+double availableBytes(const RelaySettings &settings)
+{
+    return std::max(0.0, static_cast<double>(settings.memoryBytes) - processBytes);
+}
+
 } // namespace
 
 IncomingLimits callerLimits(const RelaySettings &settings, const RelayConfig *config)
 {
     IncomingLimits limits;
-    limits.memoryBytes = settings.memoryBytes;
     limits.bodyTimeout = bodyTimeout;
     if (settings.maxSockets > 0) {
         const std::size_t callerSockets = settings.maxSockets - std::min(settings.maxSockets, otherSockets);
         limits.maxConnections = std::max(minCallers, callerSockets / socketsPerCaller);
     }
+    if (settings.memoryBytes > 0) {
+        const double available = availableBytes(settings);
+        // A limit of 0 would be none.
+        limits.memoryBytes = std::max<std::size_t>(1, static_cast<std::size_t>(available * callerShare));
+        const double unread = available * unreadShare * (1.0 - waitingShare) / unreadConnectionBytes;
+        const std::size_t readable = std::max(minCallers, static_cast<std::size_t>(unread));
+        limits.maxConnections = limits.maxConnections == 0 ? readable : std::min(limits.maxConnections, readable);
+    }
     if (config) {
         limits.maxBodyBytes = config->maxBodyBytes;
         limits.maxHeadBytes = config->maxHeadBytes;
@@ -47,6 +77,18 @@
     return limits;
 }
 
+WaitingConnections maxWaitingConnections(const RelaySettings &settings)
+{
+    WaitingConnections waiting;
+    if (settings.memoryBytes == 0)
+        return waiting;
+    const double all = availableBytes(settings) * unreadShare * waitingShare / unreadConnectionBytes;
+    const double other = std::max(minWaitingConnections, all * otherListenerShare);
+    waiting.callers = static_cast<std::size_t>(std::max(minWaitingConnections, all - 2.0 * other));
+    waiting.others = static_cast<std::size_t>(other);
+    return waiting;
+}
+
 std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings)
 {
     if (settings.maxSockets == 0)
--- a/src/libhemlock/relay/callerlimits.h
+++ b/src/libhemlock/relay/callerlimits.h
@@ -14,6 +14,15 @@
 /// Limits for the callers of a relay process, from its VM and the configuration in force; null if there is none yet.
 IncomingLimits callerLimits(const RelaySettings &settings, const RelayConfig *config);
 
+/// Connections that may wait at a listener until they are accepted; 0 for the limit of the system.
+struct WaitingConnections
+{
+    std::size_t callers = 0;
+    std::size_t others = 0; ///< At each of the listeners for readiness and control.
+};
+
+WaitingConnections maxWaitingConnections(const RelaySettings &settings);
+
 /// Connections to upstreams that are kept open, so that all sockets stay within the settings; nullopt to keep the
 /// default of HttpClient.
 std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings);
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -43,13 +43,14 @@
 /// Written several times a second, so it is outside of the prefixes that VMs watch.
 constexpr std::string_view countsKey = "hemlock-counts/usage";
 
-HttpServerSettings serverSettings(const std::string &address)
+HttpServerSettings serverSettings(const std::string &address, std::size_t maxWaitingConnections)
 {
     HttpServerSettings settings;
     const std::size_t colon = address.rfind(':');
     settings.address = address.substr(0, colon);
     settings.port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
     settings.maxBodyBytes = maxBodyBytes;
+    settings.maxWaitingConnections = maxWaitingConnections;
     settings.readTimeout = callerIdleTimeout;
     return settings;
 }
@@ -136,16 +137,16 @@
              this->settings.configUpdateDeadline},
             this->storeHooks())
     , callerServer(loop,
-                   serverSettings(this->settings.callerAddress),
+                   serverSettings(this->settings.callerAddress, maxWaitingConnections(this->settings).callers),
                    [this](HttpRequest request, const HttpResponderPtr &responder) {
                        this->handleCallerRequest(std::move(request), responder);
                    })
     , readinessServer(
           loop,
-          serverSettings(this->settings.readinessAddress),
+          serverSettings(this->settings.readinessAddress, maxWaitingConnections(this->settings).others),
           [this](const HttpRequest &, const HttpResponderPtr &responder) { this->handleReadiness(responder); })
     , controlServer(loop,
-                    serverSettings(this->settings.controlAddress),
+                    serverSettings(this->settings.controlAddress, maxWaitingConnections(this->settings).others),
                     [this](const HttpRequest &request, const HttpResponderPtr &responder) {
                         this->handleControl(request, responder);
                     })
--- a/src/libhemlock/serverbuffers.cpp
+++ b/src/libhemlock/serverbuffers.cpp
@@ -11,10 +11,6 @@
 /// Bytes that the requests and responses of all servers on a loop may take together.
 constexpr std::size_t bufferCapacity = std::size_t{32} * 1024 * 1024;
 
-/// Share of the memory of a process for connections, requests and responses of callers. The rest is for the process
-/// itself (15 MB), answers of upstreams, and copies of the requests that are relayed.
-constexpr double callerMemoryShare = 0.35;
-
 /// Interval of the check for requests that take too long.
 constexpr std::chrono::milliseconds overdueCheckInterval{250};
 
@@ -35,7 +31,7 @@
     if (changed.maxConnections > 0)
         this->budget.maxConnections = changed.maxConnections;
     if (changed.memoryBytes > 0) {
-        this->budget.maxBytes = static_cast<std::size_t>(static_cast<double>(changed.memoryBytes) * callerMemoryShare);
+        this->budget.maxBytes = changed.memoryBytes;
         this->pool->setCapacity(std::min(bufferCapacity, this->budget.maxBytes));
     }
     this->timer.cancel();
