Hold the body of a relayed request once

What callers saw: a process that ran out of memory although all requests together stayed below what it may buffer.

Cause: each relayed request had a copy of its body in RESTinio, one in RelayRequest and one in HttpCall for each attempt, and libcurl's buffer of 64 KiB for a large upload. One of them was counted.

Change: the body is moved from the received bytes into the request, and all attempts share it (HttpCall::sharedBody). libcurl's buffer for uploads has 16 KiB, the least that it allows.

--- a/src/libhemlock/httpclient.cpp
+++ b/src/libhemlock/httpclient.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// Buffer of each call with a large body; the smallest that libcurl allows.
+constexpr long uploadBufferBytes = 16L * 1024;
+
 /// Bytes in the socket's send queue, including those that the peer has not acknowledged.
 std::optional<std::size_t> unsentBytes(curl_socket_t socket)
 {
@@ -118,8 +121,8 @@
             return;
         curl_off_t uploaded = 0;
         curl_easy_getinfo(this->easyHandle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-        this->isRequestReceived =
-            std::cmp_greater_equal(uploaded, this->call.body.size()) && unsentBytes(this->socket).value_or(0) == 0;
+        this->isRequestReceived = std::cmp_greater_equal(uploaded, this->call.sentBody().size())
+            && unsentBytes(this->socket).value_or(0) == 0;
     }
 
     /// Lets libcurl keep the connection after a whole answer.
@@ -442,10 +445,12 @@
     curl_easy_setopt(easyHandle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easyHandle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easyHandle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
-        curl_easy_setopt(easyHandle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
-        curl_easy_setopt(easyHandle, CURLOPT_POSTFIELDS, call.body.c_str());
+    const std::string &body = call.sentBody();
+    if (!body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easyHandle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(easyHandle, CURLOPT_POSTFIELDS, body.c_str());
     }
+    curl_easy_setopt(easyHandle, CURLOPT_UPLOAD_BUFFERSIZE, uploadBufferBytes);
     // libcurl waits one second for "100 Continue" before it sends a large body, unless the field is removed.
     transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
     if (call.omitsDefaultHeaders) {
--- a/src/libhemlock/httpclient.h
+++ b/src/libhemlock/httpclient.h
@@ -40,6 +40,12 @@
     /// Bounds the fields and the buffered body together with those of other answers; unset for no common bound.
     std::shared_ptr<BufferPool> buffers;
     std::chrono::seconds maxIdleTime{0}; ///< Connections idle for longer are not reused; 0 uses libcurl's default.
+    std::shared_ptr<const std::string> sharedBody; ///< Sent in place of body, without a copy; unset to send body.
+
+    const std::string &sentBody() const
+    {
+        return this->sharedBody ? *this->sharedBody : this->body;
+    }
 };
 
 /// Reason why no complete response arrived.
--- a/src/libhemlock/relay/relaycall.cpp
+++ b/src/libhemlock/relay/relaycall.cpp
@@ -187,7 +187,7 @@
         return false;
     }
     const std::string name = this->account ? this->account->name : std::string();
-    this->fingerprint = requestFingerprint(name, this->request.target, this->request.body);
+    this->fingerprint = requestFingerprint(name, this->request.target, *this->request.body);
     this->suspects.setRequest(this->service, this->request.parts, this->fingerprint);
     return true;
 }
--- a/src/libhemlock/relay/relayrequest.h
+++ b/src/libhemlock/relay/relayrequest.h
@@ -4,6 +4,7 @@
 #include "router.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,7 +22,7 @@
     std::string host;
     std::string apiKey;
     HttpHeaders headers; ///< Header fields that are forwarded unchanged.
-    std::string body;
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>(); ///< Shared by all attempts.
     std::optional<std::chrono::milliseconds> deadline; ///< Time that the caller waits for the answer, from its arrival.
     std::optional<std::string> lastEventId; ///< Set when the caller resumes a stream after this event.
     std::optional<double> promptTokens;
--- a/tests/unit/platformadaptertest.cpp
+++ b/tests/unit/platformadaptertest.cpp
@@ -311,7 +311,7 @@
     attempt.lastEventId = "12";
     const HttpCall call = platform::encodeRelayAttempt(std::get<RelayRequest>(decoded), attempt);
     CHECK(call.target == "/p/2f?x=1");
-    CHECK(call.body == "{}");
+    CHECK(call.sentBody() == "{}");
     CHECK(call.headers.value("X-Hemlockflow-Expect-Instance") == "i-1");
     CHECK(call.headers.value("X-Hemlockflow-Tenant") == "account");
     CHECK(call.headers.value("X-Hemlockflow-Deadline-Ms") == "900");
