Limit the answers of upstreams by the memory of the VM

Cause: answers of upstreams in progress could take 32 MiB together on each VM, also on one of 64 MB, beside the requests and responses of callers.

Change: 0.15 of the memory that the process does not need itself, and at most 32 MiB as before.

--- a/src/libhemlock/relay/callerlimits.cpp
+++ b/src/libhemlock/relay/callerlimits.cpp
@@ -4,6 +4,7 @@
 #include "httpclient.h"
 #include "metrics.h"
 #include "relay/relayconfig.h"
+#include "relay/relaycontext.h"
 #include "relay/relayprocess.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
 /// Shares of the remaining memory; what is left over is for copies that exist for a moment and for gaps between blocks.
 constexpr double callerShare = 0.4; ///< Connections, requests and responses of callers.
 constexpr double unreadShare = 0.3; ///< Received bytes in the kernel, which count as memory of the process.
+constexpr double answerShare = 0.15; ///< Answers of upstreams.
 
 /// Share of the unread bytes that is for connections that are not accepted yet.
 constexpr double waitingShare = 1.0 / 3.0;
@@ -89,6 +91,14 @@
     return waiting;
 }
 
+std::optional<std::size_t> answerBufferBytes(const RelaySettings &settings)
+{
+    if (settings.memoryBytes == 0)
+        return std::nullopt;
+    return std::min(RelayContext::answerBufferCapacity,
+                    static_cast<std::size_t>(availableBytes(settings) * answerShare));
+}
+
 std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings)
 {
     if (settings.maxSockets == 0)
--- a/src/libhemlock/relay/callerlimits.h
+++ b/src/libhemlock/relay/callerlimits.h
@@ -23,6 +23,9 @@
 
 WaitingConnections maxWaitingConnections(const RelaySettings &settings);
 
+/// Memory for the answers of upstreams; nullopt to keep the default of RelayContext.
+std::optional<std::size_t> answerBufferBytes(const RelaySettings &settings);
+
 /// Connections to upstreams that are kept open, so that all sockets stay within the settings; nullopt to keep the
 /// default of HttpClient.
 std::optional<std::size_t> maxUpstreamConnections(const RelaySettings &settings);
--- a/src/libhemlock/relay/relayprocess.cpp
+++ b/src/libhemlock/relay/relayprocess.cpp
@@ -183,6 +183,8 @@
     this->callerServer.setLimits(callerLimits(this->settings, nullptr));
     if (const auto connections = maxUpstreamConnections(this->settings))
         this->context.http.setMaxConnections(*connections);
+    if (const auto bytes = answerBufferBytes(this->settings))
+        this->context.answerBuffers->setCapacity(*bytes);
     this->callerServer.start();
     this->readinessServer.start();
     this->controlServer.start();
