--- a/tests/failure/callercrowd.h
+++ b/tests/failure/callercrowd.h
@@ -21,11 +21,11 @@
     std::size_t repeatedBytes = 0; ///< Bytes of the repeated pattern; the last repetition may be incomplete.
     std::string end;
 
-    /// A request with a body of @p bodyBytes in chunks of @p chunkBytes, of which @p sentBytes of the body's bytes are
-    /// sent in whole chunks; the end of the body is not among them.
+    /// A request whose body comes in whole chunks of @p chunkBytes, together at most @p sentBytes without their
+    /// framing; the end of the body is not among them.
     static CallerBytes chunked(std::size_t chunkBytes, std::size_t sentBytes);
 
-    /// A request with a length of @p bodyBytes, of which @p sentBytes are sent.
+    /// A request that announces a body of @p bodyBytes, of which @p sentBytes are sent.
     static CallerBytes announced(std::size_t bodyBytes, std::size_t sentBytes);
 
     /// Makes the bytes of chunked() a whole request.
--- a/tests/failure/callercrowdtest.cpp
+++ b/tests/failure/callercrowdtest.cpp
@@ -54,6 +54,17 @@
             std::make_unique<CallerCrowd>(this->vm.http.loop(), this->vm.ports.at(listener)));
     }
 
+    /// Lets a crowd of callers that come again send, and checks the process afterwards.
+    void checkCrowd(const std::string &listener, const CallerBytes &form, bool isInTurn)
+    {
+        INFO(listener << ", " << form.name << (isInTurn ? ", one after the other" : ", all at once"));
+        CallerCrowd &crowd = this->startCrowd(listener);
+        crowd.setInTurn(isInTurn);
+        crowd.add(crowdSize, {form}, returns);
+        this->runCrowds();
+        this->checkHealth();
+    }
+
     /// Lets the callers send until they have sent all, and no longer than crowdTime.
     void runCrowds()
     {
@@ -151,13 +162,7 @@
 TEST_CASE_METHOD(CallerCrowdFixture, "hemlock-relay: many bodies stop short of their end: memory is bounded")
 {
     const CallerBytes form = GENERATE(from_range(incompleteBodies()));
-    const bool isInTurn = GENERATE(false, true);
-    INFO(form.name << (isInTurn ? ", one after the other" : ", all at once"));
-    CallerCrowd &crowd = this->startCrowd("front");
-    crowd.setInTurn(isInTurn);
-    crowd.add(crowdSize, {form}, returns);
-    this->runCrowds();
-    this->checkHealth();
+    this->checkCrowd("front", form, GENERATE(false, true));
 }
 
 // Guards against the same fault at the listeners that are not for callers.
@@ -165,25 +170,14 @@
                  "hemlock-relay: many bodies at the other listeners stop short of their end: memory is bounded")
 {
     const std::string listener = GENERATE(as<std::string>(), "ready", "control");
-    INFO(listener);
-    CallerCrowd &crowd = this->startCrowd(listener);
-    crowd.setInTurn(true);
-    crowd.add(crowdSize, {CallerBytes::announced(maxBodyBytes, nearlyWholeBytes)}, returns);
-    this->runCrowds();
-    this->checkHealth();
+    this->checkCrowd(listener, CallerBytes::announced(maxBodyBytes, nearlyWholeBytes), true);
 }
 
 // Guards against bodies that are read although they are longer than any request may be.
 TEST_CASE_METHOD(CallerCrowdFixture, "hemlock-relay: many bodies are above the limit: memory is bounded")
 {
     const CallerBytes form = GENERATE(from_range(excessiveBodies()));
-    const bool isInTurn = GENERATE(false, true);
-    INFO(form.name << (isInTurn ? ", one after the other" : ", all at once"));
-    CallerCrowd &crowd = this->startCrowd("front");
-    crowd.setInTurn(isInTurn);
-    crowd.add(crowdSize, {form}, returns);
-    this->runCrowds();
-    this->checkHealth();
+    this->checkCrowd("front", form, GENERATE(false, true));
 }
 
 // Guards against copies of whole requests that are not counted.
@@ -192,15 +186,12 @@
     constexpr std::size_t uploadBytes = std::size_t{1024} * 1024;
     const CallerBytes form = GENERATE_COPY(values<CallerBytes>(
         {CallerBytes::announced(uploadBytes, uploadBytes), CallerBytes::chunked(4096, uploadBytes).ended()}));
-    INFO(form.name);
     this->upstreamHandler = [this](const HttpRequest &request, const HttpResponderPtr &responder) {
         auto timer = std::make_shared<asio::steady_timer>(this->vm.http.loop(), std::chrono::milliseconds(300));
         timer->async_wait([timer, request = HttpRequest{.headers = request.headers}, responder](
                               const asio::error_code &) { RelayVm::answerWhole(request, responder, "late"); });
     };
-    this->startCrowd("front").add(crowdSize, {form}, returns);
-    this->runCrowds();
-    this->checkHealth();
+    this->checkCrowd("front", form, false);
 }
 
 // Guards against answers that are held for callers that do not read them.
