Bound what is reserved for a body beyond what has arrived

A chunked body grew by half, and what is reserved counts, so that a body of 12 MiB was refused with 413 from 10.7 MiB on: no request may have more than half of the buffers (16 MiB). The existing test "RelayCall: answer without a length breaks off during the upload: does not look complete" failed for it in the nine chunked combinations. It now grows by 512 KiB at most, and the test holds. Bodies within max-body-bytes of the deployments (4 MiB) were not refused.

--- a/src/libhemlock/requestdecoder.cpp
+++ b/src/libhemlock/requestdecoder.cpp
@@ -18,6 +18,9 @@
 /// First reservation for a body.
 constexpr std::size_t minBodyCapacity = 512;
 
+/// The most that is reserved for a body beyond what has arrived.
+constexpr std::size_t maxSpareBytes = std::size_t{512} * 1024;
+
 bool equalsIgnoringCase(std::string_view text, std::string_view lowerCase)
 {
     return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(), [](char character, char lower) {
@@ -243,8 +246,8 @@
 {
     const std::size_t needed = this->body.size() + bytes.size();
     if (needed > this->body.capacity()) {
-        const std::size_t half = this->body.capacity() / 2;
-        const std::size_t grown = std::max({needed, this->body.capacity() + half, minBodyCapacity});
+        const std::size_t spare = std::min(this->body.capacity() / 2, maxSpareBytes);
+        const std::size_t grown = std::max({needed, this->body.capacity() + spare, minBodyCapacity});
         // reserve() would at least double the capacity.
         std::string larger;
         larger.reserve(std::max(needed, std::min(grown, this->maxBodyBytes)));
