Read the clock only where a limit is exceeded

Each read of a caller and each write of a stream read the clock, though only the choice of a connection to close needs it. The time of a write is recorded by MeteredSocket::async_write_some() alone, so that Output does not record it once more.

No behaviour changes. Tests of HttpServer, ConnectionBudget and RelayProcess pass.

--- a/src/libhemlock/httpserver.cpp
+++ b/src/libhemlock/httpserver.cpp
@@ -278,7 +278,6 @@
         {
             this->bytes.shrink(size);
             this->responses->pendingBytes -= size;
-            this->responses->since = std::chrono::steady_clock::now();
         }
 
         Output(const Output &) = delete;
--- a/src/libhemlock/serverbuffers.cpp
+++ b/src/libhemlock/serverbuffers.cpp
@@ -50,9 +50,8 @@
 
 bool ServerBuffers::enforceLimits(MeteredSocket &current)
 {
-    const auto now = std::chrono::steady_clock::now();
     while (this->budget.isExceeded(this->sockets.size(), this->pool->usedBytes())) {
-        const std::size_t chosen = ConnectionBudget::choose(this->progress(), now);
+        const std::size_t chosen = ConnectionBudget::choose(this->progress(), std::chrono::steady_clock::now());
         MeteredSocket *const closed = chosen < this->sockets.size() ? this->sockets[chosen] : &current;
         ++this->refused.closedConnections;
         closed->refuse(503, "too-many-callers", true);
@@ -64,7 +63,6 @@
 
 bool ServerBuffers::resize(BufferPool::Share &share, std::size_t bytes, const MeteredSocket *current)
 {
-    const auto now = std::chrono::steady_clock::now();
     // Responses are freed only when the loop goes on.
     std::size_t closedResponseBytes = 0;
     while (!share.resize(bytes)) {
@@ -79,7 +77,7 @@
             if (this->sockets[i] == current)
                 connections[i] = {};
         }
-        const std::size_t chosen = ConnectionBudget::chooseStalled(connections, now);
+        const std::size_t chosen = ConnectionBudget::chooseStalled(connections, std::chrono::steady_clock::now());
         if (chosen == this->sockets.size())
             return false;
         ++this->refused.stalledConnections;
