--- a/src/libhemlock/answerframing.cpp
+++ b/src/libhemlock/answerframing.cpp
@@ -1,5 +1,7 @@
 #include "answerframing.h"
 
+#include "httptext.h"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -43,26 +45,6 @@
     return isLetter || isDigit(character) || others.find(character) != std::string_view::npos;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && isBlank(text.front()))
-        text.remove_prefix(1);
-    while (!text.empty() && isBlank(text.back()))
-        text.remove_suffix(1);
-    return text;
-}
-
-char lowerCase(char character)
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-}
-
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return std::equal(
-        a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lowerCase(x) == lowerCase(y); });
-}
-
 /// Parses a number that consists of digits only. Returns nullopt for anything else and for numbers above the limit.
 std::optional<std::uint64_t> parseSize(std::string_view text, int base)
 {
--- a/src/libhemlock/httpmessage.cpp
+++ b/src/libhemlock/httpmessage.cpp
@@ -1,21 +1,11 @@
 #include "httpmessage.h"
 
+#include "httptext.h"
+
 #include <algorithm>
-#include <cctype>
 
 namespace hemlock {
 
-namespace {
-
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
-}
-
-} // namespace
-
 HttpHeaders::HttpHeaders(std::initializer_list<HttpHeader> fields)
     : fields(fields)
 {
--- a/src/libhemlock/requestdecoder.cpp
+++ b/src/libhemlock/requestdecoder.cpp
@@ -1,7 +1,8 @@
 #include "requestdecoder.h"
 
+#include "httptext.h"
+
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -21,21 +22,6 @@
 /// The most that is reserved for a body beyond what has arrived.
 constexpr std::size_t maxSpareBytes = std::size_t{512} * 1024;
 
-bool equalsIgnoringCase(std::string_view text, std::string_view lowerCase)
-{
-    return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(), [](char character, char lower) {
-        return std::tolower(static_cast<unsigned char>(character)) == lower;
-    });
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(whiteSpace);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(whiteSpace) - first + 1);
-}
-
 std::string_view withoutLineEnd(std::string_view line)
 {
     if (line.ends_with('\n'))
