Reserve ports of relay tests outside the range of the system

It took 56 ports from the system and released them before its 14 relays listened; the system gave the same port twice in 375 of 2,000 repetitions of these steps, and a relay that cannot listen never becomes ready. Change: freePort() returns no port twice, and none from the range of outgoing connections; the test ends with the output of all processes if a relay is not ready within 30 s.

--- a/tests/failure/crashingparttest.cpp
+++ b/tests/failure/crashingparttest.cpp
@@ -1,4 +1,5 @@
 #include "crashingupstream.h"
+#include "freeports.h"
 #include "processes.h"
 #include "soakstore.h"
 #include "testhttp.h"
@@ -127,21 +128,17 @@
 
     void startRelay(Processes &processes, const std::string &name, const std::string &storeAddress)
     {
-        std::vector<asio::ip::tcp::acceptor> reserved;
-        std::vector<std::string> addresses;
-        for (int i = 0; i < 4; ++i) {
-            reserved.emplace_back(this->http.loop(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-            addresses.push_back("127.0.0.1:" + std::to_string(reserved.back().local_endpoint().port()));
-        }
-        reserved.clear();
-        this->callerAddresses.push_back(addresses[0]);
-        this->readinessAddresses.push_back(addresses[1]);
+        this->callerAddresses.push_back(freeAddress());
+        this->readinessAddresses.push_back(freeAddress());
         const json settings = {
             {"node-name", name},
             {"zone", "zone-a"},
             {"ip", "127.0.0.1"},
-            {"listen", {{"front", addresses[0]}, {"ready", addresses[1]}, {"control", addresses[2]}}},
-            {"port-range", {std::stoi(addresses[3].substr(addresses[3].rfind(':') + 1))}},
+            {"listen",
+             {{"front", this->callerAddresses.back()},
+              {"ready", this->readinessAddresses.back()},
+              {"control", freeAddress()}}},
+            {"port-range", {freePort()}},
             {"platform", {{"address", storeAddress}}},
             {"bounds", {{"contact-ms", contactTime.count()}, {"retry-ratio", 0.2}, {"retry-slack", 50}}},
             {"bootstrap", true}};
@@ -177,9 +174,13 @@
     void runTraffic()
     {
         this->http.waitFor([] { return true; });
+        const Time limit = std::chrono::steady_clock::now() + eventTimeout;
         for (const auto &fleet : this->fleets) {
-            while (!fleet->isReady())
+            while (!fleet->isReady()) {
+                if (std::chrono::steady_clock::now() > limit)
+                    throw std::runtime_error("a relay is not ready:\n" + this->processes.output());
                 this->waitUntil(std::chrono::steady_clock::now() + requestInterval);
+            }
         }
         const Time end = std::chrono::steady_clock::now() + trafficTime;
         for (Time next = std::chrono::steady_clock::now(); next < end; next += requestInterval) {
--- a/tests/failure/relaystarttest.cpp
+++ b/tests/failure/relaystarttest.cpp
@@ -1,7 +1,6 @@
+#include "freeports.h"
 #include "processes.h"
 
-#include <asio.hpp>
-
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
@@ -25,26 +24,20 @@
         mkfifo(this->settingsFile.c_str(), S_IRUSR | S_IWUSR);
     }
 
-    nlohmann::json settings()
+    static nlohmann::json settings()
     {
-        std::vector<std::string> addresses;
-        for (int i = 0; i < 4; ++i) {
-            asio::ip::tcp::acceptor acceptor(this->loop,
-                                             asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-            addresses.push_back("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
-        }
         return {{"node-name", "vm"},
                 {"zone", "zone-a"},
                 {"ip", "127.0.0.1"},
-                {"listen", {{"front", addresses[0]}, {"ready", addresses[1]}, {"control", addresses[2]}}},
-                {"port-range", {std::stoi(addresses[3].substr(addresses[3].rfind(':') + 1))}},
+                {"listen", {{"front", freeAddress()}, {"ready", freeAddress()}, {"control", freeAddress()}}},
+                {"port-range", {freePort()}},
                 {"platform", {{"address", "127.0.0.1:1"}}}};
     }
 
     /// Lets the relay read its settings; it finds an ordinary file when it opens them again.
     void provideSettings(int pipe)
     {
-        const std::string text = this->settings().dump();
+        const std::string text = settings().dump();
         const std::filesystem::path ordinaryFile = this->processes.folder() / "ordinary.json";
         std::ofstream(ordinaryFile) << text;
         std::filesystem::rename(ordinaryFile, this->settingsFile);
@@ -52,7 +45,6 @@
         close(pipe);
     }
 
-    asio::io_context loop{1};
     Processes processes;
     std::filesystem::path settingsFile;
 };
--- a/tests/failure/relayvm.cpp
+++ b/tests/failure/relayvm.cpp
@@ -1,21 +1,17 @@
 #include "relayvm.h"
 
-#include <asio.hpp>
+#include "freeports.h"
 
 #include <filesystem>
 #include <utility>
 
 namespace hemlock {
 
-using asio::ip::tcp;
-
 RelayVm::RelayVm(const RelayVmLimits &limits, HttpHandler upstreamHandler)
     : upstream(this->http.loop(), {}, std::move(upstreamHandler))
 {
-    for (const char *name : {"front", "ready", "control", "peers"}) {
-        const tcp::acceptor acceptor(this->http.loop(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        this->ports[name] = acceptor.local_endpoint().port();
-    }
+    for (const char *name : {"front", "ready", "control", "peers"})
+        this->ports[name] = freePort();
     this->relay =
         &this->processes.start("hemlock-relay",
                                "relay",
