Require the refusal of a slow head after pipelined requests in its test

Cause: the test kept the responders, so their responses stayed open and the head after them was never due. RESTinio closed the connection after 30 s without a 408, and the check of the order held because nothing was found. Change: the responders are destroyed after the last reply, and the 408 must be there and counted.

--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -343,10 +343,13 @@
     this->loop.run_for(std::chrono::milliseconds(800));
     CHECK(this->server->refusedCallers().slowHeads == 0);
     responders.back()->reply(200, {}, "second");
+    // A response counts as open until its responder is destroyed.
+    responders.clear();
     const std::string received = this->readToEnd();
     CHECK(received.find("first") < received.find("second"));
-    CHECK(received.find("second") != std::string::npos);
     CHECK(received.find("second") < received.find(" 408 "));
+    CHECK(received.find(" 408 ") != std::string::npos);
+    CHECK(this->server->refusedCallers().slowHeads == 1);
 }
 
 namespace {
