--- a/tests/failure/freeports.cpp
+++ b/tests/failure/freeports.cpp
@@ -37,9 +37,9 @@
 {
     static int next = firstPortOfProgram();
     asio::io_context loop;
-    for (int tries = firstPort; tries < endPort; ++tries) {
+    for (int i = firstPort; i < endPort; ++i) {
         const int port = next;
-        next = next + 1 < endPort ? next + 1 : firstPort;
+        next = port + 1 < endPort ? port + 1 : firstPort;
         if (isFree<asio::ip::tcp>(loop, port) && isFree<asio::ip::udp>(loop, port))
             return static_cast<std::uint16_t>(port);
     }
