Take the addresses of the soak's VMs from freePort()

The soak had its own copy of the steps that reserve and release ports of the system. freePort() and freeAddress() take the loopback address as an argument.

--- a/tests/failure/freeports.cpp
+++ b/tests/failure/freeports.cpp
@@ -14,9 +14,9 @@
 constexpr int endPort = 32768;
 
 template <class Protocol>
-bool isFree(asio::io_context &loop, int port)
+bool isFree(asio::io_context &loop, const asio::ip::address &ip, std::uint16_t port)
 {
-    const typename Protocol::endpoint endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port));
+    const typename Protocol::endpoint endpoint(ip, port);
     typename Protocol::socket socket(loop, endpoint.protocol());
     asio::error_code error;
     socket.bind(endpoint, error);
@@ -33,22 +33,23 @@
 
 } // namespace
 
-std::uint16_t freePort()
+std::uint16_t freePort(const std::string &ip)
 {
     static int next = firstPortOfProgram();
+    const auto address = asio::ip::make_address(ip);
     asio::io_context loop;
     for (int i = firstPort; i < endPort; ++i) {
-        const int port = next;
-        next = port + 1 < endPort ? port + 1 : firstPort;
-        if (isFree<asio::ip::tcp>(loop, port) && isFree<asio::ip::udp>(loop, port))
-            return static_cast<std::uint16_t>(port);
+        const auto port = static_cast<std::uint16_t>(next);
+        next = next + 1 < endPort ? next + 1 : firstPort;
+        if (isFree<asio::ip::tcp>(loop, address, port) && isFree<asio::ip::udp>(loop, address, port))
+            return port;
     }
     throw std::runtime_error("no free port below " + std::to_string(endPort));
 }
 
-std::string freeAddress()
+std::string freeAddress(const std::string &ip)
 {
-    return "127.0.0.1:" + std::to_string(freePort());
+    return ip + ":" + std::to_string(freePort(ip));
 }
 
 } // namespace hemlock
--- a/tests/failure/relaysoak.cpp
+++ b/tests/failure/relaysoak.cpp
@@ -1,5 +1,6 @@
 #include "relaysoak.h"
 
+#include "freeports.h"
 #include "oddanswer.h"
 #include "soakbounds.h"
 
@@ -71,13 +72,6 @@
         + std::to_string(1 + static_cast<int>(index) % addressesPerByte);
 }
 
-/// An address with a port that the system hands out; it is free again when @p reserved is destroyed.
-std::string freeAddress(const std::string &ip, asio::io_context &loop, std::vector<asio::ip::tcp::acceptor> &reserved)
-{
-    reserved.emplace_back(loop, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0));
-    return ip + ":" + std::to_string(reserved.back().local_endpoint().port());
-}
-
 json decodedBounds()
 {
     return {{"contact-ms", contactTime.count()},
@@ -149,22 +143,18 @@
     vm.zone = index % 2 == 0 ? "zone-a" : "zone-b";
     if (!vm.storeProxy)
         vm.storeProxy = std::make_unique<FaultProxy>(this->http.loop(), this->storeAddress);
-    std::vector<asio::ip::tcp::acceptor> reserved;
-    vm.callerAddress = freeAddress(ip, this->http.loop(), reserved);
-    vm.readinessAddress = freeAddress(ip, this->http.loop(), reserved);
-    const std::string peerAddress = freeAddress(ip, this->http.loop(), reserved);
-    vm.settings = {{"node-name", vm.name},
-                   {"zone", vm.zone},
-                   {"ip", ip},
-                   {"listen",
-                    {{"front", vm.callerAddress},
-                     {"ready", vm.readinessAddress},
-                     {"control", freeAddress(ip, this->http.loop(), reserved)}}},
-                   {"port-range", {std::stoi(peerAddress.substr(peerAddress.rfind(':') + 1))}},
-                   {"platform", {{"address", vm.storeProxy->address()}}},
-                   {"cloud", {{"address", this->cloudAddress}, {"duties", {"usage_report"}}}},
-                   {"bounds", decodedBounds()},
-                   {"bootstrap", false}};
+    vm.callerAddress = freeAddress(ip);
+    vm.readinessAddress = freeAddress(ip);
+    vm.settings = {
+        {"node-name", vm.name},
+        {"zone", vm.zone},
+        {"ip", ip},
+        {"listen", {{"front", vm.callerAddress}, {"ready", vm.readinessAddress}, {"control", freeAddress(ip)}}},
+        {"port-range", {freePort(ip)}},
+        {"platform", {{"address", vm.storeProxy->address()}}},
+        {"cloud", {{"address", this->cloudAddress}, {"duties", {"usage_report"}}}},
+        {"bounds", decodedBounds()},
+        {"bootstrap", false}};
 }
 
 void RelaySoak::startVm(std::size_t index)
