--- a/tests/failure/crashingparttest.cpp
+++ b/tests/failure/crashingparttest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
 
 using namespace hemlock;
@@ -59,15 +60,12 @@
             this->startRelay(processes, name + "-" + vm, storeAddress);
     }
 
-    bool isReady()
+    /// Throws std::runtime_error with its output if a relay ends instead.
+    void waitUntilReady()
     {
-        for (const std::string &address : this->readinessAddresses) {
-            HttpCall call;
-            call.url = "http://" + address + "/";
-            if (this->http.call(std::move(call)).status != 200)
-                return false;
-        }
-        return true;
+        for (Process *relay : this->relays)
+            relay->waitForEvent("start");
+        this->http.waitFor([this] { return this->isReady(); });
     }
 
     void send()
@@ -142,7 +140,17 @@
             {"platform", {{"address", storeAddress}}},
             {"bounds", {{"contact-ms", contactTime.count()}, {"retry-ratio", 0.2}, {"retry-slack", 50}}},
             {"bootstrap", true}};
-        processes.start("hemlock-relay", name, settings);
+        this->relays.push_back(&processes.start("hemlock-relay", name, settings));
+    }
+
+    bool isReady()
+    {
+        return std::all_of(
+            this->readinessAddresses.begin(), this->readinessAddresses.end(), [this](const std::string &address) {
+                HttpCall call;
+                call.url = "http://" + address + "/";
+                return this->http.call(std::move(call)).status == 200;
+            });
     }
 
     int below(int bound)
@@ -156,6 +164,7 @@
     std::vector<std::unique_ptr<CrashingUpstream>> upstreams;
     std::vector<std::string> callerAddresses;
     std::vector<std::string> readinessAddresses;
+    std::vector<Process *> relays;
     int requests = 0;
 };
 
@@ -174,14 +183,8 @@
     void runTraffic()
     {
         this->http.waitFor([] { return true; });
-        const Time limit = std::chrono::steady_clock::now() + eventTimeout;
-        for (const auto &fleet : this->fleets) {
-            while (!fleet->isReady()) {
-                if (std::chrono::steady_clock::now() > limit)
-                    throw std::runtime_error("a relay is not ready:\n" + this->processes.output());
-                this->waitUntil(std::chrono::steady_clock::now() + requestInterval);
-            }
-        }
+        for (const auto &fleet : this->fleets)
+            fleet->waitUntilReady();
         const Time end = std::chrono::steady_clock::now() + trafficTime;
         for (Time next = std::chrono::steady_clock::now(); next < end; next += requestInterval) {
             this->waitUntil(next);
