Move the handlers of a caller's socket only in the body of its calls

Seen by callers: on x86-64, hemlock-relay accepted connections and ran requests, but never wrote a byte of an answer; each call ended with the caller's own time limit. Cause: MeteredSocket::async_write_some() took its handler by value. Asio's composed write calls it with buffers.prepare(...) and std::move(*this). The parameter by value moves the buffers away, and which argument is evaluated first is unspecified: GCC on x86-64 begins with the last, so the write had nothing to send and began again for ever. With a forwarding reference, as in Asio's own sockets, nothing is moved before both arguments are evaluated. async_read_some() had the same parameter; RESTinio does not call it that way, so no read was seen to fail. No other public function takes a completion handler by value (searched in src, platform and tests).

--- a/src/libhemlock/meteredsocket.h
+++ b/src/libhemlock/meteredsocket.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 
 namespace hemlock {
@@ -46,10 +47,14 @@
     MeteredSocket &operator=(MeteredSocket &&) = default;
     ~MeteredSocket();
 
+    // Asio's composed operations pass a part of themselves as buffers and themselves as the handler, in one call. A
+    // handler that is taken by value may be moved, with that part, before the buffers are read.
+
     /// Calls the handler with bytes of a complete request.
     template <class Buffer, class Handler>
-    void async_read_some(const Buffer &buffer, Handler handler)
+    void async_read_some(const Buffer &buffer, Handler &&callerHandler)
     {
+        std::decay_t<Handler> handler(std::forward<Handler>(callerHandler));
         if (!this->enter())
             return this->postError(std::move(handler), asio::error::no_buffer_space);
         if (this->hasOutput() || !this->unread.empty()) {
@@ -67,8 +72,9 @@
 
     /// Records when part of a response was written.
     template <class Buffers, class Handler>
-    void async_write_some(const Buffers &buffers, Handler handler)
+    void async_write_some(const Buffers &buffers, Handler &&callerHandler)
     {
+        std::decay_t<Handler> handler(std::forward<Handler>(callerHandler));
         const auto executor = asio::get_associated_executor(handler);
         asio::ip::tcp::socket::async_write_some(
             buffers,
